--- /dev/null
+++ b/packages/cactushall-client/cactushall_client/__init__.py
@@ -0,0 +1,1 @@
+"""The cactushall command line for operators."""
--- /dev/null
+++ b/packages/cactushall-client/cactushall_client/__main__.py
@@ -0,0 +1,107 @@
+"""Command line of `cactushall`."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+import typing
+
+import click
+from cactushall_core import addresses, exceptions
+
+from cactushall_client import exit_codes, output
+from cactushall_client.commands import apply as apply_command
+from cactushall_client.commands import check as check_command
+from cactushall_client.commands import members as members_command
+from cactushall_client.commands import status as status_command
+
+CONTACT_HELP = "Control address of any process, as IP:PORT."
+STORE_HELP = "Address of the key-value store, as IP:PORT."
+OUTPUT_HELP = "Output format."
+
+CommandT = typing.TypeVar("CommandT", bound=typing.Callable[..., None])
+
+
+class AddressType(click.ParamType[addresses.Address]):
+    """An IP address with a port."""
+
+    name = "address"
+
+    def convert(
+        self,
+        value: typing.Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> addresses.Address:
+        """Parse the text form."""
+        try:
+            return addresses.parse(str(value))
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+
+
+def _report_errors(run: typing.Callable[..., None], *args: object) -> None:
+    """Run a command and print an expected error as one line."""
+    try:
+        run(*args)
+    except exceptions.CactushallError as error:
+        click.echo(f"error: {error}", err=True)
+        sys.exit(exit_codes.ExitCode.FAILURE)
+
+
+def _contact_options(command: CommandT) -> CommandT:
+    """Add the options of commands that ask a process."""
+    add_contact = click.option(
+        "--contact",
+        type=AddressType(),
+        required=True,
+        envvar="CACTUSHALL_CONTACT",
+        help=CONTACT_HELP,
+    )
+    add_output = click.option(
+        "--output",
+        "output_format",
+        type=click.Choice([chosen.value for chosen in output.Format]),
+        default=output.Format.TEXT.value,
+        help=OUTPUT_HELP,
+    )
+    return add_contact(add_output(command))
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="cactushall-client")
+def cli() -> None:
+    """Look at and change a cactushall load balancer."""
+
+
+@cli.command()
+@_contact_options
+def status(contact: addresses.Address, output_format: str) -> None:
+    """Show what all processes report."""
+    _report_errors(status_command.main, contact, output.Format(output_format))
+
+
+@cli.command()
+@_contact_options
+def members(contact: addresses.Address, output_format: str) -> None:
+    """Show the members that one process knows."""
+    _report_errors(members_command.main, contact, output.Format(output_format))
+
+
+@cli.command()
+@click.argument("path", type=click.Path(path_type=pathlib.Path))
+def check(path: pathlib.Path) -> None:
+    """Check a service configuration and print all findings."""
+    check_command.main(path)
+
+
+@cli.command()
+@click.argument("path", type=click.Path(path_type=pathlib.Path))
+@click.option("--store", type=AddressType(), required=True, help=STORE_HELP)
+def apply(path: pathlib.Path, store: addresses.Address) -> None:
+    """Store a service configuration."""
+    _report_errors(apply_command.main, path, store)
+
+
+if __name__ == "__main__":
+    cli()
--- /dev/null
+++ b/packages/cactushall-client/cactushall_client/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of `cactushall`."""
--- /dev/null
+++ b/packages/cactushall-client/cactushall_client/commands/check.py
@@ -0,0 +1,21 @@
+"""`cactushall check`: checks a service configuration."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+import click
+from cactushall_core import findings
+
+from cactushall_client import exit_codes, intent
+
+
+def main(path: pathlib.Path) -> None:
+    """Print all findings of a service configuration in YAML."""
+    loaded, found = intent.load(path)
+    for finding in found:
+        click.echo(str(finding), err=True)
+    if loaded is None or findings.has_errors(found):
+        sys.exit(exit_codes.ExitCode.INVALID_INPUT)
+    click.echo(f"{path}: {len(loaded.services)} services, no errors")
--- /dev/null
+++ b/packages/cactushall-client/cactushall_client/commands/members.py
@@ -0,0 +1,32 @@
+"""`cactushall members`: the members that one process knows."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from cactushall_core import addresses
+
+from cactushall_client import fleet, output
+
+
+def main(contact: addresses.Address, output_format: output.Format) -> None:
+    """Print the members that a process knows."""
+    found = asyncio.run(fleet.members(contact))
+    found.sort(key=lambda record: record.member.name)
+    if output_format is output.Format.JSON:
+        output.write_json(msgspec.to_builtins(found))
+        return
+    titles = ("NODE", "ROLE", "ZONE", "ADDRESS", "STATUS", "INCARNATION")
+    rows = [
+        (
+            record.member.name,
+            record.member.role.name.lower(),
+            record.member.zone,
+            record.member.control_address,
+            record.status.name.lower(),
+            record.incarnation,
+        )
+        for record in found
+    ]
+    output.write_table(titles, rows)
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/configuration.py
@@ -0,0 +1,128 @@
+"""The service configuration that operators confirm, and its check.
+
+The store holds it as one JSON value of at most 1 MB. It never names backend
+servers: agents announce those.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from cactushall_core import addresses, exceptions, findings, identifiers
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_NAME_LENGTH = 63
+DEFAULT_DEADLINE_SECONDS = 10.0
+DEFAULT_IDLE_TIMEOUT_SECONDS = 60.0
+
+
+class Service(msgspec.Struct, frozen=True):
+    """One service.
+
+    Attributes:
+        name: Unique name.
+        address: IP address and port at which callers reach it.
+        deadline_seconds: Time in which a request must be answered, unless the
+            caller names a shorter one.
+        idle_timeout_seconds: A flow with no packet for so long is closed.
+    """
+
+    name: identifiers.ServiceName
+    address: str
+    deadline_seconds: float = DEFAULT_DEADLINE_SECONDS
+    idle_timeout_seconds: float = DEFAULT_IDLE_TIMEOUT_SECONDS
+
+    @property
+    def service_address(self) -> addresses.Address:
+        """The address as a value."""
+        return addresses.parse(self.address)
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """All services at one revision.
+
+    Attributes:
+        revision: Grows by one with each confirmed change.
+        services: The services.
+    """
+
+    revision: identifiers.Revision = identifiers.Revision(0)
+    services: tuple[Service, ...] = ()
+
+    def service(self, name: identifiers.ServiceName) -> Service | None:
+        """Return the service with a name."""
+        return next((s for s in self.services if s.name == name), None)
+
+
+EMPTY = Configuration()
+
+_decoder = msgspec.json.Decoder(Configuration, strict=True)
+
+
+def encode(configuration: Configuration) -> bytes:
+    """Encode a configuration as the store holds it."""
+    return msgspec.json.encode(configuration)
+
+
+def decode(value: bytes, source: str) -> Configuration:
+    """Decode a configuration and check it whole.
+
+    Args:
+        value: The stored value.
+        source: Where the value came from, for messages.
+
+    Raises:
+        ConfigurationError: The value is malformed or has errors; the message
+            names all of them.
+    """
+    if len(value) > MAX_VALUE_BYTES:
+        raise exceptions.ConfigurationError(
+            f"{source}: {len(value)} bytes exceed the limit of {MAX_VALUE_BYTES}"
+        )
+    try:
+        configuration = _decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise exceptions.ConfigurationError(f"{source}: {error}") from error
+    found = validate(configuration, source)
+    if findings.has_errors(found):
+        raise exceptions.ConfigurationError("\n".join(map(str, found)))
+    return configuration
+
+
+def validate(configuration: Configuration, source: str) -> list[findings.Finding]:
+    """Return all findings of a configuration."""
+    found: list[findings.Finding] = []
+    names: set[str] = set()
+    places: dict[str, str] = {}
+    for index, service in enumerate(configuration.services):
+        key = f"services.{index}"
+        messages = _validate_service(service)
+        if service.name in names:
+            messages.append(f"name {service.name!r} is used twice")
+        if service.address in places:
+            other = places[service.address]
+            messages.append(f"address {service.address} belongs to {other!r} already")
+        names.add(service.name)
+        places[service.address] = service.name
+        found += [_error(source, key, message) for message in messages]
+    return found
+
+
+def _validate_service(service: Service) -> list[str]:
+    messages = []
+    if not 0 < len(service.name) <= MAX_NAME_LENGTH:
+        messages.append(f"a name has 1 to {MAX_NAME_LENGTH} characters")
+    try:
+        addresses.parse(service.address)
+    except ValueError as error:
+        messages.append(f"address: {error}")
+    if service.deadline_seconds <= 0:
+        messages.append("deadline_seconds must be above 0")
+    if service.idle_timeout_seconds <= 0:
+        messages.append("idle_timeout_seconds must be above 0")
+    return messages
+
+
+def _error(source: str, key: str, message: str) -> findings.Finding:
+    place = findings.Place(source, 0, key)
+    return findings.Finding(findings.Severity.ERROR, place, message)
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/findings.py
@@ -0,0 +1,51 @@
+"""Findings of a check, collected with their place and reported together."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class Severity(enum.Enum):
+    """How serious a finding is."""
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
+@dataclasses.dataclass(frozen=True)
+class Place:
+    """Where a finding was made.
+
+    Attributes:
+        source: File name or store key.
+        line: Line number from 1, or 0 when the source has no lines.
+        key: Dotted path of the option.
+    """
+
+    source: str
+    line: int
+    key: str
+
+    def __str__(self) -> str:
+        """Return ``source:line: key``."""
+        position = f"{self.source}:{self.line}" if self.line else self.source
+        return f"{position}: {self.key}" if self.key else position
+
+
+@dataclasses.dataclass(frozen=True)
+class Finding:
+    """One error or warning and its place."""
+
+    severity: Severity
+    place: Place
+    message: str
+
+    def __str__(self) -> str:
+        """Return the finding as one line of text."""
+        return f"{self.place}: {self.severity.value}: {self.message}"
+
+
+def has_errors(findings: list[Finding]) -> bool:
+    """Tell whether any finding is an error."""
+    return any(finding.severity is Severity.ERROR for finding in findings)
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/keys.py
@@ -0,0 +1,106 @@
+"""Keyed checks: derivation of keys and authentication tags, with rotation."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import hashlib
+import hmac
+
+KEY_BYTES = 32
+MAX_KEYS = 2
+KEY_ID_BYTES = 1
+
+
+class Purpose(enum.Enum):
+    """What a derived key is used for; each purpose has a key of its own."""
+
+    CONNECTION_ID = b"conn-id"
+    STATELESS_RESET = b"reset"
+    TUNNEL = b"tunnel"
+    GOSSIP = b"gossip"
+
+
+@dataclasses.dataclass(frozen=True)
+class Key:
+    """A secret from the settings.
+
+    Attributes:
+        id: First byte of the secret's hash, carried in messages to select the key.
+        secret: 32 bytes.
+    """
+
+    id: int
+    secret: bytes
+
+
+def make_key(secret: bytes) -> Key:
+    """Wrap a secret of 32 bytes as a key.
+
+    Raises:
+        ValueError: The secret has another length.
+    """
+    if len(secret) != KEY_BYTES:
+        raise ValueError(f"a key has {KEY_BYTES} bytes, not {len(secret)}")
+    digest = hashlib.blake2s(secret, person=b"key-id", digest_size=KEY_ID_BYTES)
+    return Key(digest.digest()[0] & 0x0F, secret)
+
+
+class Authenticator:
+    """Computes and verifies tags for one purpose and one context.
+
+    Two keys may be valid at once: the first signs, both verify.
+    """
+
+    def __init__(
+        self, keys: tuple[Key, ...], purpose: Purpose, context: bytes, tag_bytes: int
+    ) -> None:
+        """Derive the states that tags are computed from.
+
+        Args:
+            keys: The valid keys, the signing key first.
+            purpose: What the tags protect.
+            context: Binds the tags, for example to one service.
+            tag_bytes: Length of a tag.
+        """
+        self._tag_bytes = tag_bytes
+        self._signing_key_id = keys[0].id
+        self._states = {
+            key.id: _derive_state(key, purpose, context, tag_bytes)
+            for key in reversed(keys)
+        }
+
+    @property
+    def signing_key_id(self) -> int:
+        """Id of the key that signs."""
+        return self._signing_key_id
+
+    def sign(self, data: bytes | memoryview) -> bytes:
+        """Return the tag of some data under the signing key."""
+        return self.sign_with(self._signing_key_id, data)
+
+    def sign_with(self, key_id: int, data: bytes | memoryview) -> bytes:
+        """Return the tag under a given key.
+
+        Raises:
+            KeyError: No valid key has this id.
+        """
+        state = self._states[key_id].copy()
+        state.update(data)
+        return state.digest()
+
+    def verify(self, key_id: int, data: bytes | memoryview, tag: bytes) -> bool:
+        """Tell whether a tag fits the data under the key with the given id."""
+        state = self._states.get(key_id)
+        if state is None:
+            return False
+        state = state.copy()
+        state.update(data)
+        return hmac.compare_digest(state.digest(), tag)
+
+
+def _derive_state(
+    key: Key, purpose: Purpose, context: bytes, tag_bytes: int
+) -> hashlib.blake2s:
+    derived = hashlib.blake2s(context, key=key.secret, person=purpose.value)
+    return hashlib.blake2s(key=derived.digest(), digest_size=tag_bytes)
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/membership/messages.py
@@ -0,0 +1,143 @@
+"""Messages of the membership protocol and their codec.
+
+A datagram is a version byte, an authentication tag and a MessagePack body.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from cactushall_core import exceptions, identifiers, keys
+from cactushall_core.membership import records
+
+VERSION = 1
+TAG_BYTES = 8
+HEADER_BYTES = 1 + TAG_BYTES
+
+
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """Asks the target for an acknowledgement."""
+
+    sequence: int
+    target: identifiers.MemberId
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """Answers a probe."""
+
+    sequence: int
+
+
+class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """Asks a third member to probe the target."""
+
+    sequence: int
+    target: identifiers.MemberId
+
+
+class Gossip(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Carries deltas only."""
+
+
+class Digest(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Hashes of the sender's table, one of 4 bytes for each bucket."""
+
+    buckets: bytes
+
+
+class BucketEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Version of one record."""
+
+    id: identifiers.MemberId
+    incarnation: int
+    status: records.Status
+
+
+class BucketSummary(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Versions of all records in one bucket of the sender's table."""
+
+    bucket: int
+    entries: tuple[BucketEntry, ...]
+
+
+class RecordRequest(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Asks for whole records."""
+
+    ids: tuple[identifiers.MemberId, ...]
+
+
+Body = Probe | Ack | IndirectProbe | Gossip | Digest | BucketSummary | RecordRequest
+
+
+class Packet(msgspec.Struct, frozen=True, array_like=True):
+    """One datagram.
+
+    Attributes:
+        sender: Id of the sender.
+        revision: Revision of the service configuration that the sender has.
+        body: What the datagram is for.
+        deltas: News about members.
+    """
+
+    sender: identifiers.MemberId
+    revision: identifiers.Revision
+    body: Body
+    deltas: tuple[records.Delta, ...] = ()
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Packet)
+_table_decoder = msgspec.msgpack.Decoder(tuple[records.Record, ...])
+
+
+def make_authenticator(ring: tuple[keys.Key, ...]) -> keys.Authenticator:
+    """Return the authenticator of membership datagrams."""
+    return keys.Authenticator(ring, keys.Purpose.GOSSIP, b"", TAG_BYTES)
+
+
+def encode(authenticator: keys.Authenticator, packet: Packet) -> bytes:
+    """Encode one datagram."""
+    body = _encoder.encode(packet)
+    head = bytes([VERSION << 4 | authenticator.signing_key_id])
+    return head + authenticator.sign(body) + body
+
+
+def decode(authenticator: keys.Authenticator, datagram: bytes) -> Packet:
+    """Decode and verify one datagram.
+
+    Raises:
+        DecodeError: The datagram is malformed.
+        AuthenticationError: The tag does not fit.
+    """
+    if len(datagram) <= HEADER_BYTES or datagram[0] >> 4 != VERSION:
+        raise exceptions.DecodeError("not a membership datagram")
+    body = datagram[HEADER_BYTES:]
+    tag = datagram[1:HEADER_BYTES]
+    if not authenticator.verify(datagram[0] & 0x0F, body, tag):
+        raise exceptions.AuthenticationError("tag does not fit")
+    try:
+        return _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise exceptions.DecodeError(str(error)) from error
+
+
+def encoded_size(delta: records.Delta) -> int:
+    """Return how many bytes a delta takes in a datagram."""
+    return len(_encoder.encode(delta))
+
+
+def encode_table(table: tuple[records.Record, ...]) -> bytes:
+    """Encode a whole membership table, for a joining member."""
+    return _encoder.encode(table)
+
+
+def decode_table(data: bytes) -> tuple[records.Record, ...]:
+    """Decode a membership table.
+
+    Raises:
+        DecodeError: The bytes are not a table.
+    """
+    try:
+        return _table_decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise exceptions.DecodeError(str(error)) from error
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/quic_header.py
@@ -0,0 +1,71 @@
+"""The version-independent part of QUIC packet headers (RFC 8999)."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from cactushall_core import connection_id
+
+LONG_HEADER_BIT = 0x80
+FIXED_BIT = 0x40
+MAX_CONNECTION_ID_BYTES = 20
+MIN_INITIAL_DATAGRAM_BYTES = 1200
+MIN_SHORT_PACKET_BYTES = 1 + connection_id.LENGTH_BYTES + 1 + 16
+
+_LONG_CID_LENGTH_OFFSET = 5
+_LONG_CID_OFFSET = 6
+_PACKET_TYPE_MASK = 0x30
+_VERSION_1 = b"\x00\x00\x00\x01"
+_VERSION_2 = b"\x6b\x33\x43\xcf"
+_INITIAL_TYPES = {_VERSION_1: 0x00, _VERSION_2: 0x10}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Header:
+    """What a load balancer may read of a QUIC packet.
+
+    Attributes:
+        is_long: Whether the packet has a long header.
+        is_initial: Whether the packet may open a connection.
+        destination_cid: The destination connection id.
+    """
+
+    is_long: bool
+    is_initial: bool
+    destination_cid: bytes
+
+
+def parse(datagram: bytes | memoryview) -> Header | None:
+    """Parse the first packet of a datagram.
+
+    Args:
+        datagram: The payload of a UDP datagram.
+
+    Returns:
+        The header, or None where the datagram cannot be a QUIC packet for us.
+    """
+    if not datagram:
+        return None
+    first = datagram[0]
+    if first & LONG_HEADER_BIT:
+        return _parse_long(datagram, first)
+    if not first & FIXED_BIT or len(datagram) < MIN_SHORT_PACKET_BYTES:
+        return None
+    return Header(False, False, bytes(datagram[1 : 1 + connection_id.LENGTH_BYTES]))
+
+
+def _parse_long(datagram: bytes | memoryview, first: int) -> Header | None:
+    if len(datagram) <= _LONG_CID_OFFSET:
+        return None
+    length = datagram[_LONG_CID_LENGTH_OFFSET]
+    end = _LONG_CID_OFFSET + length
+    if length > MAX_CONNECTION_ID_BYTES or len(datagram) <= end:
+        return None
+    version = bytes(datagram[1:_LONG_CID_LENGTH_OFFSET])
+    initial_type = _INITIAL_TYPES.get(version)
+    is_initial = (
+        initial_type is not None
+        and first & _PACKET_TYPE_MASK == initial_type
+        and len(datagram) >= MIN_INITIAL_DATAGRAM_BYTES
+    )
+    return Header(True, is_initial, bytes(datagram[_LONG_CID_OFFSET:end]))
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/steering.py
@@ -0,0 +1,234 @@
+"""Steering of callers' datagrams to the home agents of their flows.
+
+An entry holds no state of any flow: the home is read from the connection id, and
+a first packet goes by rendezvous hash of the id that its caller chose.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import os
+import typing
+
+import msgspec
+
+from cactushall_core import (
+    addresses,
+    connection_id,
+    identifiers,
+    keys,
+    quic_header,
+    rendezvous,
+)
+from cactushall_core.membership import records
+
+GONE_AFTER_SECONDS = 3.0
+MAX_UNKNOWN_HOMES = 4096
+MIN_RESET_BYTES = 21
+MAX_RESET_BYTES = 64
+
+
+class Target(msgspec.Struct, frozen=True):
+    """Where the datagrams of one home go."""
+
+    home: identifiers.HomeId
+    tunnel_address: addresses.Address
+    is_eligible: bool
+
+
+class Forward(msgspec.Struct, frozen=True):
+    """Forward the datagram to an agent."""
+
+    home: identifiers.HomeId
+    tunnel_address: addresses.Address
+
+
+class Reset(msgspec.Struct, frozen=True):
+    """Answer the caller with a stateless reset."""
+
+    datagram: bytes
+
+
+class DropReason(enum.Enum):
+    """Why a datagram was dropped."""
+
+    MALFORMED = "malformed"
+    FOREIGN_ID = "foreign_id"
+    UNKNOWN_HOME = "unknown_home"
+    NO_BACKEND_SERVER = "no_backend_server"
+    UNKNOWN_SERVICE = "unknown_service"
+
+
+class Drop(msgspec.Struct, frozen=True):
+    """Drop the datagram and count it."""
+
+    reason: DropReason
+
+
+Decision = Forward | Reset | Drop
+
+_DROPS = {reason: Drop(reason) for reason in DropReason}
+
+
+@dataclasses.dataclass
+class _ServiceTable:
+    keys: connection_id.ServiceKeys
+    targets: dict[identifiers.HomeId, Target] = dataclasses.field(default_factory=dict)
+    eligible: list[Target] = dataclasses.field(default_factory=list)
+    gone: set[identifiers.HomeId] = dataclasses.field(default_factory=set)
+    unknown_since: dict[identifiers.HomeId, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Steering:
+    """Tables of one entry: for each service, its homes and where they are."""
+
+    def __init__(self, ring: tuple[keys.Key, ...]) -> None:
+        """Create empty tables.
+
+        Args:
+            ring: Keys of the connection ids.
+        """
+        self._ring = ring
+        self._services: dict[identifiers.ServiceName, _ServiceTable] = {}
+
+    def set_services(self, names: typing.Iterable[identifiers.ServiceName]) -> None:
+        """Keep tables for just these services."""
+        wanted = set(names)
+        for name in wanted - self._services.keys():
+            service_keys = connection_id.make_service_keys(self._ring, name)
+            self._services[name] = _ServiceTable(service_keys)
+        for name in self._services.keys() - wanted:
+            del self._services[name]
+
+    def load(self, members: typing.Iterable[records.Record]) -> None:
+        """Take in everything that is known of members."""
+        for table in self._services.values():
+            table.targets.clear()
+            table.eligible.clear()
+        for record in members:
+            self.apply(record)
+
+    def apply(self, record: records.Record) -> None:
+        """Take in what has changed about one member."""
+        for endpoint in record.member.endpoints:
+            table = self._services.get(endpoint.service)
+            if table is not None:
+                _apply_endpoint(table, record, endpoint)
+
+    def target_count(self, service: identifiers.ServiceName) -> int:
+        """Return how many backend servers of a service may get new flows."""
+        table = self._services.get(service)
+        return len(table.eligible) if table else 0
+
+    def steer(
+        self, service: identifiers.ServiceName, datagram: bytes, now: float
+    ) -> Decision:
+        """Decide what to do with a datagram.
+
+        Args:
+            service: The service whose address the datagram was sent to.
+            datagram: The payload of the datagram.
+            now: Present time in seconds.
+        """
+        table = self._services.get(service)
+        if table is None:
+            return _DROPS[DropReason.UNKNOWN_SERVICE]
+        header = quic_header.parse(datagram)
+        if header is None:
+            return _DROPS[DropReason.MALFORMED]
+        home = connection_id.decode(table.keys, header.destination_cid)
+        if home is not None:
+            target = table.targets.get(home)
+            if target is not None:
+                return Forward(home, target.tunnel_address)
+            return _steer_unknown_home(table, home, header, datagram, now)
+        if header.is_long:
+            return _steer_first_packet(table, header)
+        return _DROPS[DropReason.FOREIGN_ID]
+
+
+def stateless_reset(
+    service_keys: connection_id.ServiceKeys, cid: bytes, received_bytes: int
+) -> bytes | None:
+    """Return a stateless reset for a packet with an id of ours.
+
+    Args:
+        service_keys: Keys of the service that the packet was sent to.
+        cid: The packet's destination connection id, whose check has passed.
+        received_bytes: Size of the packet; the reset is smaller, so that two
+            parties cannot reset each other without end.
+
+    Source: RFC 9000 section 10.3.
+    """
+    size = min(received_bytes - 1, MAX_RESET_BYTES)
+    if size < MIN_RESET_BYTES:
+        return None
+    token = connection_id.reset_token(service_keys, cid)
+    filler = bytearray(os.urandom(size - len(token)))
+    filler[0] = filler[0] & 0x3F | quic_header.FIXED_BIT
+    return bytes(filler) + token
+
+
+def _apply_endpoint(
+    table: _ServiceTable, record: records.Record, endpoint: records.Endpoint
+) -> None:
+    old = table.targets.pop(endpoint.home, None)
+    if old is not None and old.is_eligible:
+        table.eligible.remove(old)
+    if not record.is_present:
+        table.gone.add(endpoint.home)
+        return
+    table.gone.discard(endpoint.home)
+    table.unknown_since.pop(endpoint.home, None)
+    is_alive = record.status is records.Status.ALIVE
+    target = Target(
+        endpoint.home,
+        record.member.tunnel_address,
+        is_alive and not endpoint.is_draining,
+    )
+    table.targets[endpoint.home] = target
+    if target.is_eligible:
+        table.eligible.append(target)
+
+
+def _steer_first_packet(table: _ServiceTable, header: quic_header.Header) -> Decision:
+    candidates = table.eligible or list(table.targets.values())
+    if not candidates:
+        return _DROPS[DropReason.NO_BACKEND_SERVER]
+    best = rendezvous.rank(
+        header.destination_cid, candidates, _target_home, _equal_weight, 1
+    )[0]
+    return Forward(best.home, best.tunnel_address)
+
+
+def _steer_unknown_home(
+    table: _ServiceTable,
+    home: identifiers.HomeId,
+    header: quic_header.Header,
+    datagram: bytes,
+    now: float,
+) -> Decision:
+    """Reset a flow whose home is gone; wait where the home may be new."""
+    if home not in table.gone:
+        since = table.unknown_since.setdefault(home, now)
+        if len(table.unknown_since) > MAX_UNKNOWN_HOMES:
+            del table.unknown_since[next(iter(table.unknown_since))]
+        if now - since < GONE_AFTER_SECONDS:
+            return _DROPS[DropReason.UNKNOWN_HOME]
+    if header.is_long:
+        return _DROPS[DropReason.UNKNOWN_HOME]
+    datagram_out = stateless_reset(table.keys, header.destination_cid, len(datagram))
+    if datagram_out is None:
+        return _DROPS[DropReason.UNKNOWN_HOME]
+    return Reset(datagram_out)
+
+
+def _target_home(target: Target) -> int:
+    return target.home
+
+
+def _equal_weight(_: Target) -> float:
+    return 1.0
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The cactushall daemons."""
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/__main__.py
@@ -0,0 +1,50 @@
+"""Command line of `cactushalld`."""
+
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import click
+
+from cactushall_daemon.commands import agent as agent_command
+from cactushall_daemon.commands import entry as entry_command
+
+CONFIG_HELP = "Settings file in YAML."
+CHECK_HELP = "Check the settings, print all findings and exit."
+
+CommandT = typing.TypeVar("CommandT", bound=typing.Callable[..., None])
+
+
+def _common_options(command: CommandT) -> CommandT:
+    """Add the options that all subcommands share."""
+    path_type = click.Path(path_type=pathlib.Path)
+    add_config = click.option(
+        "--config", "-c", "path", type=path_type, required=True, help=CONFIG_HELP
+    )
+    add_check = click.option("--check", "only_check", is_flag=True, help=CHECK_HELP)
+    return add_config(add_check(command))
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="cactushall-daemon")
+def cli() -> None:
+    """Run one process of the cactushall load balancer."""
+
+
+@cli.command()
+@_common_options
+def entry(path: pathlib.Path, only_check: bool) -> None:
+    """Steer callers' datagrams to the agents of their flows."""
+    entry_command.main(path, only_check=only_check)
+
+
+@cli.command()
+@_common_options
+def agent(path: pathlib.Path, only_check: bool) -> None:
+    """End callers' connections beside backend servers."""
+    agent_command.main(path, only_check=only_check)
+
+
+if __name__ == "__main__":
+    cli()
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: ends callers' QUIC connections beside a backend server."""
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
@@ -0,0 +1,348 @@
+"""One caller's QUIC connection and the HTTP/3 streams on it."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc
+import enum
+
+from aioquic.h3 import connection as h3_connection
+from aioquic.h3 import events as h3_events
+from aioquic.quic import events as quic_events
+from cactushall_core import addresses
+
+from cactushall_daemon.agent import quic
+
+MAX_UNSENT_BYTES = 256 * 1024
+PINGS_PER_IDLE_TIMEOUT = 3.0
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class ResetCode(enum.IntEnum):
+    """HTTP/3 error codes for streams (RFC 9114 section 8.1)."""
+
+    NO_ERROR = 0x100
+    INTERNAL_ERROR = 0x102
+    REQUEST_CANCELLED = 0x10C
+
+
+class CloseCode(enum.IntEnum):
+    """QUIC transport error codes for connections (RFC 9000 section 20.1)."""
+
+    NO_ERROR = 0x0
+    CONNECTION_REFUSED = 0x2
+
+
+class StreamClosedError(Exception):
+    """The caller has reset the stream or the connection is gone."""
+
+
+class RequestStream:
+    """One request's stream: body chunks in, response out."""
+
+    def __init__(self, owner: Flow, stream_id: int, headers: Headers) -> None:
+        """Wrap a stream whose request headers have arrived."""
+        self._owner = owner
+        self._stream_id = stream_id
+        self._headers = headers
+        self._chunks: collections.deque[bytes] = collections.deque()
+        self._unread_bytes = 0
+        self._is_body_complete = False
+        self._is_closed = False
+        self._is_response_started = False
+        self._changed = asyncio.Event()
+
+    @property
+    def headers(self) -> Headers:
+        """The request's headers."""
+        return self._headers
+
+    @property
+    def flow(self) -> Flow:
+        """The flow that the stream belongs to."""
+        return self._owner
+
+    @property
+    def stream_id(self) -> int:
+        """QUIC stream id."""
+        return self._stream_id
+
+    @property
+    def is_body_complete(self) -> bool:
+        """Whether the whole request body has arrived."""
+        return self._is_body_complete
+
+    @property
+    def is_response_started(self) -> bool:
+        """Whether response headers have left."""
+        return self._is_response_started
+
+    def feed(self, data: bytes, is_last: bool) -> None:
+        """Take in body data from the caller."""
+        if data:
+            self._chunks.append(data)
+            self._unread_bytes += len(data)
+            self._owner.quic.set_unread_bytes(self._stream_id, self._unread_bytes)
+        self._is_body_complete = self._is_body_complete or is_last
+        self._changed.set()
+
+    def close(self) -> None:
+        """Note that the caller no longer listens."""
+        self._is_closed = True
+        self._changed.set()
+
+    def wake(self) -> None:
+        """Let a waiting writer look again for room."""
+        self._changed.set()
+
+    async def read(self) -> bytes:
+        """Return the next body data, or nothing at the end.
+
+        Raises:
+            StreamClosedError: The caller has gone.
+        """
+        while not self._chunks:
+            if self._is_closed:
+                raise StreamClosedError
+            if self._is_body_complete:
+                return b""
+            await self._wait()
+        data = self._chunks.popleft()
+        self._unread_bytes -= len(data)
+        self._owner.quic.set_unread_bytes(self._stream_id, self._unread_bytes)
+        self._owner.schedule_transmit()
+        return data
+
+    def send_headers(self, headers: Headers, *, is_last: bool) -> None:
+        """Send response headers."""
+        self._check_open()
+        self._is_response_started = True
+        self._owner.http.send_headers(self._stream_id, headers, is_last)
+        self._owner.schedule_transmit()
+
+    async def send_data(self, data: bytes, *, is_last: bool) -> None:
+        """Send response body data as soon as there is room.
+
+        Raises:
+            StreamClosedError: The caller has gone.
+        """
+        while self._owner.quic.unsent_bytes(self._stream_id) > MAX_UNSENT_BYTES:
+            self._check_open()
+            await self._wait()
+        self._check_open()
+        self._owner.http.send_data(self._stream_id, data, is_last)
+        self._owner.schedule_transmit()
+
+    def reset(self, code: ResetCode) -> None:
+        """End the response as incomplete."""
+        if not self._is_closed:
+            self._owner.quic.reset_stream(self._stream_id, code)
+            self._owner.schedule_transmit()
+
+    def _check_open(self) -> None:
+        if self._is_closed:
+            raise StreamClosedError
+
+    async def _wait(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
+
+
+class FlowHandler:
+    """What a flow needs of the endpoint that holds it."""
+
+    def __init__(
+        self,
+        transmit: collections.abc.Callable[[bytes, addresses.Address], None],
+        on_request: collections.abc.Callable[[RequestStream], None],
+        on_stream_closed: collections.abc.Callable[[RequestStream], None],
+        on_cid_issued: collections.abc.Callable[[Flow, bytes], None],
+        on_cid_retired: collections.abc.Callable[[Flow, bytes], None],
+        on_closed: collections.abc.Callable[[Flow], None],
+    ) -> None:
+        """Bundle the callbacks.
+
+        Args:
+            transmit: Sends a datagram to a caller.
+            on_request: Takes a new request.
+            on_stream_closed: Told when a caller gives up a request.
+            on_cid_issued: Told of a new connection id.
+            on_cid_retired: Told of an id that the caller no longer uses.
+            on_closed: Told when the flow has ended.
+        """
+        self.transmit = transmit
+        self.on_request = on_request
+        self.on_stream_closed = on_stream_closed
+        self.on_cid_issued = on_cid_issued
+        self.on_cid_retired = on_cid_retired
+        self.on_closed = on_closed
+
+
+class Flow:
+    """A caller's connection."""
+
+    def __init__(
+        self,
+        connection: quic.SteeredConnection,
+        handler: FlowHandler,
+        idle_timeout: float,
+    ) -> None:
+        """Wrap a new connection.
+
+        Args:
+            connection: The QUIC connection.
+            handler: The endpoint's callbacks.
+            idle_timeout: Seconds after which a silent flow is closed.
+        """
+        self._quic = connection
+        self._handler = handler
+        self._loop = asyncio.get_running_loop()
+        self._http: h3_connection.H3Connection | None = None
+        self._streams: dict[int, RequestStream] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._transmit_handle: asyncio.Handle | None = None
+        self._ping_interval = idle_timeout / PINGS_PER_IDLE_TIMEOUT
+        self._next_ping_at = 0.0
+        self._caller: addresses.Address | None = None
+        self._is_closed = False
+
+    @property
+    def quic(self) -> quic.SteeredConnection:
+        """The QUIC connection."""
+        return self._quic
+
+    @property
+    def http(self) -> h3_connection.H3Connection:
+        """The HTTP/3 connection, which exists once a request has arrived."""
+        assert self._http is not None
+        return self._http
+
+    @property
+    def caller(self) -> addresses.Address | None:
+        """The address of the caller's last packet."""
+        return self._caller
+
+    @property
+    def streams(self) -> dict[int, RequestStream]:
+        """Requests in progress, by stream id."""
+        return self._streams
+
+    def receive(self, datagram: bytes, caller: addresses.Address) -> None:
+        """Handle a datagram of the caller."""
+        self._caller = caller
+        self._quic.receive_datagram(datagram, caller, self._loop.time())
+        self._process_events()
+        for request in self._streams.values():
+            request.wake()
+        self.transmit()
+
+    def schedule_transmit(self) -> None:
+        """Send pending data once the present step of work is done."""
+        if self._transmit_handle is None:
+            self._transmit_handle = self._loop.call_soon(self.transmit)
+
+    def transmit(self) -> None:
+        """Send pending data."""
+        if self._transmit_handle is not None:
+            self._transmit_handle.cancel()
+            self._transmit_handle = None
+        if self._is_closed:
+            return
+        for datagram, address in self._quic.datagrams_to_send(self._loop.time()):
+            self._handler.transmit(datagram, addresses.Address(*address[:2]))
+        self._arm_timer()
+
+    def finish_stream(self, stream_id: int) -> None:
+        """Forget a request that has ended."""
+        self._streams.pop(stream_id, None)
+        self._quic.forget_stream(stream_id)
+
+    def close(self, code: CloseCode, reason: str = "") -> None:
+        """Close the connection."""
+        self._quic.close(error_code=code, reason_phrase=reason)
+        self.transmit()
+
+    def keep_alive(self, now: float) -> None:
+        """Ping the caller where requests are open and a ping is due."""
+        if self._streams and now >= self._next_ping_at:
+            self._next_ping_at = now + self._ping_interval
+            self._quic.send_ping(0)
+            self.transmit()
+
+    def _arm_timer(self) -> None:
+        at = self._quic.get_timer()
+        if at is None:
+            return
+        if self._timer is not None:
+            if self._timer.when() <= at:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(at, self._handle_timer)
+
+    def _handle_timer(self) -> None:
+        self._timer = None
+        at = self._quic.get_timer()
+        now = self._loop.time()
+        if at is not None and at <= now:
+            self._quic.handle_timer(now)
+            self._process_events()
+        self.transmit()
+
+    def _process_events(self) -> None:
+        while (event := self._quic.next_event()) is not None:
+            self._process_event(event)
+
+    def _process_event(self, event: quic_events.QuicEvent) -> None:
+        if isinstance(event, quic_events.ProtocolNegotiated):
+            self._http = h3_connection.H3Connection(self._quic)
+        elif isinstance(event, quic_events.ConnectionIdIssued):
+            self._handler.on_cid_issued(self, event.connection_id)
+        elif isinstance(event, quic_events.ConnectionIdRetired):
+            self._handler.on_cid_retired(self, event.connection_id)
+        elif isinstance(event, quic_events.ConnectionTerminated):
+            self._terminate()
+        elif isinstance(
+            event, quic_events.StreamReset | quic_events.StopSendingReceived
+        ):
+            self._close_stream(event.stream_id)
+        if self._http is not None and not self._is_closed:
+            for http_event in self._http.handle_event(event):
+                self._process_http_event(http_event)
+
+    def _process_http_event(self, event: h3_events.H3Event) -> None:
+        if isinstance(event, h3_events.HeadersReceived):
+            self._start_request(event)
+        elif isinstance(event, h3_events.DataReceived):
+            request = self._streams.get(event.stream_id)
+            if request is not None:
+                request.feed(event.data, event.stream_ended)
+
+    def _start_request(self, event: h3_events.HeadersReceived) -> None:
+        existing = self._streams.get(event.stream_id)
+        if existing is not None:
+            existing.feed(b"", event.stream_ended)
+            return
+        request = RequestStream(self, event.stream_id, event.headers)
+        self._streams[event.stream_id] = request
+        self._quic.set_unread_bytes(event.stream_id, 0)
+        request.feed(b"", event.stream_ended)
+        self._handler.on_request(request)
+
+    def _close_stream(self, stream_id: int) -> None:
+        request = self._streams.get(stream_id)
+        if request is not None:
+            request.close()
+            self._handler.on_stream_closed(request)
+
+    def _terminate(self) -> None:
+        if self._is_closed:
+            return
+        self._is_closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for stream_id in list(self._streams):
+            self._close_stream(stream_id)
+        self._handler.on_closed(self)
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/headers.py
@@ -0,0 +1,116 @@
+"""Translation of headers between HTTP/3 and HTTP/1.1."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from cactushall_core import outcomes
+
+Headers = list[tuple[bytes, bytes]]
+
+MAX_HEADER_BYTES = 16 * 1024
+TIMEOUT_HEADER = b"request-timeout-ms"
+EVENT_STREAM = b"text/event-stream"
+
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"host",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"transfer-encoding",
+        b"upgrade",
+        TIMEOUT_HEADER,
+        outcomes.OUTCOME_HEADER.encode(),
+    }
+)
+_BODYLESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestHead:
+    """The part of a request that decisions need.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        authority: Host that the caller named.
+        fields: All other headers.
+        timeout_seconds: Time the caller gives the request, if any.
+        is_feed: Whether the caller asks for an event stream.
+    """
+
+    method: bytes
+    target: bytes
+    authority: bytes
+    fields: Headers
+    timeout_seconds: float | None
+    is_feed: bool
+
+
+def parse_request(headers: Headers) -> RequestHead:
+    """Read the headers of an HTTP/3 request."""
+    pseudo = {name: value for name, value in headers if name.startswith(b":")}
+    fields = [(name, value) for name, value in headers if not name.startswith(b":")]
+    by_name = dict(fields)
+    return RequestHead(
+        method=pseudo.get(b":method", b"GET"),
+        target=pseudo.get(b":path", b"/"),
+        authority=pseudo.get(b":authority", by_name.get(b"host", b"")),
+        fields=fields,
+        timeout_seconds=_timeout(by_name.get(TIMEOUT_HEADER)),
+        is_feed=EVENT_STREAM in by_name.get(b"accept", b""),
+    )
+
+
+def size(headers: Headers) -> int:
+    """Return the bytes that headers take, uncompressed."""
+    return sum(len(name) + len(value) for name, value in headers)
+
+
+def to_upstream(
+    head: RequestHead, *, remaining_seconds: float, is_body_complete: bool
+) -> Headers:
+    """Return the headers of the HTTP/1.1 request.
+
+    Args:
+        head: The caller's request.
+        remaining_seconds: Time left until the deadline, passed on.
+        is_body_complete: Whether the request is known to have no more body.
+    """
+    fields = [(b"host", head.authority or b"-")]
+    fields += [(n, v) for n, v in head.fields if n not in _HOP_BY_HOP]
+    fields.append((TIMEOUT_HEADER, str(int(remaining_seconds * 1000)).encode()))
+    fields.append((b"connection", b"close"))
+    has_length = any(name == b"content-length" for name, _ in head.fields)
+    if not has_length and not is_body_complete:
+        fields.append((b"transfer-encoding", b"chunked"))
+    elif not has_length and head.method not in _BODYLESS_METHODS:
+        fields.append((b"content-length", b"0"))
+    return fields
+
+
+def to_caller(status: int, fields: Headers) -> Headers:
+    """Return the headers of the HTTP/3 response."""
+    kept = [(n.lower(), v) for n, v in fields if n.lower() not in _HOP_BY_HOP]
+    return [(b":status", str(status).encode()), *kept]
+
+
+def refusal(refused: outcomes.Refusal) -> Headers:
+    """Return the headers of the response to a request that was not answered."""
+    return [
+        (b":status", str(refused.status).encode()),
+        (outcomes.RETRY_AFTER.encode(), str(refused.retry_after).encode()),
+        (
+            outcomes.OUTCOME_HEADER.encode(),
+            f"{refused.outcome.value}; {refused.reason.value}".encode(),
+        ),
+        (b"content-length", b"0"),
+    ]
+
+
+def _timeout(value: bytes | None) -> float | None:
+    if value is None or not value.isdigit():
+        return None
+    return int(value) / 1000
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/quic.py
@@ -0,0 +1,138 @@
+"""QUIC connections with connection ids of our own.
+
+All uses of private names of `aioquic` are in this module, which is why the library
+is pinned to one version.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import secrets
+
+from aioquic.quic import (
+    configuration,
+    connection,
+    packet,
+    packet_builder,
+    recovery,
+    stream,
+)
+from cactushall_core import connection_id, identifiers
+
+STREAM_WINDOW_BYTES = 256 * 1024
+CONNECTION_WINDOW_BYTES = 1024 * 1024
+MAX_CONNECTION_IDS = 4
+REQUEST_STREAM_TYPE = 0
+
+CidFactory = collections.abc.Callable[[], connection.QuicConnectionId]
+
+
+def make_cid_factory(
+    service_keys: connection_id.ServiceKeys, home: identifiers.HomeId
+) -> collections.abc.Callable[[int], connection.QuicConnectionId]:
+    """Return a function that issues connection ids for flows of one home."""
+
+    def issue(sequence_number: int) -> connection.QuicConnectionId:
+        nonce = secrets.token_bytes(connection_id.NONCE_BYTES)
+        cid = connection_id.encode(service_keys, home, nonce)
+        token = connection_id.reset_token(service_keys, cid)
+        return connection.QuicConnectionId(cid, sequence_number, token)
+
+    return issue
+
+
+class SteeredConnection(connection.QuicConnection):
+    """A server connection whose ids carry its home."""
+
+    def __init__(
+        self,
+        quic_configuration: configuration.QuicConfiguration,
+        original_cid: bytes,
+        issue_cid: collections.abc.Callable[[int], connection.QuicConnectionId],
+    ) -> None:
+        """Create the connection for a first packet.
+
+        Args:
+            quic_configuration: Certificate and limits.
+            original_cid: Destination connection id of the first packet.
+            issue_cid: Issues connection ids.
+        """
+        super().__init__(
+            configuration=quic_configuration,
+            original_destination_connection_id=original_cid,
+        )
+        self._issue_cid = issue_cid
+        self._unread_bytes: dict[int, int] = {}
+        first = issue_cid(0)
+        first.was_sent = True
+        self._host_cids = [first]
+        self.host_cid = first.cid
+        self._local_initial_source_connection_id = first.cid
+
+    @property
+    def host_cids(self) -> tuple[bytes, ...]:
+        """All connection ids that the peer may use."""
+        return tuple(issued.cid for issued in self._host_cids)
+
+    @property
+    def is_handshake_confirmed(self) -> bool:
+        """Whether the peer no longer uses the id that it chose first."""
+        return self._handshake_confirmed
+
+    def unsent_bytes(self, stream_id: int) -> int:
+        """Return how much of a stream the peer has not acknowledged."""
+        found = self._streams.get(stream_id)
+        if found is None:
+            return 0
+        sender = found.sender
+        return int(sender._buffer_stop - sender._buffer_start)
+
+    def set_unread_bytes(self, stream_id: int, unread: int) -> None:
+        """Note how much of a request body waits; the window shrinks by it."""
+        self._unread_bytes[stream_id] = unread
+
+    def forget_stream(self, stream_id: int) -> None:
+        """Stop limiting a stream's window."""
+        self._unread_bytes.pop(stream_id, None)
+
+    def _replenish_connection_ids(self) -> None:
+        wanted = min(MAX_CONNECTION_IDS, self._remote_active_connection_id_limit)
+        while len(self._host_cids) < wanted:
+            self._host_cids.append(self._issue_cid(self._host_cid_seq))
+            self._host_cid_seq += 1
+
+    def _write_stream_limits(
+        self,
+        builder: packet_builder.QuicPacketBuilder,
+        space: recovery.QuicPacketSpace,
+        stream: stream.QuicStream,
+    ) -> None:
+        if stream.stream_id is None or stream.stream_id % 4 != REQUEST_STREAM_TYPE:
+            super()._write_stream_limits(builder, space, stream)
+            return
+        self._raise_stream_window(stream)
+        if stream.max_stream_data_local_sent != stream.max_stream_data_local:
+            self._write_max_stream_data(builder, stream)
+
+    def _raise_stream_window(self, raised: stream.QuicStream) -> None:
+        """Grow the window as the body is consumed, in steps of half a window."""
+        unread = self._unread_bytes.get(raised.stream_id or 0)
+        if unread is None:
+            return
+        room = max(0, STREAM_WINDOW_BYTES - unread)
+        limit = raised.receiver.starting_offset() + room
+        if limit - raised.max_stream_data_local >= STREAM_WINDOW_BYTES // 2:
+            raised.max_stream_data_local = limit
+
+    def _write_max_stream_data(
+        self, builder: packet_builder.QuicPacketBuilder, limited: stream.QuicStream
+    ) -> None:
+        buffer = builder.start_frame(
+            packet.QuicFrameType.MAX_STREAM_DATA,
+            capacity=connection.MAX_STREAM_DATA_FRAME_CAPACITY,
+            handler=self._on_max_stream_data_delivery,
+            handler_args=(limited,),
+        )
+        buffer.push_uint_var(limited.stream_id or 0)
+        buffer.push_uint_var(limited.max_stream_data_local)
+        limited.max_stream_data_local_sent = limited.max_stream_data_local
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/run.py
@@ -0,0 +1,78 @@
+"""Runs one daemon process until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import pathlib
+import signal
+import sys
+import typing
+
+import click
+from cactushall_core import findings
+
+from cactushall_daemon import events, exit_codes, logs, sockets
+from cactushall_daemon.config import base, schema
+
+log = logs.get_logger(__name__)
+
+SettingsT = typing.TypeVar("SettingsT", bound=schema.NodeSettings)
+
+
+class Process(typing.Protocol):
+    """A daemon process."""
+
+    async def start(self) -> None:
+        """Take part and serve."""
+
+    async def stop(self) -> None:
+        """Stop gracefully."""
+
+
+def load_settings(cls: type[SettingsT], path: pathlib.Path) -> SettingsT:
+    """Load settings, or print all findings and exit."""
+    settings, found = base.load(cls, path)
+    for finding in found:
+        click.echo(str(finding), err=True)
+    if settings is None:
+        errors = sum(f.severity is findings.Severity.ERROR for f in found)
+        click.echo(f"{path}: {errors} errors", err=True)
+        sys.exit(exit_codes.ExitCode.INVALID_SETTINGS)
+    return settings
+
+
+def run(
+    settings: SettingsT,
+    make_process: collections.abc.Callable[[SettingsT], Process],
+) -> None:
+    """Run a process until SIGTERM or SIGINT, then exit.
+
+    Args:
+        settings: The process's settings.
+        make_process: Creates the process inside the event loop.
+    """
+    logs.configure(settings.log_level)
+    sys.exit(asyncio.run(_run(settings, make_process)))
+
+
+async def _run(
+    settings: SettingsT,
+    make_process: collections.abc.Callable[[SettingsT], Process],
+) -> exit_codes.ExitCode:
+    stop_requested = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop_requested.set)
+    try:
+        process = make_process(settings)
+        await process.start()
+    except sockets.BindError as error:
+        log.error(events.Event.BIND_FAILED, why=str(error))
+        return exit_codes.ExitCode.CANNOT_BIND
+    log.info(events.Event.STARTED, node=settings.node, zone=settings.zone)
+    await stop_requested.wait()
+    log.info(events.Event.STOPPING, node=settings.node)
+    await process.stop()
+    log.info(events.Event.STOPPED, node=settings.node)
+    return exit_codes.ExitCode.OK
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemons: options, schema and loading."""
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/config/schema.py
@@ -0,0 +1,98 @@
+"""Schema of the daemons' settings files."""
+
+from __future__ import annotations
+
+import pathlib
+
+import yaml
+from cactushall_core import addresses, keys
+
+from cactushall_daemon.config import base, options
+
+MAX_PORT = addresses.MAX_PORT
+NO_ADDRESSES: tuple[addresses.Address, ...] = ()
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+def key_file() -> options.Converter[keys.Key]:
+    """Accept the path of a file that holds a key as 64 hexadecimal digits."""
+    read_path = options.file()
+
+    def convert(node: yaml.Node, report: options.Report, key: str) -> keys.Key | None:
+        path: pathlib.Path | None = read_path(node, report, key)
+        if path is None:
+            return None
+        try:
+            return keys.make_key(bytes.fromhex(path.read_text().strip()))
+        except ValueError as error:
+            report.error(options.line_of(node), key, f"{path} holds no key: {error}")
+            return None
+
+    return convert
+
+
+class NodeSettings(base.Settings):
+    """Options that every daemon has."""
+
+    node = options.Option(options.text(max_length=63))
+    zone = options.Option(options.text(max_length=63))
+    address = options.Option(options.ip_address())
+    gossip_port = options.Option(options.integer(1, MAX_PORT), 7946)
+    control_port = options.Option(options.integer(1, MAX_PORT), 7947)
+    store = options.Option(options.list_of(options.address()), NO_ADDRESSES)
+    contacts = options.Option(options.list_of(options.address()), NO_ADDRESSES)
+    key_files = options.Option(
+        options.list_of(key_file(), minimum=1, maximum=keys.MAX_KEYS)
+    )
+    log_level = options.Option(options.text(LOG_LEVELS), "info")
+
+    def validate(self, report: options.Report, lines: dict[str, int]) -> None:
+        """Check ports, keys and ways to find other processes."""
+        if self.gossip_port == self.control_port:
+            line = lines.get("control_port", 0)
+            report.error(line, "control_port", "is the same as gossip_port")
+        if len({key.id for key in self.key_files}) < len(self.key_files):
+            message = "two keys have the same id; make a new one"
+            report.error(lines["key_files"], "key_files", message)
+        if not self.store and not self.contacts:
+            message = "neither store nor contacts is set; the process stays alone"
+            report.warning(lines["node"], "store", message)
+
+
+class EntrySettings(NodeSettings):
+    """Settings of an entry."""
+
+
+class EndpointSettings(base.Settings):
+    """One backend server beside an agent."""
+
+    service = options.Option(options.text(max_length=63))
+    server = options.Option(options.address())
+    slots = options.Option(options.integer(1, 1024), 1)
+    connections = options.Option(options.integer(1, 1_000_000), 2000)
+
+
+class AgentSettings(NodeSettings):
+    """Settings of an agent."""
+
+    tunnel_port = options.Option(options.integer(1, MAX_PORT), 7948)
+    certificate = options.Option(options.file())
+    private_key = options.Option(options.file())
+    endpoints = options.Option(
+        options.list_of(base.section(EndpointSettings), minimum=1, maximum=64)
+    )
+    drain_timeout_seconds = options.Option(options.seconds(0, 86_400), 30.0)
+
+    def validate(self, report: options.Report, lines: dict[str, int]) -> None:
+        """Check that each service is named once."""
+        super().validate(report, lines)
+        seen: set[str] = set()
+        for index, endpoint in enumerate(self.endpoints):
+            if endpoint.service in seen:
+                key = f"endpoints.{index}.service"
+                message = f"{endpoint.service} is named twice"
+                report.error(lines["endpoints"], key, message)
+            seen.add(endpoint.service)
+        if self.tunnel_port == self.gossip_port:
+            line = lines.get("tunnel_port", 0)
+            report.error(line, "tunnel_port", "is the same as gossip_port")
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/control.py
@@ -0,0 +1,118 @@
+"""The control service of a daemon."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+import grpclib.server
+from cactushall_core import exceptions
+from cactushall_core.membership import messages, records
+from cactushall_rpc.generated import control_grpc, control_pb2
+
+from cactushall_daemon import counters
+
+RECORDS_PER_PART = 500
+
+
+@dataclasses.dataclass(frozen=True)
+class NodeView:
+    """What the control service shows of a process.
+
+    Attributes:
+        snapshot: Returns the table of members.
+        merge: Takes in another process's table.
+        configuration: Returns the adopted configuration, encoded.
+        revision: Returns the revision of the adopted configuration.
+        endpoints: Returns the state of the endpoints.
+        tallies: The counters.
+        member: What the process says of itself.
+    """
+
+    snapshot: collections.abc.Callable[[], tuple[records.Record, ...]]
+    merge: collections.abc.Callable[[tuple[records.Record, ...]], None]
+    configuration: collections.abc.Callable[[], bytes]
+    revision: collections.abc.Callable[[], int]
+    endpoints: collections.abc.Callable[[], list[control_pb2.EndpointStatus]]
+    tallies: counters.Counters
+    member: records.Member
+
+
+class ControlService(control_grpc.ControlBase):
+    """Answers other processes and operators."""
+
+    def __init__(self, view: NodeView) -> None:
+        """Serve a view of the process."""
+        self._view = view
+
+    async def Synchronize(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[
+            control_pb2.SynchronizeRequest, control_pb2.SynchronizeResponse
+        ],
+    ) -> None:
+        """Exchange tables with a joining process."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        try:
+            theirs = messages.decode_table(request.table)
+        except exceptions.DecodeError:
+            theirs = ()
+        mine = self._view.snapshot()
+        self._view.merge(theirs)
+        for start in range(0, len(mine), RECORDS_PER_PART):
+            part = mine[start : start + RECORDS_PER_PART]
+            response = control_pb2.SynchronizeResponse(
+                table=messages.encode_table(part),
+                configuration=self._view.configuration() if start == 0 else b"",
+            )
+            await stream.send_message(response)
+
+    async def Configuration(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[
+            control_pb2.ConfigurationRequest, control_pb2.ConfigurationResponse
+        ],
+    ) -> None:
+        """Return the adopted configuration."""
+        await stream.recv_message()
+        response = control_pb2.ConfigurationResponse(
+            configuration=self._view.configuration()
+        )
+        await stream.send_message(response)
+
+    async def Status(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[
+            control_pb2.StatusRequest, control_pb2.StatusResponse
+        ],
+    ) -> None:
+        """Return the state of this process."""
+        await stream.recv_message()
+        member = self._view.member
+        present = sum(record.is_present for record in self._view.snapshot())
+        response = control_pb2.StatusResponse(
+            node=member.name,
+            role=member.role.name.lower(),
+            zone=member.zone,
+            revision=self._view.revision(),
+            members=present,
+            counters=[
+                control_pb2.Counter(name=counter.value, value=value)
+                for counter, value in self._view.tallies.items()
+            ],
+            endpoints=self._view.endpoints(),
+        )
+        await stream.send_message(response)
+
+    async def Members(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[
+            control_pb2.MembersRequest, control_pb2.MembersResponse
+        ],
+    ) -> None:
+        """Return the table of members."""
+        await stream.recv_message()
+        table = messages.encode_table(self._view.snapshot())
+        await stream.send_message(control_pb2.MembersResponse(table=table))
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/counters.py
@@ -0,0 +1,57 @@
+"""Counters of a process."""
+
+from __future__ import annotations
+
+import collections
+import enum
+
+
+class Counter(enum.Enum):
+    """What a process counts."""
+
+    RECEIVED = "datagrams_received"
+    FORWARDED = "datagrams_forwarded"
+    RESETS_SENT = "stateless_resets_sent"
+    SEND_FAILED = "sends_failed"
+    MALFORMED = "datagrams_malformed"
+    FOREIGN_ID = "datagrams_with_foreign_id"
+    UNKNOWN_HOME = "datagrams_with_unknown_home"
+    NO_BACKEND_SERVER = "datagrams_without_backend_server"
+    UNKNOWN_SERVICE = "datagrams_for_unknown_service"
+    TUNNEL_REJECTED = "tunnel_datagrams_rejected"
+    GOSSIP_REJECTED = "gossip_datagrams_rejected"
+    GOSSIP_BYTES_SENT = "gossip_bytes_sent"
+    STORE_CALLS = "store_calls"
+    FLOWS_OPENED = "flows_opened"
+    FLOWS_CLOSED = "flows_closed"
+    FLOWS_REFUSED = "flows_refused"
+    REQUESTS = "requests"
+    REQUESTS_ANSWERED = "requests_answered"
+    REQUESTS_NOT_RUN = "requests_not_run"
+    REQUESTS_UNKNOWN = "requests_unknown"
+    REQUESTS_CANCELLED = "requests_cancelled"
+    FEEDS_OPENED = "feeds_opened"
+
+
+class Counters:
+    """Values of all counters."""
+
+    def __init__(self) -> None:
+        """Start all counters at 0."""
+        self._values: collections.Counter[Counter] = collections.Counter()
+
+    def add(self, counter: Counter, amount: int = 1) -> None:
+        """Add to a counter."""
+        self._values[counter] += amount
+
+    def set(self, counter: Counter, value: int) -> None:
+        """Set a counter that is kept elsewhere."""
+        self._values[counter] = value
+
+    def get(self, counter: Counter) -> int:
+        """Return a counter's value."""
+        return self._values[counter]
+
+    def items(self) -> list[tuple[Counter, int]]:
+        """Return all counters that are not 0."""
+        return sorted(self._values.items(), key=lambda item: item[0].value)
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: steers callers' datagrams to agents."""
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -0,0 +1,45 @@
+"""Catalogue of numbered log events; `docs/user/log-events.md` explains each."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Event(enum.Enum):
+    """A log event: its number and its text."""
+
+    STARTED = (1001, "process started")
+    STOPPING = (1002, "graceful stop began")
+    STOPPED = (1003, "process stopped")
+    BIND_FAILED = (1004, "cannot bind a socket")
+    MEMBER_CHANGED = (1101, "member changed")
+    JOINED = (1102, "joined the fleet")
+    JOIN_FAILED = (1103, "no contact point answered")
+    GOSSIP_REJECTED = (1104, "gossip datagram rejected")
+    CONTACT_CLAIMED = (1105, "became a contact point")
+    CONTACT_LOST = (1106, "no longer a contact point")
+    STORE_UNAVAILABLE = (1201, "store is not available")
+    STORE_AVAILABLE = (1202, "store is available again")
+    CONFIGURATION_ADOPTED = (1301, "service configuration adopted")
+    CONFIGURATION_REFUSED = (1302, "service configuration refused")
+    CONFIGURATION_FETCH_FAILED = (1303, "service configuration not fetched from peer")
+    SERVICE_BOUND = (2001, "service address bound")
+    SERVICE_UNBOUND = (2002, "service address released")
+    SEND_FAILED = (2003, "datagram not sent")
+    FLOW_OPENED = (3001, "flow opened")
+    FLOW_CLOSED = (3002, "flow closed")
+    REQUEST_REFUSED = (3101, "request refused")
+    REQUEST_UNKNOWN = (3102, "outcome of request unknown")
+    REQUEST_FAILED = (3103, "request handling failed")
+    DRAIN_BEGAN = (3201, "drain began")
+    DRAIN_ENDED = (3202, "drain ended")
+
+    @property
+    def number(self) -> int:
+        """The event's number."""
+        return self.value[0]
+
+    @property
+    def text(self) -> str:
+        """The event's text."""
+        return self.value[1]
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/exit_codes.py
@@ -0,0 +1,14 @@
+"""Exit codes of both binaries."""
+
+from __future__ import annotations
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """Why a process ended."""
+
+    OK = 0
+    FAILURE = 1
+    INVALID_SETTINGS = 2
+    CANNOT_BIND = 3
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -0,0 +1,285 @@
+"""What every daemon has: membership, configuration, control service and store."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import secrets
+import time
+
+import grpclib.server
+from cactushall_core import addresses, adoption, configuration, exceptions, identifiers
+from cactushall_core.membership import messages, records
+from cactushall_rpc import control as control_client
+from cactushall_rpc import paths, store
+from cactushall_rpc.generated import control_pb2
+
+from cactushall_daemon import (
+    contacts,
+    control,
+    counters,
+    events,
+    gossip,
+    logs,
+    sockets,
+)
+from cactushall_daemon.config import schema
+
+log = logs.get_logger(__name__)
+
+JOIN_RETRY_SECONDS = 1.0
+CONTACT_REFRESH_SECONDS = 10.0
+WATCH_RETRY_SECONDS = 1.0
+
+ConfigurationAdopted = collections.abc.Callable[[configuration.Configuration], None]
+EndpointReport = collections.abc.Callable[[], list[control_pb2.EndpointStatus]]
+
+
+def make_member(
+    settings: schema.NodeSettings,
+    role: records.Role,
+    tunnel_port: int,
+    served: collections.abc.Callable[
+        [identifiers.MemberId], tuple[records.Endpoint, ...]
+    ],
+) -> records.Member:
+    """Return what a starting process says of itself."""
+    member_id = records.make_member_id(time.time(), secrets.randbits(32))
+    return records.Member(
+        member_id,
+        identifiers.NodeName(settings.node),
+        role,
+        identifiers.ZoneName(settings.zone),
+        settings.address,
+        settings.gossip_port,
+        settings.control_port,
+        tunnel_port,
+        served(member_id),
+    )
+
+
+class Node:
+    """A process among the others."""
+
+    def __init__(
+        self,
+        settings: schema.NodeSettings,
+        member: records.Member,
+        on_member_changed: gossip.MemberChanged,
+        on_configuration: ConfigurationAdopted,
+        report_endpoints: EndpointReport,
+    ) -> None:
+        """Prepare; nothing is sent yet.
+
+        Args:
+            settings: Settings of the process.
+            member: What the process says of itself.
+            on_member_changed: Called when what is believed of a member changes.
+            on_configuration: Called when a configuration is adopted.
+            report_endpoints: Returns the state of the process's endpoints.
+        """
+        self._settings = settings
+        self._on_configuration = on_configuration
+        self._counters = counters.Counters()
+        self._adopter = adoption.Adopter()
+        self._store = store.Store(tuple(settings.store))
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._fetching = identifiers.Revision(0)
+        self._is_store_available = True
+        self._gossip = gossip.GossipEndpoint(
+            member,
+            tuple(settings.key_files),
+            self._counters,
+            on_member_changed,
+            self._fetch_configuration_from,
+        )
+        view = control.NodeView(
+            snapshot=self._gossip.membership.snapshot,
+            merge=self._gossip.merge,
+            configuration=lambda: self._adopter.value,
+            revision=lambda: self._adopter.current.revision,
+            endpoints=report_endpoints,
+            tallies=self._counters,
+            member=member,
+        )
+        self._control = grpclib.server.Server([control.ControlService(view)])
+
+    @property
+    def counters(self) -> counters.Counters:
+        """The process's counters."""
+        return self._counters
+
+    @property
+    def gossip(self) -> gossip.GossipEndpoint:
+        """The process's place in the membership protocol."""
+        return self._gossip
+
+    @property
+    def configuration(self) -> configuration.Configuration:
+        """The configuration in force."""
+        return self._adopter.current
+
+    async def start(self) -> None:
+        """Take part in the fleet.
+
+        Raises:
+            BindError: An address cannot be bound.
+        """
+        self._gossip.start()
+        address = self._gossip.membership.member.control_address
+        try:
+            await self._control.start(address.host, address.port)
+        except OSError as error:
+            raise sockets.BindError(f"cannot bind TCP {address}: {error}") from error
+        self.spawn(self._join())
+        if self._settings.store:
+            self.spawn(self._serve_as_contact())
+
+    async def stop(self) -> None:
+        """Say goodbye and release everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._gossip.stop()
+        self._store.close()
+        self._control.close()
+        await self._control.wait_closed()
+
+    def spawn(self, work: collections.abc.Coroutine[object, object, None]) -> None:
+        """Run a task until it ends or the process stops."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _join(self) -> None:
+        """Exchange tables with one contact point, for as long as it takes."""
+        while True:
+            for address in await self._contact_addresses():
+                if await self._synchronize(address):
+                    log.info(events.Event.JOINED, contact=str(address))
+                    return
+            if self._gossip.membership.table.present_count > 1:
+                return
+            await asyncio.sleep(JOIN_RETRY_SECONDS)
+
+    async def _contact_addresses(self) -> list[addresses.Address]:
+        found = list(self._settings.contacts)
+        try:
+            found += await contacts.read(self._store)
+        except exceptions.StoreUnavailableError as error:
+            self._note_store(error)
+        own = self._gossip.membership.member.control_address
+        return [address for address in found if address != own]
+
+    async def _synchronize(self, address: addresses.Address) -> bool:
+        table = messages.encode_table(self._gossip.membership.snapshot())
+        try:
+            parts = await control_client.synchronize(address, table)
+            for part in parts:
+                self._gossip.merge(messages.decode_table(part.table))
+        except (control_client.ControlError, exceptions.DecodeError) as error:
+            log.debug(events.Event.JOIN_FAILED, contact=str(address), why=str(error))
+            return False
+        if parts:
+            self._offer(parts[0].configuration, str(address))
+        return True
+
+    async def _serve_as_contact(self) -> None:
+        """Hold a contact slot and, while holding it, watch the store for others."""
+        while True:
+            try:
+                held = await contacts.claim(self._store, self._gossip.membership.member)
+                self._note_store(None)
+            except exceptions.StoreUnavailableError as error:
+                self._note_store(error)
+                await asyncio.sleep(contacts.RETRY_SECONDS)
+                continue
+            if held is None:
+                await asyncio.sleep(contacts.LEASE_SECONDS)
+                continue
+            log.info(events.Event.CONTACT_CLAIMED, key=held.key.decode())
+            await self._hold_contact(held)
+
+    async def _hold_contact(self, held: contacts.Claim) -> None:
+        duties = [
+            asyncio.create_task(self._watch_configuration()),
+            asyncio.create_task(self._refresh_contacts()),
+        ]
+        try:
+            await contacts.hold(self._store, held)
+        finally:
+            for duty in duties:
+                duty.cancel()
+
+    async def _refresh_contacts(self) -> None:
+        """Meet the other contact points, so that no two islands form."""
+        while True:
+            await asyncio.sleep(CONTACT_REFRESH_SECONDS)
+            table = self._gossip.membership.table
+            known = {r.member.control_address for r in table if r.is_present}
+            for address in await self._contact_addresses():
+                if address not in known:
+                    await self._synchronize(address)
+
+    async def _watch_configuration(self) -> None:
+        while True:
+            try:
+                await self._follow_configuration()
+            except exceptions.StoreUnavailableError as error:
+                self._note_store(error)
+            await asyncio.sleep(WATCH_RETRY_SECONDS)
+
+    async def _follow_configuration(self) -> None:
+        snapshot = await self._store.get_prefix(paths.CONFIGURATION)
+        self._note_store(None)
+        for entry in snapshot.entries:
+            self._offer(entry.value, "store")
+        watched = self._store.watch(paths.CONFIGURATION, snapshot.revision + 1)
+        async for entry in watched:
+            self._offer(entry.value, "store")
+
+    def _fetch_configuration_from(
+        self, member: records.Member, revision: identifiers.Revision
+    ) -> None:
+        if revision <= max(self._fetching, self._adopter.current.revision):
+            return
+        self._fetching = revision
+        self.spawn(self._fetch_configuration(member))
+
+    async def _fetch_configuration(self, member: records.Member) -> None:
+        try:
+            value = await control_client.fetch_configuration(member.control_address)
+            self._offer(value, member.name)
+        except control_client.ControlError as error:
+            log.warning(
+                events.Event.CONFIGURATION_FETCH_FAILED,
+                peer=member.name,
+                why=str(error),
+            )
+        finally:
+            self._fetching = self._adopter.current.revision
+
+    def _offer(self, value: bytes, source: str) -> None:
+        outcome = self._adopter.offer(value, source)
+        if isinstance(outcome, adoption.Refused):
+            log.error(
+                events.Event.CONFIGURATION_REFUSED, source=source, why=outcome.reason
+            )
+        elif isinstance(outcome, adoption.Adopted):
+            revision = outcome.configuration.revision
+            log.info(
+                events.Event.CONFIGURATION_ADOPTED, source=source, revision=revision
+            )
+            self._gossip.membership.set_revision(revision)
+            self._on_configuration(outcome.configuration)
+
+    def _note_store(self, error: Exception | None) -> None:
+        self._counters.set(counters.Counter.STORE_CALLS, self._store.calls)
+        is_available = error is None
+        if is_available == self._is_store_available:
+            return
+        self._is_store_available = is_available
+        if error is None:
+            log.info(events.Event.STORE_AVAILABLE)
+        else:
+            log.warning(events.Event.STORE_UNAVAILABLE, why=str(error))
--- /dev/null
+++ b/packages/cactushall-rpc/cactushall_rpc/store.py
@@ -0,0 +1,239 @@
+"""Client of the platform's key-value store, by the published etcd v3 API."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import logging
+import typing
+
+import grpclib.client
+import grpclib.exceptions
+from cactushall_core import addresses, exceptions
+
+from cactushall_rpc.generated import etcd_grpc, etcd_pb2
+
+log = logging.getLogger(__name__)
+
+LeaseId = typing.NewType("LeaseId", int)
+
+CALL_TIMEOUT_SECONDS = 2.0
+NO_LEASE = LeaseId(0)
+
+_UNREACHABLE = (
+    OSError,
+    asyncio.TimeoutError,
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+)
+
+
+class LeaseExpiredError(exceptions.StoreError):
+    """The lease no longer exists."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Entry:
+    """A key with its value.
+
+    Attributes:
+        key: The key.
+        value: The value.
+        mod_revision: Store revision of the last change of this key.
+    """
+
+    key: bytes
+    value: bytes
+    mod_revision: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """Entries as they were at one revision of the store."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+
+
+class Store:
+    """A connection to the store, over whichever of its addresses answers.
+
+    Every method raises StoreUnavailableError where no answer came; a write may
+    have taken effect then.
+    """
+
+    def __init__(self, store_addresses: tuple[addresses.Address, ...]) -> None:
+        """Prepare to connect; nothing is sent yet.
+
+        Args:
+            store_addresses: Addresses of the store, tried in turn.
+        """
+        self._addresses = store_addresses
+        self._next_address = 0
+        self._channel: grpclib.client.Channel | None = None
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """How many calls were made so far, a watch as one."""
+        return self._calls
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._channel is not None:
+            self._channel.close()
+            self._channel = None
+
+    async def get(self, key: bytes) -> Entry | None:
+        """Return the entry of a key."""
+        snapshot = await self._range(etcd_pb2.RangeRequest(key=key))
+        return snapshot.entries[0] if snapshot.entries else None
+
+    async def get_prefix(self, prefix: bytes) -> Snapshot:
+        """Return all entries whose keys begin with a prefix."""
+        request = etcd_pb2.RangeRequest(key=prefix, range_end=_prefix_end(prefix))
+        return await self._range(request)
+
+    async def create(self, key: bytes, value: bytes, lease: LeaseId = NO_LEASE) -> bool:
+        """Create a key that does not exist.
+
+        Returns:
+            Whether the key was created.
+        """
+        compare = etcd_pb2.Compare(
+            result=etcd_pb2.Compare.EQUAL,
+            target=etcd_pb2.Compare.CREATE,
+            key=key,
+            create_revision=0,
+        )
+        return await self._put_if(compare, key, value, lease)
+
+    async def replace(self, key: bytes, value: bytes, mod_revision: int) -> bool:
+        """Replace the value of a key by compare-and-swap.
+
+        Args:
+            key: The key.
+            value: The new value.
+            mod_revision: The key's revision that the new value builds on, 0 where
+                the key must not exist.
+
+        Returns:
+            Whether the value was replaced.
+        """
+        compare = etcd_pb2.Compare(
+            result=etcd_pb2.Compare.EQUAL,
+            target=etcd_pb2.Compare.MOD,
+            key=key,
+            mod_revision=mod_revision,
+        )
+        return await self._put_if(compare, key, value, NO_LEASE)
+
+    async def grant(self, ttl_seconds: int) -> LeaseId:
+        """Grant a lease."""
+        async with self._call() as channel:
+            stub = etcd_grpc.LeaseStub(channel)
+            request = etcd_pb2.LeaseGrantRequest(TTL=ttl_seconds)
+            response = await stub.LeaseGrant(request, timeout=CALL_TIMEOUT_SECONDS)
+            return LeaseId(response.ID)
+
+    async def revoke(self, lease: LeaseId) -> None:
+        """End a lease, which deletes its keys."""
+        async with self._call() as channel:
+            stub = etcd_grpc.LeaseStub(channel)
+            request = etcd_pb2.LeaseRevokeRequest(ID=lease)
+            await stub.LeaseRevoke(request, timeout=CALL_TIMEOUT_SECONDS)
+
+    async def keep_alive(self, lease: LeaseId) -> None:
+        """Prolong a lease once.
+
+        Raises:
+            LeaseExpiredError: The lease no longer exists.
+        """
+        async with self._call() as channel:
+            stub = etcd_grpc.LeaseStub(channel)
+            request = etcd_pb2.LeaseKeepAliveRequest(ID=lease)
+            responses = await stub.LeaseKeepAlive(
+                [request], timeout=CALL_TIMEOUT_SECONDS
+            )
+            if not responses or responses[0].TTL <= 0:
+                raise LeaseExpiredError(f"lease {lease} has expired")
+
+    async def watch(
+        self, key: bytes, start_revision: int
+    ) -> collections.abc.AsyncIterator[Entry]:
+        """Yield each new entry of one key from a store revision on."""
+        async with self._call() as channel:
+            stub = etcd_grpc.WatchStub(channel)
+            async with stub.Watch.open() as stream:
+                create = etcd_pb2.WatchCreateRequest(
+                    key=key, start_revision=start_revision
+                )
+                request = etcd_pb2.WatchRequest(create_request=create)
+                await stream.send_message(request)
+                async for response in stream:
+                    for entry in _watched_entries(response):
+                        yield entry
+            raise exceptions.StoreUnavailableError("watch ended")
+
+    async def _range(self, request: etcd_pb2.RangeRequest) -> Snapshot:
+        async with self._call() as channel:
+            stub = etcd_grpc.KVStub(channel)
+            response = await stub.Range(request, timeout=CALL_TIMEOUT_SECONDS)
+            entries = tuple(_entry(kv) for kv in response.kvs)
+            return Snapshot(entries, response.header.revision)
+
+    async def _put_if(
+        self, compare: etcd_pb2.Compare, key: bytes, value: bytes, lease: LeaseId
+    ) -> bool:
+        put = etcd_pb2.PutRequest(key=key, value=value, lease=lease)
+        request = etcd_pb2.TxnRequest(
+            compare=[compare], success=[etcd_pb2.RequestOp(request_put=put)]
+        )
+        async with self._call() as channel:
+            stub = etcd_grpc.KVStub(channel)
+            response = await stub.Txn(request, timeout=CALL_TIMEOUT_SECONDS)
+            return response.succeeded
+
+    @contextlib.asynccontextmanager
+    async def _call(self) -> collections.abc.AsyncIterator[grpclib.client.Channel]:
+        if not self._addresses:
+            raise exceptions.StoreUnavailableError("no store address is set")
+        self._calls += 1
+        if self._channel is None:
+            host, port = self._addresses[self._next_address % len(self._addresses)]
+            self._channel = grpclib.client.Channel(host, port)
+        channel = self._channel
+        try:
+            yield channel
+        except _UNREACHABLE as error:
+            self._discard(channel)
+            raise exceptions.StoreUnavailableError(repr(error)) from error
+
+    def _discard(self, channel: grpclib.client.Channel) -> None:
+        channel.close()
+        if self._channel is channel:
+            self._channel = None
+            self._next_address += 1
+
+
+def _prefix_end(prefix: bytes) -> bytes:
+    return prefix[:-1] + bytes([prefix[-1] + 1])
+
+
+def _entry(kv: etcd_pb2.KeyValue) -> Entry:
+    return Entry(kv.key, kv.value, kv.mod_revision)
+
+
+def _watched_entries(
+    response: etcd_pb2.WatchResponse,
+) -> collections.abc.Iterator[Entry]:
+    if response.canceled:
+        raise exceptions.StoreUnavailableError(
+            f"watch canceled: {response.cancel_reason}"
+        )
+    for event in response.events:
+        if event.type == etcd_pb2.Event.PUT:
+            yield _entry(event.kv)
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for what is outside cactushall."""
--- /dev/null
+++ b/tests/standins/caller.py
@@ -0,0 +1,212 @@
+"""Stand-in for a caller: an HTTP/3 client."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc
+import contextlib
+import dataclasses
+import ssl
+import typing
+
+from aioquic.asyncio import protocol
+from aioquic.h3 import connection as h3_connection
+from aioquic.h3 import events as h3_events
+from aioquic.quic import configuration, connection
+from aioquic.quic import events as quic_events
+from cactushall_core import addresses
+
+STATELESS_RESET_TOKEN_BYTES = 16
+
+
+class BrokenError(Exception):
+    """The connection or the stream has ended before the answer was whole."""
+
+
+@dataclasses.dataclass
+class Response:
+    """A whole response."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass
+class _Exchange:
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    headers: dict[str, str] | None = None
+    chunks: collections.deque[bytes] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    is_ended: bool = False
+    is_broken: bool = False
+
+
+class Caller(protocol.QuicConnectionProtocol):
+    """One connection."""
+
+    def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
+        """Wrap a QUIC connection."""
+        super().__init__(*args, **kwargs)
+        self._http = h3_connection.H3Connection(self._quic)
+        self._exchanges: dict[int, _Exchange] = {}
+        self.is_terminated = False
+        self.was_reset = False
+
+    def datagram_received(self, data: typing.Any, addr: typing.Any) -> None:
+        """Handle a datagram, looking for stateless resets first."""
+        token = bytes(data[-STATELESS_RESET_TOKEN_BYTES:])
+        if token == self._quic._peer_cid.stateless_reset_token and token:
+            self.was_reset = True
+            self._break()
+            return
+        super().datagram_received(data, addr)
+
+    def quic_event_received(self, event: quic_events.QuicEvent) -> None:
+        """Handle an event of the connection."""
+        if isinstance(event, quic_events.ConnectionTerminated):
+            self._break()
+        elif isinstance(event, quic_events.StreamReset):
+            exchange = self._exchanges.get(event.stream_id)
+            if exchange is not None:
+                exchange.is_broken = True
+                exchange.changed.set()
+        for http_event in self._http.handle_event(event):
+            self._http_event_received(http_event)
+
+    def _http_event_received(self, event: h3_events.H3Event) -> None:
+        if not isinstance(event, h3_events.HeadersReceived | h3_events.DataReceived):
+            return
+        exchange = self._exchanges.get(event.stream_id)
+        if exchange is None:
+            return
+        if isinstance(event, h3_events.HeadersReceived):
+            exchange.headers = {k.decode(): v.decode() for k, v in event.headers}
+        else:
+            exchange.chunks.append(event.data)
+        exchange.is_ended = exchange.is_ended or event.stream_ended
+        exchange.changed.set()
+
+    def _break(self) -> None:
+        self.is_terminated = True
+        for exchange in self._exchanges.values():
+            exchange.is_broken = not exchange.is_ended
+            exchange.changed.set()
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        *,
+        is_complete: bool = True,
+    ) -> int:
+        """Send a request and return its stream id."""
+        stream_id = self._quic.get_next_available_stream_id()
+        self._exchanges[stream_id] = _Exchange()
+        fields = [
+            (b":method", method.encode()),
+            (b":scheme", b"https"),
+            (b":authority", b"swapworks.example"),
+            (b":path", path.encode()),
+            *((k.encode(), v.encode()) for k, v in (headers or {}).items()),
+        ]
+        has_more = bool(body) or not is_complete
+        self._http.send_headers(stream_id, fields, end_stream=not has_more)
+        if body:
+            self._http.send_data(stream_id, body, end_stream=is_complete)
+        self.transmit()
+        return stream_id
+
+    def cancel(self, stream_id: int) -> None:
+        """Give up a request."""
+        self._quic.reset_stream(stream_id, 0x10C)
+        self._quic.stop_stream(stream_id, 0x10C)
+        self.transmit()
+
+    async def response(self, stream_id: int) -> Response:
+        """Return the whole response.
+
+        Raises:
+            BrokenError: The stream or the connection has broken.
+        """
+        body = [chunk async for chunk in self.stream(stream_id)]
+        headers = self._exchanges.pop(stream_id).headers
+        assert headers is not None
+        return Response(int(headers[":status"]), headers, b"".join(body))
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+    ) -> Response:
+        """Send a request and return its response."""
+        if self.is_terminated:
+            raise BrokenError
+        return await self.response(self.send(method, path, headers, body))
+
+    async def stream(self, stream_id: int) -> collections.abc.AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises:
+            BrokenError: The stream or the connection has broken.
+        """
+        exchange = self._exchanges[stream_id]
+        while True:
+            while exchange.chunks:
+                yield exchange.chunks.popleft()
+            if exchange.is_ended:
+                return
+            if exchange.is_broken:
+                raise BrokenError
+            exchange.changed.clear()
+            await exchange.changed.wait()
+
+    async def events(
+        self, last_event_id: int | None = None
+    ) -> collections.abc.AsyncIterator[int]:
+        """Open a feed and yield the ids of its events."""
+        headers = {"accept": "text/event-stream"}
+        if last_event_id is not None:
+            headers["last-event-id"] = str(last_event_id)
+        stream_id = self.send("GET", "/feed", headers)
+        text = ""
+        async for chunk in self.stream(stream_id):
+            text += chunk.decode()
+            *whole, text = text.split("\n\n")
+            for event in whole:
+                yield int(event.split("\n")[0].removeprefix("id: "))
+
+
+def make_configuration(idle_timeout: float = 60.0) -> configuration.QuicConfiguration:
+    """Return a caller's QUIC settings; the test certificate is not verified."""
+    made = configuration.QuicConfiguration(
+        alpn_protocols=["h3"], is_client=True, idle_timeout=idle_timeout
+    )
+    made.verify_mode = ssl.CERT_NONE
+    return made
+
+
+@contextlib.asynccontextmanager
+async def connect(
+    service: addresses.Address, idle_timeout: float = 60.0, host: str = "127.0.0.1"
+) -> collections.abc.AsyncIterator[Caller]:
+    """Open a connection to a service."""
+    quic = connection.QuicConnection(configuration=make_configuration(idle_timeout))
+    loop = asyncio.get_running_loop()
+    transport, opened = await loop.create_datagram_endpoint(
+        lambda: Caller(quic), local_addr=(host, 0)
+    )
+    try:
+        opened.connect(service)
+        await opened.wait_connected()
+        yield opened
+    finally:
+        opened.close()
+        opened.transmit()
+        transport.close()
--- /dev/null
+++ b/tests/standins/site.py
@@ -0,0 +1,335 @@
+"""Sets up a whole site of real processes on loopback addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import datetime
+import json
+import os
+import pathlib
+import secrets
+import signal
+import subprocess
+import sys
+import urllib.request
+
+import yaml
+from cactushall_core import addresses, configuration, identifiers
+from cactushall_rpc import control, paths, store
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509 import oid
+
+from tests.standins import fabric as fabric_standin
+
+STORE_ADDRESS = addresses.Address("127.0.0.2", 23790)
+SERVER_PORT = 8080
+SERVICE_PORT = 4433
+STOP_TIMEOUT_SECONDS = 40.0
+READY_TIMEOUT_SECONDS = 60.0
+POLL_SECONDS = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class EndpointPlan:
+    """One backend server with its agent."""
+
+    name: str
+    service: str
+    zone: str
+    slots: int = 1
+    connections: int = 2000
+    service_seconds: float = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryPlan:
+    """One entry."""
+
+    name: str
+    zone: str
+
+
+@dataclasses.dataclass(frozen=True)
+class SitePlan:
+    """What a site consists of."""
+
+    services: dict[str, str]
+    endpoints: tuple[EndpointPlan, ...]
+    entries: tuple[EntryPlan, ...]
+    idle_timeout_seconds: float = 60.0
+    deadline_seconds: float = 10.0
+    drain_timeout_seconds: float = 5.0
+
+
+def kalymnos() -> SitePlan:
+    """Return Kalymnos Swapworks' setting: three zones, two services."""
+    zones = ("attica-1", "attica-2", "attica-3")
+    desk = [
+        EndpointPlan(f"desk-{n}", "swap-desk", zones[n % 3], service_seconds=0.02)
+        for n in range(7)
+    ]
+    catalogue = [
+        EndpointPlan(f"catalogue-{n}", "catalogue", zones[n % 3]) for n in range(3)
+    ]
+    return SitePlan(
+        services={"swap-desk": "127.0.1.1", "catalogue": "127.0.1.2"},
+        endpoints=(*desk, *catalogue),
+        entries=tuple(EntryPlan(f"entry-{n}", zones[n]) for n in range(3)),
+    )
+
+
+class Site:
+    """Running processes of a site."""
+
+    def __init__(self, plan: SitePlan, folder: pathlib.Path) -> None:
+        """Prepare settings in a folder; nothing is started yet."""
+        self.plan = plan
+        self._folder = folder
+        self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._logs = folder / "logs"
+        self._logs.mkdir()
+        self._hosts: dict[str, str] = {}
+        self._fabric = fabric_standin.Fabric(
+            [self.service_address(name) for name in plan.services]
+        )
+        _write_secrets(folder)
+
+    def service_address(self, service: str) -> addresses.Address:
+        """Return the address of a service."""
+        return addresses.Address(self.plan.services[service], SERVICE_PORT)
+
+    def control_address(self, name: str) -> addresses.Address:
+        """Return the control address of a process."""
+        return addresses.Address(self._hosts[name], 7947)
+
+    def process(self, name: str) -> subprocess.Popen[bytes]:
+        """Return a process."""
+        return self._processes[name]
+
+    async def start(self) -> None:
+        """Start everything and wait until it is ready."""
+        self.start_store()
+        for endpoint in self.plan.endpoints:
+            self.start_backend(endpoint)
+        await self.configure()
+        for endpoint in self.plan.endpoints:
+            self.start_agent(endpoint)
+        for entry in self.plan.entries:
+            self.start_entry(entry)
+        await self.wait_ready()
+        self._fabric.spray(len(self.plan.entries))
+
+    def start_store(self) -> None:
+        """Start the store."""
+        host, port = STORE_ADDRESS
+        self._spawn("store", ["-m", "tests.standins.store", host, str(port)])
+
+    async def configure(self) -> None:
+        """Store the services' configuration."""
+        services = tuple(
+            configuration.Service(
+                identifiers.ServiceName(name),
+                str(self.service_address(name)),
+                deadline_seconds=self.plan.deadline_seconds,
+                idle_timeout_seconds=self.plan.idle_timeout_seconds,
+            )
+            for name in self.plan.services
+        )
+        value = configuration.encode(
+            configuration.Configuration(identifiers.Revision(1), services)
+        )
+        client = store.Store((STORE_ADDRESS,))
+        await poll(lambda: _try_create(client, value), READY_TIMEOUT_SECONDS)
+        client.close()
+
+    def start_backend(self, endpoint: EndpointPlan) -> None:
+        """Start a backend server."""
+        self._spawn(
+            f"{endpoint.name}-server",
+            [
+                "-m",
+                "tests.standins.backend",
+                self._host(endpoint.name),
+                str(SERVER_PORT),
+                str(endpoint.service_seconds),
+            ],
+        )
+
+    def start_agent(self, endpoint: EndpointPlan) -> None:
+        """Start an agent."""
+        host = self._host(endpoint.name)
+        settings = self._node_settings(endpoint.name, endpoint.zone)
+        settings |= {
+            "certificate": "certificate.pem",
+            "private_key": "private_key.pem",
+            "drain_timeout_seconds": self.plan.drain_timeout_seconds,
+            "endpoints": [
+                {
+                    "service": endpoint.service,
+                    "server": f"{host}:{SERVER_PORT}",
+                    "slots": endpoint.slots,
+                    "connections": endpoint.connections,
+                }
+            ],
+        }
+        self._start_daemon("agent", endpoint.name, settings)
+
+    def start_entry(self, entry: EntryPlan) -> None:
+        """Start an entry."""
+        settings = self._node_settings(entry.name, entry.zone)
+        self._start_daemon("entry", entry.name, settings)
+
+    def spray(self, entries: int) -> None:
+        """Tell the fabric how many entries there are."""
+        self._fabric.spray(entries)
+
+    async def wait_ready(self) -> None:
+        """Wait until all daemons know each other and the configuration."""
+        daemons = [name for name in self._processes if name in self._hosts]
+        expected = len(daemons)
+
+        async def is_ready() -> bool:
+            for name in daemons:
+                try:
+                    status = await control.fetch_status(self.control_address(name))
+                except control.ControlError:
+                    return False
+                if status.members != expected or status.revision == 0:
+                    return False
+            return True
+
+        await poll(is_ready, READY_TIMEOUT_SECONDS)
+
+    def counts(self, endpoint: str) -> dict:
+        """Return what a backend server has seen."""
+        return json.loads(self._ask_backend(endpoint, "counts", None))
+
+    def behave(self, endpoint: str, **changes: object) -> None:
+        """Change how a backend server behaves."""
+        self._ask_backend(endpoint, "behave", json.dumps(changes).encode())
+
+    def kill(self, name: str) -> None:
+        """Kill a process and wait for its end."""
+        process = self._processes.pop(name)
+        process.kill()
+        process.wait()
+
+    async def terminate(self, name: str) -> int:
+        """Stop a process gracefully and return its exit code."""
+        process = self._processes.pop(name)
+        process.terminate()
+        return await asyncio.to_thread(process.wait, STOP_TIMEOUT_SECONDS)
+
+    def suspend(self, name: str) -> None:
+        """Freeze a process."""
+        self._processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Thaw a process."""
+        self._processes[name].send_signal(signal.SIGCONT)
+
+    def log_events(self, name: str) -> list[dict]:
+        """Return a process's log so far."""
+        text = (self._logs / f"{name}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line[:1] == "{"]
+
+    def close(self) -> None:
+        """End all processes that were started."""
+        for process in self._processes.values():
+            process.kill()
+        for process in self._processes.values():
+            process.wait()
+        self._fabric.close()
+
+    def _host(self, name: str) -> str:
+        if name not in self._hosts:
+            self._hosts[name] = f"127.0.2.{len(self._hosts) + 1}"
+        return self._hosts[name]
+
+    def _node_settings(self, name: str, zone: str) -> dict:
+        return {
+            "node": name,
+            "zone": zone,
+            "address": self._host(name),
+            "store": [str(STORE_ADDRESS)],
+            "key_files": ["key"],
+        }
+
+    def _start_daemon(self, kind: str, name: str, settings: dict) -> None:
+        path = self._folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        self._spawn(name, ["-m", "cactushall_daemon", kind, "--config", str(path)])
+
+    def _spawn(self, name: str, arguments: list[str]) -> None:
+        with (self._logs / f"{name}.log").open("ab") as log:
+            self._processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log,
+                stderr=log,
+                cwd=pathlib.Path(__file__).parents[2],
+                env=dict(os.environ, PYTHONUNBUFFERED="1"),
+            )
+
+    def _ask_backend(self, endpoint: str, path: str, body: bytes | None) -> bytes:
+        url = f"http://{self._hosts[endpoint]}:{SERVER_PORT}/{path}"
+        with urllib.request.urlopen(url, body, timeout=5) as response:
+            return response.read()
+
+
+@contextlib.asynccontextmanager
+async def running(plan: SitePlan, folder: pathlib.Path):
+    """Run a site."""
+    site = Site(plan, folder)
+    try:
+        await site.start()
+        yield site
+    finally:
+        site.close()
+
+
+async def poll(condition, timeout: float) -> None:
+    """Wait until an asynchronous condition holds.
+
+    Raises:
+        TimeoutError: It does not hold in time.
+    """
+    async with asyncio.timeout(timeout):
+        while not await condition():
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def _try_create(client: store.Store, value: bytes) -> bool:
+    try:
+        return await client.create(paths.CONFIGURATION, value)
+    except store.exceptions.StoreUnavailableError:
+        return False
+
+
+def _write_secrets(folder: pathlib.Path) -> None:
+    (folder / "key").write_text(secrets.token_hex(32))
+    private_key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, "swapworks.example")])
+    now = datetime.datetime.now(datetime.UTC)
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(private_key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(now - datetime.timedelta(days=1))
+        .not_valid_after(now + datetime.timedelta(days=30))
+        .sign(private_key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    (folder / "certificate.pem").write_bytes(certificate.public_bytes(pem))
+    (folder / "private_key.pem").write_bytes(
+        private_key.private_bytes(
+            pem,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
