Tests of the core, the settings and the whole path on real processes

Change: unit and property tests of connection ids, tunnel, steering, membership, slots and configuration; scenarios in a feature file over real processes; unknown QUIC versions get a version negotiation, and only Initial packets open a flow (a test showed that any long header did); a certificate that cannot be loaded is a finding (a test showed that it was not).

--- a/packages/cactushall-client/cactushall_client/__main__.py
+++ b/packages/cactushall-client/cactushall_client/__main__.py
@@ -7,13 +7,13 @@
 import typing
 
 import click
-from cactushall_core import addresses, exceptions
 
 from cactushall_client import exit_codes, output
 from cactushall_client.commands import apply as apply_command
 from cactushall_client.commands import check as check_command
 from cactushall_client.commands import members as members_command
 from cactushall_client.commands import status as status_command
+from cactushall_core import addresses, exceptions
 
 CONTACT_HELP = "Control address of any process, as IP:PORT."
 STORE_HELP = "Address of the key-value store, as IP:PORT."
--- a/packages/cactushall-client/cactushall_client/commands/apply.py
+++ b/packages/cactushall-client/cactushall_client/commands/apply.py
@@ -7,10 +7,10 @@
 import sys
 
 import click
-from cactushall_core import addresses, configuration, findings, identifiers
-from cactushall_rpc import paths, store
 
 from cactushall_client import exit_codes, intent
+from cactushall_core import addresses, configuration, findings, identifiers
+from cactushall_rpc import paths, store
 
 
 def main(path: pathlib.Path, store_address: addresses.Address) -> None:
--- a/packages/cactushall-client/cactushall_client/commands/check.py
+++ b/packages/cactushall-client/cactushall_client/commands/check.py
@@ -6,9 +6,9 @@
 import sys
 
 import click
-from cactushall_core import findings
 
 from cactushall_client import exit_codes, intent
+from cactushall_core import findings
 
 
 def main(path: pathlib.Path) -> None:
--- a/packages/cactushall-client/cactushall_client/commands/members.py
+++ b/packages/cactushall-client/cactushall_client/commands/members.py
@@ -5,9 +5,9 @@
 import asyncio
 
 import msgspec
-from cactushall_core import addresses
 
 from cactushall_client import fleet, output
+from cactushall_core import addresses
 
 
 def main(contact: addresses.Address, output_format: output.Format) -> None:
--- a/packages/cactushall-client/cactushall_client/commands/status.py
+++ b/packages/cactushall-client/cactushall_client/commands/status.py
@@ -6,12 +6,12 @@
 import dataclasses
 import sys
 
-from cactushall_core import addresses
-from cactushall_rpc import control
-from cactushall_rpc.generated import control_pb2
 from google.protobuf import json_format
 
 from cactushall_client import exit_codes, fleet, output
+from cactushall_core import addresses
+from cactushall_rpc import control
+from cactushall_rpc.generated import control_pb2
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/cactushall-client/cactushall_client/intent.py
+++ b/packages/cactushall-client/cactushall_client/intent.py
@@ -5,6 +5,7 @@
 import pathlib
 
 import msgspec
+
 from cactushall_core import configuration, findings
 
 
--- a/packages/cactushall-core/cactushall_core/quic_header.py
+++ b/packages/cactushall-core/cactushall_core/quic_header.py
@@ -15,6 +15,7 @@
 _LONG_CID_LENGTH_OFFSET = 5
 _LONG_CID_OFFSET = 6
 _PACKET_TYPE_MASK = 0x30
+_VERSION_NEGOTIATION = bytes(4)
 _VERSION_1 = b"\x00\x00\x00\x01"
 _VERSION_2 = b"\x6b\x33\x43\xcf"
 _INITIAL_TYPES = {_VERSION_1: 0x00, _VERSION_2: 0x10}
@@ -27,11 +28,14 @@
     Attributes:
         is_long: Whether the packet has a long header.
         is_initial: Whether the packet may open a connection.
+        is_version_unknown: Whether the packet asks for a QUIC version that is not
+            spoken here.
         destination_cid: The destination connection id.
     """
 
     is_long: bool
     is_initial: bool
+    is_version_unknown: bool
     destination_cid: bytes
 
 
@@ -51,7 +55,9 @@
         return _parse_long(datagram, first)
     if not first & FIXED_BIT or len(datagram) < MIN_SHORT_PACKET_BYTES:
         return None
-    return Header(False, False, bytes(datagram[1 : 1 + connection_id.LENGTH_BYTES]))
+    return Header(
+        False, False, False, bytes(datagram[1 : 1 + connection_id.LENGTH_BYTES])
+    )
 
 
 def _parse_long(datagram: bytes | memoryview, first: int) -> Header | None:
@@ -63,9 +69,10 @@
         return None
     version = bytes(datagram[1:_LONG_CID_LENGTH_OFFSET])
     initial_type = _INITIAL_TYPES.get(version)
-    is_initial = (
-        initial_type is not None
-        and first & _PACKET_TYPE_MASK == initial_type
-        and len(datagram) >= MIN_INITIAL_DATAGRAM_BYTES
+    is_large = len(datagram) >= MIN_INITIAL_DATAGRAM_BYTES
+    is_initial = is_large and first & _PACKET_TYPE_MASK == initial_type
+    is_version_unknown = (
+        is_large and initial_type is None and version != _VERSION_NEGOTIATION
     )
-    return Header(True, is_initial, bytes(datagram[_LONG_CID_OFFSET:end]))
+    cid = bytes(datagram[_LONG_CID_OFFSET:end])
+    return Header(True, is_initial, is_version_unknown, cid)
--- a/packages/cactushall-core/cactushall_core/steering.py
+++ b/packages/cactushall-core/cactushall_core/steering.py
@@ -145,7 +145,7 @@
             if target is not None:
                 return Forward(home, target.tunnel_address)
             return _steer_unknown_home(table, home, header, datagram, now)
-        if header.is_long:
+        if header.is_initial or header.is_version_unknown:
             return _steer_first_packet(table, header)
         return _DROPS[DropReason.FOREIGN_ID]
 
--- a/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
@@ -9,6 +9,7 @@
 import socket
 
 from aioquic.quic import configuration as quic_configuration
+
 from cactushall_core import (
     addresses,
     configuration,
@@ -21,11 +22,10 @@
     steering,
     tunnel,
 )
-from cactushall_rpc.generated import control_pb2
-
 from cactushall_daemon import counters, events, logs, sockets
 from cactushall_daemon.agent import exchange, flow, headers, quic
 from cactushall_daemon.config import schema
+from cactushall_rpc.generated import control_pb2
 
 log = logs.get_logger(__name__)
 
@@ -153,6 +153,8 @@
             found.receive(envelope.payload, envelope.caller)
         elif header.is_initial:
             self._open_flow(header, envelope)
+        elif header.is_version_unknown:
+            self._transmit(quic.version_negotiation(envelope.payload), envelope.caller)
         else:
             self.reset_unknown(header, envelope)
 
--- a/packages/cactushall-daemon/cactushall_daemon/agent/exchange.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/exchange.py
@@ -9,8 +9,8 @@
 import http
 
 import h11
-from cactushall_core import addresses, outcomes
 
+from cactushall_core import addresses, outcomes
 from cactushall_daemon.agent import flow, headers, upstream
 
 RETRY_AFTER_SECONDS = 1
--- a/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
@@ -10,8 +10,8 @@
 from aioquic.h3 import connection as h3_connection
 from aioquic.h3 import events as h3_events
 from aioquic.quic import events as quic_events
-from cactushall_core import addresses
 
+from cactushall_core import addresses
 from cactushall_daemon.agent import quic
 
 MAX_UNSENT_BYTES = 256 * 1024
--- a/packages/cactushall-daemon/cactushall_daemon/agent/process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/process.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 
+from msgspec import structs
+
 from cactushall_core import (
     addresses,
     configuration,
@@ -14,12 +16,10 @@
     tunnel,
 )
 from cactushall_core.membership import records
-from cactushall_rpc.generated import control_pb2
-from msgspec import structs
-
 from cactushall_daemon import counters, events, logs, node, sockets
 from cactushall_daemon.agent import endpoint
 from cactushall_daemon.config import schema
+from cactushall_rpc.generated import control_pb2
 
 log = logs.get_logger(__name__)
 
--- a/packages/cactushall-daemon/cactushall_daemon/agent/quic.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/quic.py
@@ -17,6 +17,7 @@
     recovery,
     stream,
 )
+
 from cactushall_core import connection_id, identifiers
 
 STREAM_WINDOW_BYTES = 256 * 1024
@@ -41,6 +42,24 @@
     return issue
 
 
+def version_negotiation(datagram: bytes) -> bytes:
+    """Return the answer to a packet of an unknown QUIC version.
+
+    Args:
+        datagram: A datagram whose first packet has a whole long header.
+
+    Source: RFC 9000 section 6.
+    """
+    destination_end = 6 + datagram[5]
+    source_start = destination_end + 1
+    source_end = source_start + datagram[destination_end]
+    return packet.encode_quic_version_negotiation(
+        source_cid=datagram[6:destination_end],
+        destination_cid=datagram[source_start:source_end],
+        supported_versions=configuration.QuicConfiguration().supported_versions,
+    )
+
+
 class SteeredConnection(connection.QuicConnection):
     """A server connection whose ids carry its home."""
 
--- a/packages/cactushall-daemon/cactushall_daemon/agent/upstream.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/upstream.py
@@ -7,6 +7,7 @@
 import contextlib
 
 import h11
+
 from cactushall_core import addresses, exceptions
 
 READ_BYTES = 64 * 1024
--- a/packages/cactushall-daemon/cactushall_daemon/commands/run.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/run.py
@@ -10,8 +10,8 @@
 import typing
 
 import click
-from cactushall_core import findings
 
+from cactushall_core import findings
 from cactushall_daemon import events, exit_codes, logs, sockets
 from cactushall_daemon.config import base, schema
 
--- a/packages/cactushall-daemon/cactushall_daemon/config/base.py
+++ b/packages/cactushall-daemon/cactushall_daemon/config/base.py
@@ -6,8 +6,8 @@
 import typing
 
 import yaml
-from cactushall_core import findings
 
+from cactushall_core import findings
 from cactushall_daemon.config import options
 
 SettingsT = typing.TypeVar("SettingsT", bound="Settings")
--- a/packages/cactushall-daemon/cactushall_daemon/config/options.py
+++ b/packages/cactushall-daemon/cactushall_daemon/config/options.py
@@ -11,6 +11,7 @@
 import typing
 
 import yaml
+
 from cactushall_core import addresses, findings
 
 ValueT = typing.TypeVar("ValueT")
--- a/packages/cactushall-daemon/cactushall_daemon/config/schema.py
+++ b/packages/cactushall-daemon/cactushall_daemon/config/schema.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import pathlib
+import ssl
 
 import yaml
-from cactushall_core import addresses, keys
 
+from cactushall_core import addresses, keys
 from cactushall_daemon.config import base, options
 
 MAX_PORT = addresses.MAX_PORT
@@ -93,6 +94,12 @@
                 message = f"{endpoint.service} is named twice"
                 report.error(lines["endpoints"], key, message)
             seen.add(endpoint.service)
+        try:
+            context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+            context.load_cert_chain(self.certificate, self.private_key)
+        except (ssl.SSLError, OSError) as error:
+            message = f"not a certificate with its private key: {error}"
+            report.error(lines["certificate"], "certificate", message)
         if self.tunnel_port == self.gossip_port:
             line = lines.get("tunnel_port", 0)
             report.error(line, "tunnel_port", "is the same as gossip_port")
--- a/packages/cactushall-daemon/cactushall_daemon/contacts.py
+++ b/packages/cactushall-daemon/cactushall_daemon/contacts.py
@@ -7,9 +7,8 @@
 
 from cactushall_core import addresses, exceptions
 from cactushall_core.membership import records
-from cactushall_rpc import paths, store
-
 from cactushall_daemon import events, logs
+from cactushall_rpc import paths, store
 
 log = logs.get_logger(__name__)
 
--- a/packages/cactushall-daemon/cactushall_daemon/control.py
+++ b/packages/cactushall-daemon/cactushall_daemon/control.py
@@ -6,11 +6,11 @@
 import dataclasses
 
 import grpclib.server
+
 from cactushall_core import exceptions
 from cactushall_core.membership import messages, records
-from cactushall_rpc.generated import control_grpc, control_pb2
-
 from cactushall_daemon import counters
+from cactushall_rpc.generated import control_grpc, control_pb2
 
 RECORDS_PER_PART = 500
 
--- a/packages/cactushall-daemon/cactushall_daemon/entry/process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/entry/process.py
@@ -4,7 +4,6 @@
 
 from cactushall_core import configuration
 from cactushall_core.membership import records
-
 from cactushall_daemon import node
 from cactushall_daemon.config import schema
 from cactushall_daemon.entry import receiver
--- a/packages/cactushall-daemon/cactushall_daemon/entry/receiver.py
+++ b/packages/cactushall-daemon/cactushall_daemon/entry/receiver.py
@@ -14,7 +14,6 @@
     tunnel,
 )
 from cactushall_core.membership import records
-
 from cactushall_daemon import counters, events, logs, sockets
 
 log = logs.get_logger(__name__)
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -9,7 +9,6 @@
 
 from cactushall_core import addresses, exceptions, identifiers, keys
 from cactushall_core.membership import records, state
-
 from cactushall_daemon import counters, events, logs, sockets
 
 log = logs.get_logger(__name__)
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -8,12 +8,9 @@
 import time
 
 import grpclib.server
+
 from cactushall_core import addresses, adoption, configuration, exceptions, identifiers
 from cactushall_core.membership import messages, records
-from cactushall_rpc import control as control_client
-from cactushall_rpc import paths, store
-from cactushall_rpc.generated import control_pb2
-
 from cactushall_daemon import (
     contacts,
     control,
@@ -24,6 +21,9 @@
     sockets,
 )
 from cactushall_daemon.config import schema
+from cactushall_rpc import control as control_client
+from cactushall_rpc import paths, store
+from cactushall_rpc.generated import control_pb2
 
 log = logs.get_logger(__name__)
 
--- a/packages/cactushall-rpc/cactushall_rpc/control.py
+++ b/packages/cactushall-rpc/cactushall_rpc/control.py
@@ -7,8 +7,8 @@
 
 import grpclib.client
 import grpclib.exceptions
-from cactushall_core import addresses, exceptions
 
+from cactushall_core import addresses, exceptions
 from cactushall_rpc.generated import control_grpc, control_pb2
 
 CALL_TIMEOUT_SECONDS = 5.0
--- a/packages/cactushall-rpc/cactushall_rpc/store.py
+++ b/packages/cactushall-rpc/cactushall_rpc/store.py
@@ -11,8 +11,8 @@
 
 import grpclib.client
 import grpclib.exceptions
-from cactushall_core import addresses, exceptions
 
+from cactushall_core import addresses, exceptions
 from cactushall_rpc.generated import etcd_grpc, etcd_pb2
 
 log = logging.getLogger(__name__)
--- /dev/null
+++ b/tests/core/test_configuration.py
@@ -0,0 +1,72 @@
+"""Tests of service configurations and their adoption."""
+
+from __future__ import annotations
+
+import pytest
+
+from cactushall_core import adoption, configuration, exceptions, identifiers
+from tests.core import builders
+
+
+def make(revision, *services):
+    return configuration.Configuration(identifiers.Revision(revision), services)
+
+
+def service(name=builders.SWAP_DESK, address="192.0.2.1:443", **fields):
+    return configuration.Service(name, address, **fields)
+
+
+def test_configuration_is_read_back():
+    made = make(3, service())
+    assert configuration.decode(configuration.encode(made), "store") == made
+
+
+def test_all_errors_are_reported_together():
+    wrong = make(
+        1,
+        service(address="nowhere", deadline_seconds=0),
+        service(idle_timeout_seconds=-1, address="192.0.2.1:443"),
+        service(name="", address="192.0.2.1:443"),
+    )
+    with pytest.raises(exceptions.ConfigurationError) as caught:
+        configuration.decode(configuration.encode(wrong), "store")
+    text = str(caught.value)
+    for expected in (
+        "services.0: error: address",
+        "services.0: error: deadline_seconds",
+        "services.1: error: idle_timeout_seconds",
+        "services.1: error: name 'swap-desk' is used twice",
+        "services.2: error: a name has",
+        "services.2: error: address 192.0.2.1:443 belongs to 'swap-desk'",
+    ):
+        assert expected in text
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"revision":"x"}'])
+def test_malformed_value_is_refused(value):
+    with pytest.raises(exceptions.ConfigurationError):
+        configuration.decode(value, "store")
+
+
+def test_oversized_value_is_refused():
+    with pytest.raises(exceptions.ConfigurationError, match="exceed"):
+        configuration.decode(b" " * (configuration.MAX_VALUE_BYTES + 1), "store")
+
+
+def test_adoption_goes_forward_only():
+    adopter = adoption.Adopter()
+    second = configuration.encode(make(2, service()))
+    assert isinstance(adopter.offer(second, "store"), adoption.Adopted)
+    for revision in (1, 2):
+        older = configuration.encode(make(revision))
+        assert adopter.offer(older, "peer") == adoption.Unchanged()
+    assert adopter.current.revision == 2
+    assert adopter.value == second
+
+
+def test_wrong_configuration_leaves_the_old_one_in_force():
+    adopter = adoption.Adopter()
+    adopter.offer(configuration.encode(make(1, service())), "store")
+    wrong = configuration.encode(make(2, service(address="nowhere")))
+    assert isinstance(adopter.offer(wrong, "store"), adoption.Refused)
+    assert adopter.current.revision == 1
--- /dev/null
+++ b/tests/core/test_slots.py
@@ -0,0 +1,149 @@
+"""Tests of the slot queue."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from cactushall_core import outcomes, slots
+
+ALPHA = slots.CallerKey(b"alpha")
+BETA = slots.CallerKey(b"beta")
+LATE = 1000.0
+
+
+def make_queue(count=1):
+    return slots.SlotQueue(count, random.Random(1))
+
+
+def offer(queue, number, caller=ALPHA, deadline=LATE, now=0.0):
+    return queue.offer(slots.RequestId(number), caller, deadline, now)
+
+
+def test_slots_are_never_exceeded():
+    queue = make_queue(2)
+    started = [bool(offer(queue, number)) for number in range(5)]
+    assert started == [True, True, False, False, False]
+
+
+def test_callers_take_turns():
+    queue = make_queue()
+    offer(queue, 0)
+    for number in (1, 2, 3):
+        offer(queue, number, ALPHA)
+    offer(queue, 4, BETA)
+    order = []
+    running = 0
+    while queue.running:
+        actions = queue.finish(slots.RequestId(running), 0.0, is_answered=True)
+        if actions:
+            running = actions[0].request
+            order.append(running)
+    assert order == [1, 4, 2, 3]
+
+
+def test_request_that_cannot_be_in_time_is_refused_at_once():
+    queue = make_queue()
+    for number in range(100):
+        offer(queue, number)
+    (action,) = offer(queue, 100, deadline=1.0)
+    assert action.refusal.outcome is outcomes.Outcome.NOT_RUN
+    assert action.refusal.reason is outcomes.Reason.DEADLINE
+    assert action.refusal.retry_after >= 1
+
+
+def test_cancelled_request_leaves_the_queue():
+    queue = make_queue()
+    offer(queue, 0)
+    offer(queue, 1)
+    assert queue.cancel(slots.RequestId(1), 0.0) == []
+    assert queue.queued == 0
+    assert queue.finish(slots.RequestId(0), 0.0, is_answered=True) == []
+
+
+def test_cancelled_request_that_runs_is_aborted():
+    queue = make_queue()
+    offer(queue, 0)
+    assert queue.cancel(slots.RequestId(0), 0.0) == [slots.Abort(slots.RequestId(0))]
+    assert queue.running == 1
+
+
+def test_deadline_refuses_what_waits_and_aborts_what_runs():
+    queue = make_queue()
+    offer(queue, 0, deadline=1.0)
+    offer(queue, 1, deadline=1.0)
+    aborted, refused = queue.tick(1.0)
+    assert aborted == slots.Abort(slots.RequestId(0))
+    assert refused.refusal.outcome is outcomes.Outcome.NOT_RUN
+
+
+def test_draining_queue_refuses():
+    queue = make_queue()
+    queue.drain()
+    (action,) = offer(queue, 0)
+    assert action.refusal.reason is outcomes.Reason.DRAINING
+
+
+class SlotMachine(stateful.RuleBasedStateMachine):
+    """Every request ends once, and slots and counts always fit."""
+
+    SLOTS = 2
+
+    def __init__(self):
+        super().__init__()
+        self.queue = make_queue(self.SLOTS)
+        self.now = 0.0
+        self.next_id = 0
+        self.waiting = set()
+        self.running = set()
+
+    def carry_out(self, actions):
+        for action in actions:
+            if isinstance(action, slots.Start):
+                self.waiting.remove(action.request)
+                self.running.add(action.request)
+            elif isinstance(action, slots.Refuse):
+                self.waiting.remove(action.request)
+            else:
+                assert action.request in self.running
+
+    @stateful.rule(
+        caller=strategies.sampled_from([ALPHA, BETA]), allowed=strategies.floats(0, 5)
+    )
+    def offer(self, caller, allowed):
+        self.next_id += 1
+        request = slots.RequestId(self.next_id)
+        self.waiting.add(request)
+        self.carry_out(self.queue.offer(request, caller, self.now + allowed, self.now))
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(is_answered=strategies.booleans())
+    def finish(self, is_answered):
+        request = min(self.running)
+        self.running.remove(request)
+        self.carry_out(self.queue.finish(request, self.now, is_answered=is_answered))
+
+    @stateful.precondition(lambda self: self.waiting)
+    @stateful.rule()
+    def cancel(self):
+        request = max(self.waiting)
+        self.waiting.remove(request)
+        assert self.queue.cancel(request, self.now) == []
+
+    @stateful.rule(step=strategies.floats(0, 2))
+    def advance(self, step):
+        self.now += step
+        self.carry_out(self.queue.tick(self.now))
+
+    @stateful.invariant()
+    def counts_fit(self):
+        assert self.queue.running == len(self.running) <= self.SLOTS
+        assert self.queue.queued == len(self.waiting)
+        if self.waiting:
+            assert len(self.running) == self.SLOTS
+
+
+TestSlotMachine = SlotMachine.TestCase
+TestSlotMachine.settings = hypothesis.settings(max_examples=50, deadline=None)
--- /dev/null
+++ b/tests/core/test_steering.py
@@ -0,0 +1,149 @@
+"""Tests of steering."""
+
+from __future__ import annotations
+
+import os
+
+import hypothesis
+from hypothesis import strategies
+
+from cactushall_core import connection_id, quic_header, steering
+from cactushall_core.membership import records
+from tests.core import builders
+
+DESK_AGENTS = [builders.make_agent(n) for n in range(7)]
+CATALOGUE_AGENTS = [builders.make_agent(n, builders.CATALOGUE) for n in range(100, 103)]
+DESK_KEYS = connection_id.make_service_keys(builders.RING, builders.SWAP_DESK)
+NOW = 100.0
+NONCE = b"nonce-7"
+VERSION_1 = b"\x00\x00\x00\x01"
+
+
+def make_steering(agents=(*DESK_AGENTS, *CATALOGUE_AGENTS)):
+    made = steering.Steering(builders.RING)
+    made.set_services([builders.SWAP_DESK, builders.CATALOGUE])
+    made.load(agents)
+    return made
+
+
+def initial(cid):
+    head = b"\xc0" + VERSION_1 + bytes([len(cid)]) + cid
+    return head.ljust(quic_header.MIN_INITIAL_DATAGRAM_BYTES, b"\0")
+
+
+def short(cid, size=60):
+    return (b"\x40" + cid).ljust(size, b"\0")
+
+
+def id_of(record, keys=DESK_KEYS):
+    return connection_id.encode(keys, builders.home_of(record), NONCE)
+
+
+def test_later_packet_goes_to_its_home():
+    made = make_steering()
+    for record in DESK_AGENTS:
+        decision = made.steer(builders.SWAP_DESK, short(id_of(record)), NOW)
+        assert decision == steering.Forward(
+            builders.home_of(record), record.member.tunnel_address
+        )
+
+
+def test_later_packet_goes_to_its_home_on_stale_and_new_entries():
+    cid = id_of(DESK_AGENTS[2])
+    stale = make_steering(DESK_AGENTS[:3])
+    fresh = make_steering()
+    datagram = short(cid)
+    assert stale.steer(builders.SWAP_DESK, datagram, NOW) == fresh.steer(
+        builders.SWAP_DESK, datagram, NOW
+    )
+
+
+def test_first_packet_goes_to_the_same_home_at_every_entry():
+    datagram = initial(b"chosen")
+    backwards = make_steering(list(reversed(DESK_AGENTS)))
+    decision = make_steering().steer(builders.SWAP_DESK, datagram, NOW)
+    assert isinstance(decision, steering.Forward)
+    assert backwards.steer(builders.SWAP_DESK, datagram, NOW) == decision
+
+
+def test_first_packets_avoid_draining_and_suspected_servers():
+    made = make_steering()
+    made.apply(builders.make_agent(0, is_draining=True, incarnation=1))
+    made.apply(builders.make_agent(1, status=records.Status.SUSPECT, incarnation=1))
+    avoided = {builders.home_of(DESK_AGENTS[0]), builders.home_of(DESK_AGENTS[1])}
+    for _ in range(300):
+        decision = made.steer(builders.SWAP_DESK, initial(os.urandom(8)), NOW)
+        assert decision.home not in avoided
+
+
+def test_flows_of_a_draining_server_still_reach_it():
+    made = make_steering()
+    made.apply(builders.make_agent(0, is_draining=True, incarnation=1))
+    decision = made.steer(builders.SWAP_DESK, short(id_of(DESK_AGENTS[0])), NOW)
+    assert isinstance(decision, steering.Forward)
+
+
+def test_id_of_another_service_is_dropped():
+    decision = make_steering().steer(
+        builders.CATALOGUE, short(id_of(DESK_AGENTS[0])), NOW
+    )
+    assert decision == steering.Drop(steering.DropReason.FOREIGN_ID)
+
+
+def test_flow_of_a_dead_home_is_reset_with_its_token():
+    made = make_steering()
+    made.apply(builders.make_agent(0, status=records.Status.DEAD))
+    cid = id_of(DESK_AGENTS[0])
+    decision = made.steer(builders.SWAP_DESK, short(cid), NOW)
+    assert isinstance(decision, steering.Reset)
+    assert decision.datagram.endswith(connection_id.reset_token(DESK_KEYS, cid))
+    assert len(decision.datagram) < len(short(cid))
+
+
+def test_flow_of_an_unknown_home_is_reset_only_after_a_while():
+    made = make_steering(DESK_AGENTS[1:])
+    datagram = short(id_of(DESK_AGENTS[0]))
+    first = made.steer(builders.SWAP_DESK, datagram, NOW)
+    later = made.steer(builders.SWAP_DESK, datagram, NOW + steering.GONE_AFTER_SECONDS)
+    assert first == steering.Drop(steering.DropReason.UNKNOWN_HOME)
+    assert isinstance(later, steering.Reset)
+
+
+def test_returning_home_is_forwarded_to_again():
+    made = make_steering()
+    made.apply(builders.make_agent(0, status=records.Status.DEAD))
+    made.apply(builders.make_agent(0, incarnation=1))
+    decision = made.steer(builders.SWAP_DESK, short(id_of(DESK_AGENTS[0])), NOW)
+    assert isinstance(decision, steering.Forward)
+
+
+def test_service_without_servers_drops():
+    decision = make_steering([]).steer(builders.SWAP_DESK, initial(b"chosen"), NOW)
+    assert decision == steering.Drop(steering.DropReason.NO_BACKEND_SERVER)
+
+
+def test_only_initial_packets_open_flows():
+    datagram = b"\xe0" + initial(b"chosen")[1:]
+    decision = make_steering().steer(builders.SWAP_DESK, datagram, NOW)
+    assert isinstance(decision, steering.Drop)
+
+
+@hypothesis.given(
+    strategies.one_of(
+        strategies.binary(max_size=1300),
+        strategies.builds(
+            lambda first, cid, size: (bytes([first]) + cid).ljust(size, b"\0"),
+            strategies.integers(0, 255),
+            strategies.sampled_from([id_of(record) for record in DESK_AGENTS]),
+            strategies.integers(0, 100),
+        ),
+    )
+)
+def test_no_datagram_reaches_another_service_or_raises(datagram):
+    made = make_steering()
+    own = {builders.home_of(record) for record in CATALOGUE_AGENTS}
+    decision = made.steer(builders.CATALOGUE, datagram, NOW)
+    if isinstance(decision, steering.Forward):
+        assert decision.home in own
+    else:
+        assert not isinstance(decision, steering.Reset)
--- /dev/null
+++ b/tests/daemon/test_settings.py
@@ -0,0 +1,110 @@
+"""Tests of the settings files."""
+
+from __future__ import annotations
+
+import secrets
+
+import pytest
+
+from cactushall_core import findings
+from cactushall_daemon.config import base, schema
+
+GOOD = """\
+node: entry-0
+zone: attica-1
+address: 127.0.2.1
+store: ["127.0.0.2:2379"]
+key_files: [key]
+"""
+
+
+@pytest.fixture
+def folder(tmp_path):
+    (tmp_path / "key").write_text(secrets.token_hex(32))
+    (tmp_path / "short").write_text("abcd")
+    return tmp_path
+
+
+def load(folder, text, cls=schema.EntrySettings):
+    path = folder / "settings.yaml"
+    path.write_text(text)
+    return base.load(cls, path)
+
+
+def test_good_settings_are_loaded(folder):
+    settings, found = load(folder, GOOD)
+    assert found == []
+    assert settings.node == "entry-0"
+    assert settings.gossip_port == 7946
+    assert settings.store[0].port == 2379
+
+
+def test_all_findings_are_reported_with_line_and_key(folder):
+    text = """\
+node: ""
+zone: attica-1
+address: somewhere
+gossip_port: 99999
+store: ["127.0.0.2"]
+key_files: [short, missing]
+colour: blue
+"""
+    settings, found = load(folder, text)
+    assert settings is None
+    places = [(f.place.line, f.place.key) for f in found]
+    assert places == [
+        (1, "node"),
+        (3, "address"),
+        (4, "gossip_port"),
+        (5, "store.0"),
+        (6, "key_files.0"),
+        (6, "key_files.1"),
+        (7, "colour"),
+    ]
+
+
+def test_missing_options_are_named(folder):
+    _, found = load(folder, "node: a\n")
+    missing = {f.place.key for f in found}
+    assert missing == {"zone", "address", "key_files"}
+
+
+def test_nested_options_have_dotted_keys(folder):
+    text = GOOD + "certificate: none\nprivate_key: none\nendpoints: [{slots: 0}]\n"
+    _, found = load(folder, text, schema.AgentSettings)
+    keys = {f.place.key for f in found}
+    assert {"certificate", "endpoints.0.slots", "endpoints.0.service"} <= keys
+
+
+@pytest.mark.parametrize("text", ["", "- a\n", "a: [\n", "node: a\nnode: b\n"])
+def test_wrong_shape_is_a_finding(folder, text):
+    settings, found = load(folder, text)
+    assert settings is None
+    assert findings.has_errors(found)
+
+
+def test_missing_file_is_a_finding(tmp_path):
+    settings, found = base.load(schema.EntrySettings, tmp_path / "none.yaml")
+    assert settings is None
+    assert "cannot read" in found[0].message
+
+
+def test_settings_without_peers_are_warned_of(folder):
+    settings, found = load(folder, GOOD.replace('store: ["127.0.0.2:2379"]\n', ""))
+    assert settings is not None
+    assert [f.severity for f in found] == [findings.Severity.WARNING]
+
+
+def test_equal_ports_are_refused(folder):
+    _, found = load(folder, GOOD + "control_port: 7946\n")
+    assert found[0].place.key == "control_port"
+
+
+def test_certificate_that_is_none_is_refused(folder):
+    text = GOOD + (
+        "certificate: key\nprivate_key: key\n"
+        "endpoints: [{service: a, server: '127.0.0.1:80'}]\n"
+    )
+    settings, found = load(folder, text, schema.AgentSettings)
+    assert findings.has_errors(found)
+    assert any(f.place.key == "certificate" for f in found)
--- /dev/null
+++ b/tests/scenarios/conftest.py
@@ -0,0 +1,164 @@
+"""Steps that all scenarios share."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import time
+
+import pytest
+from pytest_bdd import given, parsers, then, when
+
+from cactushall_rpc import control
+from tests.scenarios import world as world_module
+from tests.standins import site as site_standin
+
+
+def pytest_collection_modifyitems(items):
+    """Mark all tests in this folder as scenarios."""
+    folder = pathlib.Path(__file__).parent
+    for item in items:
+        if folder in item.path.parents:
+            item.add_marker(pytest.mark.scenario)
+
+
+@pytest.fixture
+def world(tmp_path):
+    made = world_module.World(tmp_path)
+    yield made
+    made.close()
+
+
+def small_site(servers: int, entries: int, **options) -> site_standin.SitePlan:
+    """Return a site over three availability zones."""
+    zones = ("attica-1", "attica-2", "attica-3")
+    desk = tuple(
+        site_standin.EndpointPlan(f"desk-{n}", "swap-desk", zones[n % 3])
+        for n in range(servers)
+    )
+    catalogue = site_standin.EndpointPlan("catalogue-0", "catalogue", zones[0])
+    return site_standin.SitePlan(
+        services={"swap-desk": "127.0.1.1", "catalogue": "127.0.1.2"},
+        endpoints=(*desk, catalogue),
+        entries=tuple(
+            site_standin.EntryPlan(f"entry-{n}", zones[n % 3]) for n in range(entries)
+        ),
+        **options,
+    )
+
+
+@given(
+    parsers.parse("a site with {servers:d} swap-desk servers and {entries:d} entries")
+)
+def _(world, servers, entries):
+    world.start(small_site(servers, entries))
+
+
+@given(
+    parsers.parse(
+        "a site with {servers:d} swap-desk servers, {entries:d} entries and a "
+        "deadline of {seconds:g} seconds"
+    )
+)
+def _(world, servers, entries, seconds):
+    world.start(small_site(servers, entries, deadline_seconds=seconds))
+
+
+@given(parsers.parse("{count:d} feeds of {service}"))
+@when(parsers.parse("{count:d} more feeds of {service} are opened"))
+def _(world, count, service):
+    world.run(world.open_feeds(count, service))
+
+
+@when(parsers.parse("{callers:d} callers send {each:d} proposals each"))
+def _(world, callers, each):
+    async def trade():
+        caller = await world.open_caller("swap-desk")
+        for _ in range(each):
+            await world.propose(caller)
+
+    async def trade_all():
+        await asyncio.gather(*(trade() for _ in range(callers)))
+
+    world.run(trade_all())
+
+
+@when(parsers.parse("{callers:d} callers send proposals in the background"))
+def _(world, callers):
+    async def trade():
+        caller = await world.open_caller("swap-desk")
+        while not world.results.get("stop"):
+            await world.propose(caller)
+            await asyncio.sleep(0.1)
+
+    for _ in range(callers):
+        world.spawn(trade())
+
+
+@when(parsers.parse("{name} is killed"))
+def _(world, name):
+    world.site.kill(name)
+
+
+@when(parsers.parse("the fabric sprays over {entries:d} entries"))
+def _(world, entries):
+    world.site.spray(entries)
+
+
+@when(parsers.parse("{name} joins in {zone}"))
+def _(world, name, zone):
+    world.site.start_entry(site_standin.EntryPlan(name, zone))
+
+    async def is_ready() -> bool:
+        try:
+            address = world.site.control_address(name)
+            status = await control.fetch_status(address)
+        except control.ControlError:
+            return False
+        return status.revision > 0
+
+    world.run(site_standin.poll(is_ready, 20.0))
+
+
+@when(parsers.parse("{seconds:g} seconds pass"))
+def _(seconds):
+    time.sleep(seconds)
+
+
+@when(parsers.parse("{name} is frozen for {seconds:g} seconds"))
+def _(world, name, seconds):
+    world.site.suspend(name)
+    time.sleep(seconds)
+    world.site.resume(name)
+
+
+@when("the proposals end")
+def _(world):
+    world.results["stop"] = True
+
+    async def settle():
+        async def is_settled() -> bool:
+            return all(p.status or p.is_broken for p in world.proposals)
+
+        await site_standin.poll(is_settled, 30.0)
+
+    world.run(settle())
+
+
+@then("every proposal was answered once")
+def _(world):
+    assert world.proposals
+    assert [p for p in world.proposals if p.status != 200] == []
+    assert {world.runs(p.key) for p in world.proposals} == {1}
+
+
+@then("no feed is broken and no event is lost or doubled")
+def _(world):
+    assert world.feeds
+    assert world.broken_feeds() == []
+    assert [f for f in world.feeds if f.lost or f.doubled] == []
+
+
+@then(parsers.parse("{name} ends with exit code {code:d}"))
+def _(world, name, code):
+    assert world.run(world.site.terminate(name)) == code
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -15,6 +15,7 @@
 from aioquic.h3 import events as h3_events
 from aioquic.quic import configuration, connection
 from aioquic.quic import events as quic_events
+
 from cactushall_core import addresses
 
 STATELESS_RESET_TOKEN_BYTES = 16
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -16,13 +16,13 @@
 import urllib.request
 
 import yaml
-from cactushall_core import addresses, configuration, identifiers
-from cactushall_rpc import control, paths, store
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509 import oid
 
+from cactushall_core import addresses, configuration, identifiers
+from cactushall_rpc import control, paths, store
 from tests.standins import fabric as fabric_standin
 
 STORE_ADDRESS = addresses.Address("127.0.0.2", 23790)
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -10,6 +10,7 @@
 import time
 
 import grpclib.server
+
 from cactushall_rpc.generated import etcd_grpc, etcd_pb2
 
 EXPIRY_SECONDS = 0.2
