--- a/packages/cactushall-core/cactushall_core/steering.py
+++ b/packages/cactushall-core/cactushall_core/steering.py
@@ -29,14 +29,6 @@
 MAX_RESET_BYTES = 64
 
 
-class Target(msgspec.Struct, frozen=True):
-    """Where the datagrams of one home go."""
-
-    home: identifiers.HomeId
-    tunnel_address: addresses.Address
-    is_eligible: bool
-
-
 class Forward(msgspec.Struct, frozen=True):
     """Forward the datagram to an agent."""
 
@@ -74,8 +66,10 @@
 @dataclasses.dataclass
 class _ServiceTable:
     keys: connection_id.ServiceKeys
-    targets: dict[identifiers.HomeId, Target] = dataclasses.field(default_factory=dict)
-    eligible: list[Target] = dataclasses.field(default_factory=list)
+    targets: dict[identifiers.HomeId, Forward] = dataclasses.field(default_factory=dict)
+    eligible: dict[identifiers.HomeId, Forward] = dataclasses.field(
+        default_factory=dict
+    )
     gone: set[identifiers.HomeId] = dataclasses.field(default_factory=set)
     unknown_since: dict[identifiers.HomeId, float] = dataclasses.field(
         default_factory=dict
@@ -143,7 +137,7 @@
         if home is not None:
             target = table.targets.get(home)
             if target is not None:
-                return Forward(home, target.tunnel_address)
+                return target
             return _steer_unknown_home(table, home, header, datagram, now)
         if header.is_initial or header.is_version_unknown:
             return _steer_first_packet(table, header)
@@ -175,33 +169,27 @@
 def _apply_endpoint(
     table: _ServiceTable, record: records.Record, endpoint: records.Endpoint
 ) -> None:
-    old = table.targets.pop(endpoint.home, None)
-    if old is not None and old.is_eligible:
-        table.eligible.remove(old)
+    table.targets.pop(endpoint.home, None)
+    table.eligible.pop(endpoint.home, None)
     if not record.is_present:
         table.gone.add(endpoint.home)
         return
     table.gone.discard(endpoint.home)
     table.unknown_since.pop(endpoint.home, None)
-    is_alive = record.status is records.Status.ALIVE
-    target = Target(
-        endpoint.home,
-        record.member.tunnel_address,
-        is_alive and not endpoint.is_draining,
-    )
+    target = Forward(endpoint.home, record.member.tunnel_address)
     table.targets[endpoint.home] = target
-    if target.is_eligible:
-        table.eligible.append(target)
+    if record.status is records.Status.ALIVE and not endpoint.is_draining:
+        table.eligible[endpoint.home] = target
 
 
 def _steer_first_packet(table: _ServiceTable, header: quic_header.Header) -> Decision:
-    candidates = table.eligible or list(table.targets.values())
+    candidates = table.eligible or table.targets
     if not candidates:
         return _DROPS[DropReason.NO_BACKEND_SERVER]
-    best = rendezvous.rank(
-        header.destination_cid, candidates, _target_home, _equal_weight, 1
-    )[0]
-    return Forward(best.home, best.tunnel_address)
+    ranked = rendezvous.rank(
+        header.destination_cid, candidates.values(), _target_home, _equal_weight, 1
+    )
+    return ranked[0]
 
 
 def _steer_unknown_home(
@@ -226,9 +214,9 @@
     return Reset(datagram_out)
 
 
-def _target_home(target: Target) -> int:
+def _target_home(target: Forward) -> int:
     return target.home
 
 
-def _equal_weight(_: Target) -> float:
+def _equal_weight(_: Forward) -> float:
     return 1.0
--- a/packages/cactushall-daemon/cactushall_daemon/commands/run.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import gc
 import pathlib
 import signal
 import sys
@@ -15,6 +16,8 @@
 from cactushall_daemon import events, exit_codes, logs, sockets
 from cactushall_daemon.config import base, schema
 
+GARBAGE_THRESHOLD = 20_000
+
 log = logs.get_logger(__name__)
 
 SettingsT = typing.TypeVar("SettingsT", bound=schema.NodeSettings)
@@ -70,6 +73,8 @@
     except sockets.BindError as error:
         log.error(events.Event.BIND_FAILED, why=str(error))
         return exit_codes.ExitCode.CANNOT_BIND
+    gc.freeze()
+    gc.set_threshold(GARBAGE_THRESHOLD)
     log.info(events.Event.STARTED, node=settings.node, zone=settings.zone)
     await stop_requested.wait()
     log.info(events.Event.STOPPING, node=settings.node)
--- a/packages/cactushall-daemon/cactushall_daemon/sockets.py
+++ b/packages/cactushall-daemon/cactushall_daemon/sockets.py
@@ -11,7 +11,7 @@
 from cactushall_core import addresses, exceptions
 
 BATCH_DATAGRAMS = 64
-MAX_DATAGRAM_BYTES = 65_535
+MAX_DATAGRAM_BYTES = 9216
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 _IP_PKTINFO = getattr(socket, "IP_PKTINFO", 8)
