--- a/bench/entry.py
+++ b/bench/entry.py
@@ -6,14 +6,13 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import pathlib
 import secrets
 import socket
 import tempfile
 import time
 
-from bench import results
+from bench import processes, results
 from cactushall_core import connection_id, identifiers, keys
 from cactushall_rpc import control
 from tests.standins import site as site_standin
@@ -26,18 +25,6 @@
 TARGET_MICROSECONDS = 20.0
 
 
-def processor_seconds(pid: int) -> float:
-    """Return the processor time that a process has used."""
-    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def resident_bytes(pid: int) -> int:
-    """Return the resident memory of a process."""
-    fields = pathlib.Path(f"/proc/{pid}/statm").read_text().split()
-    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
 class Load:
     """Sends packets of many flows to one entry."""
 
@@ -72,13 +59,13 @@
     """Return microseconds of processor time and packets forwarded a second."""
     pid = site.process("entry-0").pid
     forwarded = await counter(site, "datagrams_forwarded")
-    used = processor_seconds(pid)
+    used = processes.processor_seconds(pid)
     started = time.monotonic()
     await load.send(PACKETS, size, per_second)
     await asyncio.sleep(0.5)
     seconds = time.monotonic() - started - 0.5
     forwarded = await counter(site, "datagrams_forwarded") - forwarded
-    used = processor_seconds(pid) - used
+    used = processes.processor_seconds(pid) - used
     return used / forwarded * 1e6, forwarded / seconds
 
 
@@ -103,11 +90,11 @@
             ]
             pid = site.process("entry-0").pid
             await Load(site, ids[:1]).send(5_000, PACKET_BYTES, 20_000)
-            before = resident_bytes(pid)
+            before = processes.resident_bytes(pid)
             steady, _ = await measure(site, Load(site, ids[:1]), PACKET_BYTES, 15_000)
             small, _ = await measure(site, Load(site, ids), SMALL_PACKET_BYTES, 15_000)
             many, _ = await measure(site, Load(site, ids), PACKET_BYTES, 15_000)
-            grown = resident_bytes(pid) - before
+            grown = processes.resident_bytes(pid) - before
             full, rate = await measure(site, Load(site, ids), PACKET_BYTES, 1_000_000)
     results.report(
         "entry",
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,18 @@
+"""Processor time and memory of a process, as the kernel counts them."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+
+
+def processor_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    fields = pathlib.Path(f"/proc/{pid}/statm").read_text().split()
+    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE")
--- a/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
@@ -297,6 +297,8 @@
     def _process_event(self, event: quic_events.QuicEvent) -> None:
         if isinstance(event, quic_events.ProtocolNegotiated):
             self._http = h3_connection.H3Connection(self._quic)
+        elif isinstance(event, quic_events.HandshakeCompleted):
+            self._quic.release_handshake_state()
         elif isinstance(event, quic_events.ConnectionIdIssued):
             self._handler.on_cid_issued(self, event.connection_id)
         elif isinstance(event, quic_events.ConnectionIdRetired):
--- a/packages/cactushall-daemon/cactushall_daemon/agent/quic.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/quic.py
@@ -7,11 +7,16 @@
 from __future__ import annotations
 
 import collections.abc
+import functools
 import secrets
+import typing
 
+from aioquic import _buffer as aioquic_buffer
+from aioquic import tls
 from aioquic.quic import (
     configuration,
     connection,
+    crypto,
     packet,
     packet_builder,
     recovery,
@@ -23,11 +28,20 @@
 STREAM_WINDOW_BYTES = 256 * 1024
 CONNECTION_WINDOW_BYTES = 1024 * 1024
 MAX_CONNECTION_IDS = 4
+IDLE_CRYPTO_BUFFER_BYTES = 64
+
+_HANDSHAKE_EPOCHS = (tls.Epoch.INITIAL, tls.Epoch.ZERO_RTT, tls.Epoch.HANDSHAKE)
+_CLOSED_CRYPTO = crypto.CryptoPair()
+_CLOSED_STREAM = stream.QuicStream()
 REQUEST_STREAM_TYPE = 0
 
 CidFactory = collections.abc.Callable[[], connection.QuicConnectionId]
 
 
+# The sets of epochs are the same for each connection, yet 7 KB each.
+connection.EPOCHS = functools.cache(connection.EPOCHS)
+
+
 def make_cid_factory(
     service_keys: connection_id.ServiceKeys, home: identifiers.HomeId
 ) -> collections.abc.Callable[[int], connection.QuicConnectionId]:
@@ -98,6 +112,22 @@
         """Whether the peer no longer uses the id that it chose first."""
         return self._handshake_confirmed
 
+    def release_handshake_state(self) -> None:
+        """Free memory that only the handshake needs; call once it is complete."""
+        small = aioquic_buffer.Buffer(capacity=IDLE_CRYPTO_BUFFER_BYTES)
+        self._crypto_buffers = {tls.Epoch.ONE_RTT: small}
+        for epoch in _HANDSHAKE_EPOCHS:
+            self._cryptos[epoch] = _CLOSED_CRYPTO
+            self._crypto_streams[epoch] = _CLOSED_STREAM
+        self._cryptos_initial.clear()
+        self.tls.handshake_extensions = []
+        self.tls.received_extensions = []
+        self.tls.key_schedule = None
+        self.tls._ec_private_keys = []
+        self.tls._x25519_private_key = None
+        self.tls.alpn_cb = None
+        self.tls.update_traffic_key_cb = _refuse_traffic_key
+
     def unsent_bytes(self, stream_id: int) -> int:
         """Return how much of a stream the peer has not acknowledged."""
         found = self._streams.get(stream_id)
@@ -146,12 +176,17 @@
     def _write_max_stream_data(
         self, builder: packet_builder.QuicPacketBuilder, limited: stream.QuicStream
     ) -> None:
-        buffer = builder.start_frame(
+        frame = builder.start_frame(
             packet.QuicFrameType.MAX_STREAM_DATA,
             capacity=connection.MAX_STREAM_DATA_FRAME_CAPACITY,
             handler=self._on_max_stream_data_delivery,
             handler_args=(limited,),
         )
-        buffer.push_uint_var(limited.stream_id or 0)
-        buffer.push_uint_var(limited.max_stream_data_local)
+        frame.push_uint_var(limited.stream_id or 0)
+        frame.push_uint_var(limited.max_stream_data_local)
         limited.max_stream_data_local_sent = limited.max_stream_data_local
+
+
+def _refuse_traffic_key(*_: typing.Any) -> None:
+    """Stand in for the callback that installs keys during the handshake."""
+    raise AssertionError("traffic keys change only during the handshake")
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -26,6 +26,7 @@
     SERVICE_BOUND = (2001, "service address bound")
     SERVICE_UNBOUND = (2002, "service address released")
     SEND_FAILED = (2003, "datagram not sent")
+    DATAGRAM_FAILED = (2004, "datagram handling failed")
     FLOW_OPENED = (3001, "flow opened")
     FLOW_CLOSED = (3002, "flow closed")
     REQUEST_REFUSED = (3101, "request refused")
--- a/packages/cactushall-daemon/cactushall_daemon/sockets.py
+++ b/packages/cactushall-daemon/cactushall_daemon/sockets.py
@@ -9,6 +9,9 @@
 import struct
 
 from cactushall_core import addresses, exceptions
+from cactushall_daemon import events, logs
+
+log = logs.get_logger(__name__)
 
 BATCH_DATAGRAMS = 64
 MAX_DATAGRAM_BYTES = 9216
@@ -65,7 +68,10 @@
                 return
             except OSError:
                 continue
-            receiver(datagram, source)
+            try:
+                receiver(datagram, source)
+            except Exception:
+                log.exception(events.Event.DATAGRAM_FAILED, source=source)
 
     asyncio.get_running_loop().add_reader(sock.fileno(), drain)
 
--- a/tests/scenarios/test_path.py
+++ b/tests/scenarios/test_path.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import hashlib
-import os
-import pathlib
 import random
 import socket
 import time
 
 from pytest_bdd import parsers, scenarios, then, when
 
+from bench import processes
 from cactushall_rpc import control
 from tests.standins import caller as caller_standin
 from tests.standins import site as site_standin
@@ -21,25 +20,19 @@
 GARBAGE_DATAGRAMS = 300
 
 
-def resident_bytes(pid: int) -> int:
-    """Return the resident memory of a process."""
-    fields = pathlib.Path(f"/proc/{pid}/statm").read_text().split()
-    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
 @when(parsers.parse("a photo set of {size:d} bytes is fetched"))
 def _(world, size):
     async def fetch():
         caller = await world.open_caller("catalogue")
         await caller.request("GET", "/photos/1000")
         pid = world.site.process("catalogue-0").pid
-        world.results["before"] = resident_bytes(pid)
+        world.results["before"] = processes.resident_bytes(pid)
         stream = caller.send("GET", f"/photos/{size}")
         total = 0
         peak = 0
         async for chunk in caller.stream(stream):
             total += len(chunk)
-            peak = max(peak, resident_bytes(pid))
+            peak = max(peak, processes.resident_bytes(pid))
         world.results.update(photos=total == size, peak=peak)
 
     world.run(fetch())
@@ -56,7 +49,7 @@
             caller.request("POST", "/upload?pause=0.02", body=body)
         )
         while not task.done():
-            peak = max(world.results["peak"], resident_bytes(pid))
+            peak = max(world.results["peak"], processes.resident_bytes(pid))
             world.results["peak"] = peak
             await asyncio.sleep(0.02)
         answer = await task
