--- a/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
@@ -236,7 +236,7 @@
         self._process_events()
         for request in self._streams.values():
             request.wake()
-        self.transmit()
+        self.schedule_transmit()
 
     def schedule_transmit(self) -> None:
         """Send pending data once the present step of work is done."""
