--- a/bench/entry.py
+++ b/bench/entry.py
@@ -14,7 +14,6 @@
 
 from bench import processes, results
 from cactushall_core import connection_id, identifiers, keys
-from cactushall_rpc import control
 from tests.standins import site as site_standin
 
 PACKETS = 150_000
@@ -49,7 +48,7 @@
 
 async def counter(site: site_standin.Site, name: str) -> int:
     """Return one of the entry's counters."""
-    status = await control.fetch_status(site.control_address("entry-0"))
+    status = await site.client.status(site.control_address("entry-0"))
     return next((c.value for c in status.counters if c.name == name), 0)
 
 
@@ -79,7 +78,7 @@
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
         async with site_standin.running(plan, path) as site:
-            status = await control.fetch_status(site.control_address("desk-0"))
+            status = await site.client.status(site.control_address("desk-0"))
             home = identifiers.HomeId(status.endpoints[0].home)
             key = keys.make_key(bytes.fromhex((path / "key").read_text()))
             service = identifiers.ServiceName("swap-desk")
--- a/packages/cactushall-client/cactushall_client/__main__.py
+++ b/packages/cactushall-client/cactushall_client/__main__.py
@@ -14,10 +14,16 @@
 from cactushall_client.commands import members as members_command
 from cactushall_client.commands import status as status_command
 from cactushall_core import addresses, exceptions
+from cactushall_rpc import control
 
 CONTACT_HELP = "Control address of any process, as IP:PORT."
 STORE_HELP = "Address of the key-value store, as IP:PORT."
 OUTPUT_HELP = "Output format."
+TLS_OPTIONS = {
+    "certificate": "Operator's certificate for mutual TLS.",
+    "private-key": "Its private key.",
+    "authority": "Certificate of the authority that signs all processes.",
+}
 
 CommandT = typing.TypeVar("CommandT", bound=typing.Callable[..., None])
 
@@ -65,9 +71,25 @@
         default=output.Format.TEXT.value,
         help=OUTPUT_HELP,
     )
+    for name, help_text in TLS_OPTIONS.items():
+        path_type = click.Path(path_type=pathlib.Path, exists=True)
+        add_file = click.option(f"--{name}", type=path_type, help=help_text)
+        command = add_file(command)
     return add_contact(add_output(command))
 
 
+def _make_client(
+    certificate: pathlib.Path | None,
+    private_key: pathlib.Path | None,
+    authority: pathlib.Path | None,
+) -> control.Client:
+    """Return a client with mutual TLS where all its files are given."""
+    if certificate is None or private_key is None or authority is None:
+        return control.Client()
+    credentials = control.Credentials(certificate, private_key, authority)
+    return control.Client(control.client_context(credentials))
+
+
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="cactushall-client")
 def cli() -> None:
@@ -76,16 +98,22 @@
 
 @cli.command()
 @_contact_options
-def status(contact: addresses.Address, output_format: str) -> None:
+def status(
+    contact: addresses.Address, output_format: str, **files: pathlib.Path | None
+) -> None:
     """Show what all processes report."""
-    _report_errors(status_command.main, contact, output.Format(output_format))
+    client = _make_client(**files)
+    _report_errors(status_command.main, client, contact, output.Format(output_format))
 
 
 @cli.command()
 @_contact_options
-def members(contact: addresses.Address, output_format: str) -> None:
+def members(
+    contact: addresses.Address, output_format: str, **files: pathlib.Path | None
+) -> None:
     """Show the members that one process knows."""
-    _report_errors(members_command.main, contact, output.Format(output_format))
+    client = _make_client(**files)
+    _report_errors(members_command.main, client, contact, output.Format(output_format))
 
 
 @cli.command()
--- a/packages/cactushall-client/cactushall_client/commands/members.py
+++ b/packages/cactushall-client/cactushall_client/commands/members.py
@@ -8,11 +8,14 @@
 
 from cactushall_client import fleet, output
 from cactushall_core import addresses
+from cactushall_rpc import control
 
 
-def main(contact: addresses.Address, output_format: output.Format) -> None:
+def main(
+    client: control.Client, contact: addresses.Address, output_format: output.Format
+) -> None:
     """Print the members that a process knows."""
-    found = asyncio.run(fleet.members(contact))
+    found = asyncio.run(fleet.members(client, contact))
     found.sort(key=lambda record: record.member.name)
     if output_format is output.Format.JSON:
         output.write_json(msgspec.to_builtins(found))
--- a/packages/cactushall-client/cactushall_client/commands/status.py
+++ b/packages/cactushall-client/cactushall_client/commands/status.py
@@ -20,9 +20,11 @@
     reason: str
 
 
-def main(contact: addresses.Address, output_format: output.Format) -> None:
+def main(
+    client: control.Client, contact: addresses.Address, output_format: output.Format
+) -> None:
     """Print the status of all members that a contact knows."""
-    found, failed = asyncio.run(_collect(contact))
+    found, failed = asyncio.run(_collect(client, contact))
     if output_format is output.Format.JSON:
         output.write_json(
             {
@@ -37,11 +39,12 @@
 
 
 async def _collect(
+    client: control.Client,
     contact: addresses.Address,
 ) -> tuple[list[control_pb2.StatusResponse], list[_Unreachable]]:
-    members = [r.member for r in await fleet.members(contact) if r.is_present]
+    members = [r.member for r in await fleet.members(client, contact) if r.is_present]
     results = await asyncio.gather(
-        *(control.fetch_status(member.control_address) for member in members),
+        *(client.status(member.control_address) for member in members),
         return_exceptions=True,
     )
     found = []
--- a/packages/cactushall-client/cactushall_client/fleet.py
+++ b/packages/cactushall-client/cactushall_client/fleet.py
@@ -7,10 +7,12 @@
 from cactushall_rpc import control
 
 
-async def members(contact: addresses.Address) -> list[records.Record]:
+async def members(
+    client: control.Client, contact: addresses.Address
+) -> list[records.Record]:
     """Return the members that a process knows.
 
     Raises:
         ControlError: The process gave no answer.
     """
-    return list(messages.decode_table(await control.fetch_members(contact)))
+    return list(messages.decode_table(await client.members(contact)))
--- a/packages/cactushall-core/cactushall_core/configuration.py
+++ b/packages/cactushall-core/cactushall_core/configuration.py
@@ -44,10 +44,20 @@
     Attributes:
         revision: Grows by one with each confirmed change.
         services: The services.
+        drained_nodes: Agents whose backend servers take no new work.
+        closed_zones: Availability zones whose backend servers take no new work.
     """
 
     revision: identifiers.Revision = identifiers.Revision(0)
     services: tuple[Service, ...] = ()
+    drained_nodes: tuple[identifiers.NodeName, ...] = ()
+    closed_zones: tuple[identifiers.ZoneName, ...] = ()
+
+    def is_drained(
+        self, node: identifiers.NodeName, zone: identifiers.ZoneName
+    ) -> bool:
+        """Tell whether operators want an agent to take no new work."""
+        return node in self.drained_nodes or zone in self.closed_zones
 
     def service(self, name: identifiers.ServiceName) -> Service | None:
         """Return the service with a name."""
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/handoff.py
@@ -0,0 +1,220 @@
+"""Record of a live flow on its way to another agent, and its codec."""
+
+from __future__ import annotations
+
+import msgspec
+
+from cactushall_core import exceptions, identifiers
+
+VERSION = 1
+
+Span = tuple[int, int]
+
+
+class ConnectionId(msgspec.Struct, frozen=True, array_like=True):
+    """A connection id with its sequence number and reset token."""
+
+    cid: bytes
+    sequence_number: int
+    reset_token: bytes
+
+
+class Direction(msgspec.Struct, frozen=True, array_like=True):
+    """Packet protection of one direction.
+
+    Attributes:
+        cipher_suite: TLS cipher suite number.
+        first_secret: Secret of the first key phase, from which header protection
+            is derived.
+        secret: Secret of the present key phase.
+        key_phase: Present key phase, 0 or 1.
+    """
+
+    cipher_suite: int
+    first_secret: bytes
+    secret: bytes
+    key_phase: int
+
+
+class RoundTrip(msgspec.Struct, frozen=True, array_like=True):
+    """Round-trip estimates in seconds (RFC 9002 section 5)."""
+
+    latest: float
+    minimum: float
+    smoothed: float
+    variance: float
+
+
+class Limit(msgspec.Struct, frozen=True, array_like=True):
+    """A limit that we grant to the caller."""
+
+    value: int
+    used: int
+
+
+class PeerLimits(msgspec.Struct, frozen=True, array_like=True):
+    """Limits that the caller grants to us."""
+
+    max_data: int
+    max_data_used: int
+    max_streams_bidi: int
+    max_streams_uni: int
+    max_stream_data_bidi_local: int
+    max_stream_data_bidi_remote: int
+    max_stream_data_uni: int
+    active_connection_ids: int
+    idle_timeout: float | None
+    ack_delay_exponent: int
+
+
+class Stream(msgspec.Struct, frozen=True, array_like=True):
+    """One QUIC stream."""
+
+    id: int
+    window: int
+    peer_window: int
+    is_blocked: bool
+    receive_start: int
+    receive_buffer: bytes
+    receive_spans: tuple[Span, ...]
+    receive_highest: int
+    receive_final_size: int | None
+    is_receive_finished: bool
+    send_start: int
+    send_buffer: bytes
+    send_acknowledged: tuple[Span, ...]
+    send_highest: int
+    send_final_size: int | None
+    is_send_final_acknowledged: bool
+    is_send_finished: bool
+    reset_code: int | None
+
+
+class Quic(msgspec.Struct, frozen=True, array_like=True):
+    """State of a QUIC connection after its handshake."""
+
+    quic_version: int
+    original_cid: bytes
+    host_cids: tuple[ConnectionId, ...]
+    current_host_cid: bytes
+    next_host_sequence: int
+    peer_cid: ConnectionId
+    spare_peer_cids: tuple[ConnectionId, ...]
+    peer_sequences: tuple[int, ...]
+    peer_retire_prior_to: int
+    receive: Direction
+    send: Direction
+    next_packet_number: int
+    largest_acknowledged: int
+    expected_packet_number: int
+    largest_received: int
+    received_floor: int
+    received: tuple[int, ...]
+    unreported: tuple[Span, ...]
+    round_trip: RoundTrip | None
+    congestion_window: int
+    peer_limits: PeerLimits
+    data_limit: Limit
+    bidi_limit: Limit
+    uni_limit: Limit
+    next_bidi_stream: int
+    next_uni_stream: int
+    streams: tuple[Stream, ...]
+
+
+class HttpStream(msgspec.Struct, frozen=True, array_like=True):
+    """HTTP/3 state of one stream."""
+
+    id: int
+    buffer: bytes
+    is_receiving_ended: bool
+    is_sending_ended: bool
+    frame_size: int | None
+    frame_type: int | None
+    receive_state: int
+    send_state: int
+    stream_type: int | None
+    expected_content_length: int | None
+    content_length: int
+
+
+class Http(msgspec.Struct, frozen=True, array_like=True):
+    """HTTP/3 state of a connection; header compression keeps no state."""
+
+    local_control_stream: int
+    local_encoder_stream: int
+    local_decoder_stream: int
+    peer_control_stream: int | None
+    peer_encoder_stream: int | None
+    peer_decoder_stream: int | None
+    is_settings_received: bool
+    streams: tuple[HttpStream, ...]
+
+
+class Request(msgspec.Struct, frozen=True, array_like=True):
+    """A request that has not started, or a feed that goes on.
+
+    Attributes:
+        stream_id: Its stream.
+        headers: Request headers.
+        body: Request body that has arrived and waits.
+        is_body_complete: Whether the body is whole.
+        remaining_seconds: Time left until the deadline.
+        is_response_started: Whether response headers have left (a feed's).
+        last_event_id: Id of the last event that was passed on.
+    """
+
+    stream_id: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    is_body_complete: bool
+    remaining_seconds: float
+    is_response_started: bool
+    last_event_id: bytes | None
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """A live flow.
+
+    Attributes:
+        version: Version of this codec.
+        move_id: Identifies the move; a repeated offer is recognised by it.
+        service: The flow's service.
+        caller_host: The caller's IP address.
+        caller_port: The caller's port.
+        quic: QUIC state.
+        http: HTTP/3 state, where a request has ever arrived.
+        requests: Open requests.
+    """
+
+    version: int
+    move_id: bytes
+    service: identifiers.ServiceName
+    caller_host: str
+    caller_port: int
+    quic: Quic
+    http: Http | None
+    requests: tuple[Request, ...]
+
+
+_decoder = msgspec.msgpack.Decoder(Record)
+
+
+def encode(record: Record) -> bytes:
+    """Encode a record."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode(data: bytes) -> Record:
+    """Decode a record.
+
+    Raises:
+        DecodeError: The bytes are no record of a known version.
+    """
+    try:
+        record = _decoder.decode(data)
+    except msgspec.DecodeError as error:
+        raise exceptions.DecodeError(str(error)) from error
+    if record.version != VERSION:
+        raise exceptions.DecodeError(f"unknown record version {record.version}")
+    return record
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/peering.py
@@ -0,0 +1,80 @@
+"""Messages between the agents of one service, and their codec.
+
+They share the tunnel's port; the version nibble tells them apart.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from cactushall_core import exceptions, identifiers, keys
+
+VERSION = 2
+TAG_BYTES = 8
+
+_HEADER_BYTES = 1 + TAG_BYTES
+_CONTEXT = b"peering"
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """The true load of one endpoint.
+
+    Attributes:
+        service: The service.
+        home: The endpoint.
+        flows: Open flows.
+        connection_limit: Most flows that it holds.
+        running: Requests that run.
+        queued: Requests that wait.
+        slots: Requests that it runs at once.
+        service_seconds: Its measured service time, 0 before the first request.
+        is_draining: Whether it takes no new work.
+    """
+
+    service: identifiers.ServiceName
+    home: identifiers.HomeId
+    flows: int
+    connection_limit: int
+    running: int
+    queued: int
+    slots: int
+    service_seconds: float
+    is_draining: bool
+
+
+def make_authenticator(ring: tuple[keys.Key, ...]) -> keys.Authenticator:
+    """Return the authenticator of these messages."""
+    return keys.Authenticator(ring, keys.Purpose.TUNNEL, _CONTEXT, TAG_BYTES)
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(LoadReport)
+
+
+def is_peer_message(datagram: bytes) -> bool:
+    """Tell whether a datagram at the tunnel's port is one of these messages."""
+    return bool(datagram) and datagram[0] >> 4 == VERSION
+
+
+def encode(authenticator: keys.Authenticator, report: LoadReport) -> bytes:
+    """Encode one message."""
+    body = _encoder.encode(report)
+    head = bytes([VERSION << 4 | authenticator.signing_key_id])
+    return head + authenticator.sign(body) + body
+
+
+def decode(authenticator: keys.Authenticator, datagram: bytes) -> LoadReport:
+    """Decode and verify one message.
+
+    Raises:
+        DecodeError: The message is malformed.
+        AuthenticationError: The tag does not fit.
+    """
+    body = datagram[_HEADER_BYTES:]
+    tag = datagram[1:_HEADER_BYTES]
+    if not authenticator.verify(datagram[0] & 0x0F, body, tag):
+        raise exceptions.AuthenticationError("tag does not fit")
+    try:
+        return _decoder.decode(body)
+    except msgspec.DecodeError as error:
+        raise exceptions.DecodeError(str(error)) from error
--- a/packages/cactushall-core/cactushall_core/slots.py
+++ b/packages/cactushall-core/cactushall_core/slots.py
@@ -88,7 +88,8 @@
         self._running = 0
         self._queued = 0
         self._service_seconds = INITIAL_SERVICE_SECONDS
-        self._is_draining = False
+        self._has_measured = False
+        self._is_paused = False
 
     @property
     def running(self) -> int:
@@ -105,6 +106,11 @@
         """Moving average of the time that a request takes."""
         return self._service_seconds
 
+    @property
+    def measured_seconds(self) -> float:
+        """Like service_seconds, but 0 before the first request has ended."""
+        return self._service_seconds if self._has_measured else 0.0
+
     def expected_wait(self) -> float:
         """Return the seconds that a new request would wait for a slot."""
         if self._running < self._slots:
@@ -115,8 +121,6 @@
         self, request: RequestId, caller: CallerKey, deadline: float, now: float
     ) -> list[Action]:
         """Take in a request, or refuse it at once where it cannot be in time."""
-        if self._is_draining:
-            return [self._refuse(request, outcomes.Reason.DRAINING)]
         if self._queued >= MAX_QUEUED:
             return [self._refuse(request, outcomes.Reason.QUEUE_FULL)]
         if now + self.expected_wait() + self._service_seconds > deadline:
@@ -135,8 +139,7 @@
             return []
         self._running -= 1
         if is_answered:
-            taken = now - entry.started_at
-            self._service_seconds += SERVICE_TIME_GAIN * (taken - self._service_seconds)
+            self._measure(now - entry.started_at)
         return self._start_waiting(now)
 
     def cancel(self, request: RequestId, now: float) -> list[Action]:
@@ -163,13 +166,14 @@
                 actions.append(self._refuse(entry.request, reason))
         return actions
 
-    def drain(self) -> None:
-        """Refuse new requests from now on."""
-        self._is_draining = True
+    def set_paused(self, is_paused: bool, now: float) -> list[Action]:
+        """Start nothing while paused; requests wait until their deadlines."""
+        self._is_paused = is_paused
+        return self._start_waiting(now)
 
     def _start_waiting(self, now: float) -> list[Action]:
         actions: list[Action] = []
-        while self._running < self._slots and self._turns:
+        while self._can_start():
             caller, waiting = self._turns.popitem(last=False)
             entry = self._entries[waiting.popleft()]
             if waiting:
@@ -181,6 +185,14 @@
             actions.append(Start(entry.request))
         return actions
 
+    def _measure(self, seconds: float) -> None:
+        self._has_measured = True
+        self._service_seconds += SERVICE_TIME_GAIN * (seconds - self._service_seconds)
+
+    def _can_start(self) -> bool:
+        has_slot = self._running < self._slots
+        return has_slot and bool(self._turns) and not self._is_paused
+
     def _remove_queued(self, entry: _Entry) -> None:
         waiting = self._turns[entry.caller]
         waiting.remove(entry.request)
--- a/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
@@ -1,11 +1,9 @@
-"""One backend server's endpoint: its flows, its queue and its requests."""
+"""One backend server's endpoint: its flows and the datagrams of their callers."""
 
 from __future__ import annotations
 
 import asyncio
-import dataclasses
-import itertools
-import random
+import collections.abc
 import socket
 
 from aioquic.quic import configuration as quic_configuration
@@ -14,17 +12,19 @@
     addresses,
     configuration,
     connection_id,
+    handoff,
     identifiers,
     keys,
-    outcomes,
+    peering,
     quic_header,
-    slots,
     steering,
     tunnel,
 )
 from cactushall_daemon import counters, events, logs, sockets
-from cactushall_daemon.agent import exchange, flow, headers, quic
+from cactushall_daemon.agent import drain, flow, moves, peers, requests
+from cactushall_daemon.agent.quic import connection, http3, transfer
 from cactushall_daemon.config import schema
+from cactushall_rpc import control
 from cactushall_rpc.generated import control_pb2
 
 log = logs.get_logger(__name__)
@@ -32,22 +32,8 @@
 TICK_SECONDS = 0.05
 KEEP_ALIVE_TICKS = 20
 ALPN = ["h3"]
-DRAIN_POLL_SECONDS = 0.1
 
-_RESULT_COUNTERS = {
-    exchange.Result.ANSWERED: counters.Counter.REQUESTS_ANSWERED,
-    exchange.Result.NOT_RUN: counters.Counter.REQUESTS_NOT_RUN,
-    exchange.Result.UNKNOWN: counters.Counter.REQUESTS_UNKNOWN,
-    exchange.Result.CANCELLED: counters.Counter.REQUESTS_CANCELLED,
-}
-
-
-@dataclasses.dataclass
-class _Request:
-    stream: flow.RequestStream
-    head: headers.RequestHead
-    deadline: float
-    task: asyncio.Task[None] | None = None
+SendTunnel = collections.abc.Callable[[bytes, addresses.Address], None]
 
 
 class Endpoint:
@@ -59,6 +45,8 @@
         agent: schema.AgentSettings,
         member: identifiers.MemberId,
         tallies: counters.Counters,
+        client: control.Client,
+        send: SendTunnel,
     ) -> None:
         """Prepare; flows are taken once the service is configured.
 
@@ -67,33 +55,46 @@
             agent: Settings of the agent.
             member: The agent's member id.
             tallies: Takes counts.
+            client: Makes control calls.
+            send: Sends a datagram to another agent's tunnel address.
         """
         self._settings = settings
         self._service = identifiers.ServiceName(settings.service)
         self._home = identifiers.derive_home_id(member, self._service)
         self._host = agent.address
-        ring: tuple[keys.Key, ...] = tuple(agent.key_files)
-        self._keys = connection_id.make_service_keys(ring, self._service)
-        self._issue_cid = quic.make_cid_factory(self._keys, self._home)
+        self._send = send
         self._counters = tallies
         self._loop = asyncio.get_running_loop()
-        self._queue = slots.SlotQueue(settings.slots, random.Random())
-        self._requests: dict[slots.RequestId, _Request] = {}
-        self._ids_by_stream: dict[flow.RequestStream, slots.RequestId] = {}
-        self._request_ids = itertools.count(1)
+        ring: tuple[keys.Key, ...] = tuple(agent.key_files)
+        self._keys = connection_id.make_service_keys(ring, self._service)
+        self._tunnel = tunnel.make_authenticator(ring)
+        self._issue_cid = connection.make_cid_factory(self._keys, self._home)
+        self._quic_settings = _make_quic_settings(agent)
         self._flows_by_cid: dict[bytes, flow.Flow] = {}
         self._flows: set[flow.Flow] = set()
-        self._feeds: set[asyncio.Task[None]] = set()
         self._configuration: configuration.Service | None = None
-        self._quic_settings = _make_quic_settings(agent)
         self._return_socket: socket.socket | None = None
         self._ancillary: list[tuple[int, int, bytes]] = []
-        self._is_draining = False
         self._ticks = 0
+        self._desk = requests.RequestDesk(
+            self._service, settings.server, settings.slots, tallies
+        )
+        self._peers = peers.Peers(
+            self._service, self._home, peering.make_authenticator(ring), send
+        )
+        self._departures = moves.Departures(
+            self._service, self._desk, self._peers, client, self._forward, tallies
+        )
+        self._arrivals = moves.Arrivals(
+            self._desk, self._adopt, self._has_room, tallies
+        )
+        self._drain = drain.Drain(
+            self._service, self._flows, self._desk, self._peers, self._departures
+        )
         self._handler = flow.FlowHandler(
             transmit=self._transmit,
-            on_request=self._on_request,
-            on_stream_closed=self._on_stream_closed,
+            on_request=self._desk.start,
+            on_stream_closed=self._desk.cancel,
             on_cid_issued=self._on_cid_issued,
             on_cid_retired=self._on_cid_retired,
             on_closed=self._on_flow_closed,
@@ -110,9 +111,24 @@
         return self._home
 
     @property
-    def service_keys(self) -> connection_id.ServiceKeys:
-        """Keys of the service's connection ids."""
-        return self._keys
+    def peers(self) -> peers.Peers:
+        """The other agents of the service."""
+        return self._peers
+
+    @property
+    def drain(self) -> drain.Drain:
+        """Drain and rebalancing of the flows."""
+        return self._drain
+
+    @property
+    def arrivals(self) -> moves.Arrivals:
+        """Flows that come from other agents."""
+        return self._arrivals
+
+    def start(self, spawn: collections.abc.Callable[..., None]) -> None:
+        """Start the background work."""
+        spawn(self._departures.watch())
+        spawn(self._drain.run(self.load))
 
     def describe(self) -> control_pb2.EndpointStatus:
         """Return the endpoint's state."""
@@ -120,11 +136,27 @@
             service=self._service,
             home=self._home,
             flows=len(self._flows),
-            feeds=len(self._feeds),
-            running=self._queue.running,
-            queued=self._queue.queued,
+            feeds=self._desk.feed_count,
+            running=self._desk.queue.running,
+            queued=self._desk.queue.queued,
+            connection_limit=self._settings.connections,
+            is_draining=self._drain.is_draining,
+            flows_waiting=self._drain.waiting_count,
+            flows_switching=self._departures.switching_count,
+        )
+
+    def load(self) -> peering.LoadReport:
+        """Return the endpoint's true load."""
+        return peering.LoadReport(
+            service=self._service,
+            home=self._home,
+            flows=len(self._flows),
             connection_limit=self._settings.connections,
-            is_draining=self._is_draining,
+            running=self._desk.queue.running,
+            queued=self._desk.queue.queued,
+            slots=self._settings.slots,
+            service_seconds=self._desk.queue.measured_seconds,
+            is_draining=self._drain.is_draining,
         )
 
     def configure(self, service: configuration.Service | None) -> None:
@@ -141,6 +173,7 @@
             self._bind_return_socket(address)
         self._configuration = service
         self._quic_settings.idle_timeout = service.idle_timeout_seconds
+        self._desk.deadline_seconds = service.deadline_seconds
 
     def receive(self, envelope: tunnel.Envelope) -> None:
         """Handle a caller's datagram."""
@@ -148,13 +181,17 @@
         if header is None:
             self._counters.add(counters.Counter.MALFORMED)
             return
-        found = self._flows_by_cid.get(header.destination_cid)
+        cid = header.destination_cid
+        found = self._flows_by_cid.get(cid)
         if found is not None:
             found.receive(envelope.payload, envelope.caller)
+        elif self._departures.forward_datagram(cid, envelope):
+            self._counters.add(counters.Counter.FORWARDED)
         elif header.is_initial:
-            self._open_flow(header, envelope)
+            self._open_or_hand_on(header, envelope)
         elif header.is_version_unknown:
-            self._transmit(quic.version_negotiation(envelope.payload), envelope.caller)
+            answer = connection.version_negotiation(envelope.payload)
+            self._transmit(answer, envelope.caller)
         else:
             self.reset_unknown(header, envelope)
 
@@ -178,56 +215,90 @@
             self._transmit(datagram, envelope.caller)
 
     def tick(self) -> None:
-        """Do what is due: deadlines, keep-alives."""
+        """Do what is due: deadlines, load reports, keep-alives."""
         now = self._loop.time()
-        self._carry_out(self._queue.tick(now))
+        self._desk.tick(now)
+        self._peers.tell(self.load())
         self._ticks += 1
         if self._ticks % KEEP_ALIVE_TICKS == 0:
             for kept in list(self._flows):
                 kept.keep_alive(now)
 
-    async def drain(self, deadline: float) -> None:
-        """Refuse new work, let what runs end, and close what is left.
-
-        Args:
-            deadline: When to stop waiting.
-        """
-        self._is_draining = True
-        self._queue.drain()
-        while self._requests and self._loop.time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-        for task in list(self._feeds):
-            task.cancel()
+    def close(self) -> None:
+        """Close all flows and release the socket."""
         for left in list(self._flows):
             left.close(flow.CloseCode.NO_ERROR, "backend server is leaving")
-
-    def close(self) -> None:
-        """Release the socket."""
         if self._return_socket is not None:
             self._return_socket.close()
             self._return_socket = None
 
     # Flows.
 
+    def _has_room(self) -> bool:
+        has_room = len(self._flows) < self._settings.connections
+        is_ready = self._configuration is not None
+        return has_room and is_ready and not self._drain.is_draining
+
+    def _open_or_hand_on(
+        self, header: quic_header.Header, envelope: tunnel.Envelope
+    ) -> None:
+        """Keep a new flow, or hand it once to a peer that has fewer."""
+        if envelope.hops == 0:
+            now = self._loop.time()
+            home = self._peers.placement.place(header.destination_cid, self.load(), now)
+            receiver = self._peers.member(home)
+            if receiver is not None:
+                self._counters.add(counters.Counter.FLOWS_HANDED_ON)
+                held = flow.HeldDatagram(envelope.payload, envelope.caller)
+                self._forward(receiver.tunnel_address, home, 1, held)
+                return
+        self._open_flow(header, envelope)
+
     def _open_flow(self, header: quic_header.Header, envelope: tunnel.Envelope) -> None:
         if self._configuration is None:
             self._counters.add(counters.Counter.FLOWS_REFUSED)
             return
-        connection = quic.SteeredConnection(
+        quic = connection.SteeredConnection(
             self._quic_settings, header.destination_cid, self._issue_cid
         )
-        idle_timeout = self._configuration.idle_timeout_seconds
-        opened = flow.Flow(connection, self._handler, idle_timeout)
-        self._flows.add(opened)
+        has_room = self._has_room()
+        opened = self._register(quic, envelope.caller, None)
         self._flows_by_cid[header.destination_cid] = opened
-        self._flows_by_cid[connection.host_cid] = opened
         self._counters.add(counters.Counter.FLOWS_OPENED)
         opened.receive(envelope.payload, envelope.caller)
-        is_full = len(self._flows) > self._settings.connections
-        if self._is_draining or is_full:
+        if not has_room:
             self._counters.add(counters.Counter.FLOWS_REFUSED)
             opened.close(flow.CloseCode.CONNECTION_REFUSED, "no room")
 
+    def _adopt(self, record: handoff.Record) -> flow.Flow:
+        """Make a flow of another agent's record."""
+        caller = addresses.Address(record.caller_host, record.caller_port)
+        quic = transfer.restore(
+            record.quic,
+            self._quic_settings,
+            caller,
+            self._issue_cid,
+            self._loop.time(),
+        )
+        http = None
+        if record.http is not None:
+            http = http3.HttpConnection(quic, record.http)
+        return self._register(quic, caller, http)
+
+    def _register(
+        self,
+        quic: connection.SteeredConnection,
+        caller: addresses.Address,
+        http: http3.HttpConnection | None,
+    ) -> flow.Flow:
+        assert self._configuration is not None
+        idle_timeout = self._configuration.idle_timeout_seconds
+        made = flow.Flow(quic, self._handler, idle_timeout, caller, http)
+        self._flows.add(made)
+        for cid in quic.host_cids:
+            self._flows_by_cid[cid] = made
+        return made
+
     def _on_cid_issued(self, owner: flow.Flow, cid: bytes) -> None:
         self._flows_by_cid[cid] = owner
 
@@ -243,8 +314,11 @@
                 del self._flows_by_cid[cid]
         self._counters.add(counters.Counter.FLOWS_CLOSED)
 
+    # Datagrams.
+
     def _bind_return_socket(self, address: addresses.Address) -> None:
-        self.close()
+        if self._return_socket is not None:
+            self._return_socket.close()
         own = addresses.Address(self._host, address.port)
         self._return_socket = sockets.bind_udp(own, reuse_port=True)
         self._ancillary = sockets.source_ancillary(address.host)
@@ -258,115 +332,15 @@
             self._counters.add(counters.Counter.SEND_FAILED)
             log.debug(events.Event.SEND_FAILED, address=str(caller), why=str(error))
 
-    # Requests.
-
-    def _on_request(self, stream: flow.RequestStream) -> None:
-        self._counters.add(counters.Counter.REQUESTS)
-        head = headers.parse_request(stream.headers)
-        if headers.size(stream.headers) > headers.MAX_HEADER_BYTES:
-            self._refuse(stream, outcomes.Reason.TOO_LARGE)
-        elif head.is_feed:
-            self._open_feed(stream, head)
-        else:
-            self._offer(stream, head)
-
-    def _offer(self, stream: flow.RequestStream, head: headers.RequestHead) -> None:
-        assert self._configuration is not None
-        now = self._loop.time()
-        allowed = self._configuration.deadline_seconds
-        if head.timeout_seconds is not None:
-            allowed = min(allowed, head.timeout_seconds)
-        request_id = slots.RequestId(next(self._request_ids))
-        self._requests[request_id] = _Request(stream, head, now + allowed)
-        self._ids_by_stream[stream] = request_id
-        caller = stream.flow.caller
-        caller_key = slots.CallerKey(caller.host.encode() if caller else b"")
-        self._carry_out(self._queue.offer(request_id, caller_key, now + allowed, now))
-
-    def _open_feed(self, stream: flow.RequestStream, head: headers.RequestHead) -> None:
-        if self._is_draining:
-            self._refuse(stream, outcomes.Reason.DRAINING)
-            return
-        self._counters.add(counters.Counter.FEEDS_OPENED)
-        assert self._configuration is not None
-        timeout = self._configuration.idle_timeout_seconds
-        task = self._loop.create_task(self._run_feed(stream, head, timeout))
-        self._feeds.add(task)
-        task.add_done_callback(self._feeds.discard)
-
-    async def _run_feed(
-        self, stream: flow.RequestStream, head: headers.RequestHead, timeout: float
-    ) -> None:
-        result = await exchange.run(stream, head, self._settings.server, timeout)
-        self._counters.add(_RESULT_COUNTERS[result])
-        stream.flow.finish_stream(stream.stream_id)
-
-    def _on_stream_closed(self, stream: flow.RequestStream) -> None:
-        request_id = self._ids_by_stream.get(stream)
-        if request_id is None:
-            return
-        self._carry_out(self._queue.cancel(request_id, self._loop.time()))
-        request = self._requests.get(request_id)
-        if request is not None and request.task is None:
-            self._counters.add(counters.Counter.REQUESTS_CANCELLED)
-            self._forget(request_id)
-
-    def _carry_out(self, actions: list[slots.Action]) -> None:
-        for action in actions:
-            request = self._requests.get(action.request)
-            if request is None:
-                continue
-            if isinstance(action, slots.Start):
-                request.task = self._loop.create_task(
-                    self._run_request(action.request, request)
-                )
-            elif isinstance(action, slots.Refuse):
-                self._answer(request.stream, action.refusal)
-                self._forget(action.request)
-            elif request.task is not None:
-                request.task.cancel()
-
-    async def _run_request(
-        self, request_id: slots.RequestId, request: _Request
+    def _forward(
+        self,
+        address: addresses.Address,
+        home: identifiers.HomeId,
+        hops: int,
+        held: flow.HeldDatagram,
     ) -> None:
-        result = exchange.Result.UNKNOWN
-        try:
-            remaining = request.deadline - self._loop.time()
-            result = await exchange.run(
-                request.stream, request.head, self._settings.server, remaining
-            )
-        except Exception:
-            request.stream.reset(flow.ResetCode.INTERNAL_ERROR)
-            log.exception(events.Event.REQUEST_FAILED, service=self._service)
-        finally:
-            self._counters.add(_RESULT_COUNTERS[result])
-            self._forget(request_id)
-            is_answered = result is exchange.Result.ANSWERED
-            now = self._loop.time()
-            self._carry_out(
-                self._queue.finish(request_id, now, is_answered=is_answered)
-            )
-
-    def _refuse(self, stream: flow.RequestStream, reason: outcomes.Reason) -> None:
-        outcome = outcomes.Outcome.NOT_RUN
-        retry_after = exchange.RETRY_AFTER_SECONDS
-        self._answer(stream, outcomes.Refusal(outcome, reason, retry_after))
-        stream.flow.finish_stream(stream.stream_id)
-
-    def _answer(self, stream: flow.RequestStream, refusal: outcomes.Refusal) -> None:
-        self._counters.add(counters.Counter.REQUESTS_NOT_RUN)
-        log.info(
-            events.Event.REQUEST_REFUSED,
-            service=self._service,
-            reason=refusal.reason.value,
-            retry_after=refusal.retry_after,
-        )
-        exchange.answer(stream, refusal)
-
-    def _forget(self, request_id: slots.RequestId) -> None:
-        request = self._requests.pop(request_id)
-        self._ids_by_stream.pop(request.stream, None)
-        request.stream.flow.finish_stream(request.stream.stream_id)
+        datagram = tunnel.encode(self._tunnel, home, hops, held.caller, held.datagram)
+        self._send(datagram, address)
 
 
 def _make_quic_settings(
@@ -376,8 +350,8 @@
         alpn_protocols=ALPN,
         connection_id_length=connection_id.LENGTH_BYTES,
         is_client=False,
-        max_data=quic.CONNECTION_WINDOW_BYTES,
-        max_stream_data=quic.STREAM_WINDOW_BYTES,
+        max_data=connection.CONNECTION_WINDOW_BYTES,
+        max_stream_data=connection.STREAM_WINDOW_BYTES,
     )
     made.load_cert_chain(str(agent.certificate), str(agent.private_key))
     return made
--- a/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
@@ -5,16 +5,17 @@
 import asyncio
 import collections
 import collections.abc
+import dataclasses
 import enum
 
-from aioquic.h3 import connection as h3_connection
 from aioquic.h3 import events as h3_events
 from aioquic.quic import events as quic_events
 
-from cactushall_core import addresses
-from cactushall_daemon.agent import quic
+from cactushall_core import addresses, event_stream, handoff
+from cactushall_daemon.agent.quic import connection, http3, transfer
 
 MAX_UNSENT_BYTES = 256 * 1024
+MAX_HELD_DATAGRAMS = 256
 PINGS_PER_IDLE_TIMEOUT = 3.0
 
 Headers = list[tuple[bytes, bytes]]
@@ -23,9 +24,7 @@
 class ResetCode(enum.IntEnum):
     """HTTP/3 error codes for streams (RFC 9114 section 8.1)."""
 
-    NO_ERROR = 0x100
     INTERNAL_ERROR = 0x102
-    REQUEST_CANCELLED = 0x10C
 
 
 class CloseCode(enum.IntEnum):
@@ -50,8 +49,10 @@
         self._chunks: collections.deque[bytes] = collections.deque()
         self._unread_bytes = 0
         self._is_body_complete = False
+        self._is_body_read = False
         self._is_closed = False
         self._is_response_started = False
+        self._events: event_stream.EventSplitter | None = None
         self._changed = asyncio.Event()
 
     @property
@@ -74,11 +75,45 @@
         """Whether the whole request body has arrived."""
         return self._is_body_complete
 
+    @property
+    def is_body_read(self) -> bool:
+        """Whether any part of the request body has been read."""
+        return self._is_body_read
+
     @property
     def is_response_started(self) -> bool:
         """Whether response headers have left."""
         return self._is_response_started
 
+    @property
+    def events(self) -> event_stream.EventSplitter | None:
+        """Position in the response where that is an event stream."""
+        return self._events
+
+    def follow_events(self, last_event_id: bytes | None) -> event_stream.EventSplitter:
+        """Treat the response as an event stream from a position on."""
+        self._events = event_stream.EventSplitter(last_event_id)
+        return self._events
+
+    def export(self, remaining_seconds: float) -> handoff.Request:
+        """Return the request for another agent."""
+        return handoff.Request(
+            stream_id=self._stream_id,
+            headers=tuple(self._headers),
+            body=b"".join(self._chunks),
+            is_body_complete=self._is_body_complete,
+            remaining_seconds=remaining_seconds,
+            is_response_started=self._is_response_started,
+            last_event_id=self._events.last_event_id if self._events else None,
+        )
+
+    def restore(self, request: handoff.Request) -> None:
+        """Take over a request from another agent."""
+        self._is_response_started = request.is_response_started
+        if request.is_response_started:
+            self.follow_events(request.last_event_id)
+        self.feed(request.body, request.is_body_complete)
+
     def feed(self, data: bytes, is_last: bool) -> None:
         """Take in body data from the caller."""
         if data:
@@ -89,7 +124,7 @@
         self._changed.set()
 
     def close(self) -> None:
-        """Note that the caller no longer listens."""
+        """Note that the caller no longer listens here."""
         self._is_closed = True
         self._changed.set()
 
@@ -103,6 +138,7 @@
         Raises:
             StreamClosedError: The caller has gone.
         """
+        self._is_body_read = True
         while not self._chunks:
             if self._is_closed:
                 raise StreamClosedError
@@ -116,7 +152,11 @@
         return data
 
     def send_headers(self, headers: Headers, *, is_last: bool) -> None:
-        """Send response headers."""
+        """Send response headers.
+
+        Raises:
+            StreamClosedError: The caller has gone.
+        """
         self._check_open()
         self._is_response_started = True
         self._owner.http.send_headers(self._stream_id, headers, is_last)
@@ -128,7 +168,7 @@
         Raises:
             StreamClosedError: The caller has gone.
         """
-        while self._owner.quic.unsent_bytes(self._stream_id) > MAX_UNSENT_BYTES:
+        while self._owner.is_frozen or self._is_far_behind():
             self._check_open()
             await self._wait()
         self._check_open()
@@ -141,6 +181,9 @@
             self._owner.quic.reset_stream(self._stream_id, code)
             self._owner.schedule_transmit()
 
+    def _is_far_behind(self) -> bool:
+        return self._owner.quic.unsent_bytes(self._stream_id) > MAX_UNSENT_BYTES
+
     def _check_open(self) -> None:
         if self._is_closed:
             raise StreamClosedError
@@ -150,34 +193,33 @@
         await self._changed.wait()
 
 
+@dataclasses.dataclass(frozen=True)
 class FlowHandler:
-    """What a flow needs of the endpoint that holds it."""
+    """Callbacks of the endpoint that holds a flow.
 
-    def __init__(
-        self,
-        transmit: collections.abc.Callable[[bytes, addresses.Address], None],
-        on_request: collections.abc.Callable[[RequestStream], None],
-        on_stream_closed: collections.abc.Callable[[RequestStream], None],
-        on_cid_issued: collections.abc.Callable[[Flow, bytes], None],
-        on_cid_retired: collections.abc.Callable[[Flow, bytes], None],
-        on_closed: collections.abc.Callable[[Flow], None],
-    ) -> None:
-        """Bundle the callbacks.
+    Attributes:
+        transmit: Sends a datagram to a caller.
+        on_request: Takes a new request.
+        on_stream_closed: Told when a caller gives up a request.
+        on_cid_issued: Told of a new connection id.
+        on_cid_retired: Told of an id that the caller no longer uses.
+        on_closed: Told when the flow has ended.
+    """
 
-        Args:
-            transmit: Sends a datagram to a caller.
-            on_request: Takes a new request.
-            on_stream_closed: Told when a caller gives up a request.
-            on_cid_issued: Told of a new connection id.
-            on_cid_retired: Told of an id that the caller no longer uses.
-            on_closed: Told when the flow has ended.
-        """
-        self.transmit = transmit
-        self.on_request = on_request
-        self.on_stream_closed = on_stream_closed
-        self.on_cid_issued = on_cid_issued
-        self.on_cid_retired = on_cid_retired
-        self.on_closed = on_closed
+    transmit: collections.abc.Callable[[bytes, addresses.Address], None]
+    on_request: collections.abc.Callable[[RequestStream], None]
+    on_stream_closed: collections.abc.Callable[[RequestStream], None]
+    on_cid_issued: collections.abc.Callable[[Flow, bytes], None]
+    on_cid_retired: collections.abc.Callable[[Flow, bytes], None]
+    on_closed: collections.abc.Callable[[Flow], None]
+
+
+@dataclasses.dataclass(frozen=True)
+class HeldDatagram:
+    """A caller's datagram that arrived while its flow was frozen."""
+
+    datagram: bytes
+    caller: addresses.Address
 
 
 class Flow:
@@ -185,42 +227,53 @@
 
     def __init__(
         self,
-        connection: quic.SteeredConnection,
+        quic: connection.SteeredConnection,
         handler: FlowHandler,
         idle_timeout: float,
+        caller: addresses.Address,
+        http: http3.HttpConnection | None = None,
     ) -> None:
-        """Wrap a new connection.
+        """Wrap a connection.
 
         Args:
-            connection: The QUIC connection.
+            quic: The QUIC connection.
             handler: The endpoint's callbacks.
             idle_timeout: Seconds after which a silent flow is closed.
+            caller: The caller's address.
+            http: The HTTP/3 connection of a flow from another agent.
         """
-        self._quic = connection
+        self._quic = quic
         self._handler = handler
         self._loop = asyncio.get_running_loop()
-        self._http: h3_connection.H3Connection | None = None
+        self._http = http
         self._streams: dict[int, RequestStream] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._transmit_handle: asyncio.Handle | None = None
         self._ping_interval = idle_timeout / PINGS_PER_IDLE_TIMEOUT
         self._next_ping_at = 0.0
-        self._caller: addresses.Address | None = None
+        self._caller = caller
         self._is_closed = False
+        self._is_frozen = False
+        self._held: list[HeldDatagram] = []
 
     @property
-    def quic(self) -> quic.SteeredConnection:
+    def quic(self) -> connection.SteeredConnection:
         """The QUIC connection."""
         return self._quic
 
     @property
-    def http(self) -> h3_connection.H3Connection:
+    def http(self) -> http3.HttpConnection:
         """The HTTP/3 connection, which exists once a request has arrived."""
         assert self._http is not None
         return self._http
 
     @property
-    def caller(self) -> addresses.Address | None:
+    def has_http(self) -> bool:
+        """Whether HTTP/3 is open."""
+        return self._http is not None
+
+    @property
+    def caller(self) -> addresses.Address:
         """The address of the caller's last packet."""
         return self._caller
 
@@ -229,8 +282,22 @@
         """Requests in progress, by stream id."""
         return self._streams
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the flow has ended here."""
+        return self._is_closed
+
+    @property
+    def is_frozen(self) -> bool:
+        """Whether the flow waits for the answer of another agent."""
+        return self._is_frozen
+
     def receive(self, datagram: bytes, caller: addresses.Address) -> None:
         """Handle a datagram of the caller."""
+        if self._is_frozen:
+            if len(self._held) < MAX_HELD_DATAGRAMS:
+                self._held.append(HeldDatagram(datagram, caller))
+            return
         self._caller = caller
         self._quic.receive_datagram(datagram, caller, self._loop.time())
         self._process_events()
@@ -248,10 +315,11 @@
         if self._transmit_handle is not None:
             self._transmit_handle.cancel()
             self._transmit_handle = None
-        if self._is_closed:
+        if self._is_closed or self._is_frozen:
             return
         for datagram, address in self._quic.datagrams_to_send(self._loop.time()):
             self._handler.transmit(datagram, addresses.Address(*address[:2]))
+        self._process_events()
         self._arm_timer()
 
     def finish_stream(self, stream_id: int) -> None:
@@ -259,6 +327,14 @@
         self._streams.pop(stream_id, None)
         self._quic.forget_stream(stream_id)
 
+    def restore_stream(self, request: handoff.Request) -> RequestStream:
+        """Take over a request from another agent."""
+        stream = RequestStream(self, request.stream_id, list(request.headers))
+        self._streams[request.stream_id] = stream
+        self._quic.set_unread_bytes(request.stream_id, 0)
+        stream.restore(request)
+        return stream
+
     def close(self, code: CloseCode, reason: str = "") -> None:
         """Close the connection."""
         self._quic.close(error_code=code, reason_phrase=reason)
@@ -271,6 +347,40 @@
             self._quic.send_ping(0)
             self.transmit()
 
+    # Moves to another agent.
+
+    def freeze(self) -> None:
+        """Neither send nor handle anything until thawed or abandoned."""
+        self._is_frozen = True
+
+    def thaw(self) -> None:
+        """Go on after another agent did not take the flow."""
+        transfer.skip_packet_numbers(self._quic)
+        self.begin()
+
+    def begin(self) -> None:
+        """Go on with everything that has waited."""
+        self._is_frozen = False
+        held, self._held = self._held, []
+        for item in held:
+            self.receive(item.datagram, item.caller)
+        for request in self._streams.values():
+            request.wake()
+        self.schedule_transmit()
+
+    def abandon(self) -> list[HeldDatagram]:
+        """End the flow here without a word to the caller.
+
+        Returns:
+            The datagrams that arrived while it was frozen.
+        """
+        self._is_closed = True
+        self._cancel_timer()
+        for request in self._streams.values():
+            request.close()
+        self._handler.on_closed(self)
+        return self._held
+
     def _arm_timer(self) -> None:
         at = self._quic.get_timer()
         if at is None:
@@ -281,8 +391,15 @@
             self._timer.cancel()
         self._timer = self._loop.call_at(at, self._handle_timer)
 
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _handle_timer(self) -> None:
         self._timer = None
+        if self._is_frozen:
+            return
         at = self._quic.get_timer()
         now = self._loop.time()
         if at is not None and at <= now:
@@ -296,7 +413,7 @@
 
     def _process_event(self, event: quic_events.QuicEvent) -> None:
         if isinstance(event, quic_events.ProtocolNegotiated):
-            self._http = h3_connection.H3Connection(self._quic)
+            self._http = http3.HttpConnection(self._quic)
         elif isinstance(event, quic_events.HandshakeCompleted):
             self._quic.release_handshake_state()
         elif isinstance(event, quic_events.ConnectionIdIssued):
@@ -342,9 +459,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        self._cancel_timer()
         for stream_id in list(self._streams):
             self._close_stream(stream_id)
         self._handler.on_closed(self)
--- a/packages/cactushall-daemon/cactushall_daemon/agent/headers.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/headers.py
@@ -11,6 +11,7 @@
 MAX_HEADER_BYTES = 16 * 1024
 TIMEOUT_HEADER = b"request-timeout-ms"
 EVENT_STREAM = b"text/event-stream"
+LAST_EVENT_ID = b"last-event-id"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -91,6 +92,30 @@
     return fields
 
 
+def to_upstream_feed(head: RequestHead, last_event_id: bytes | None) -> Headers:
+    """Return the headers of the HTTP/1.1 request for an event stream.
+
+    Args:
+        head: The caller's request.
+        last_event_id: Where to go on, in place of the caller's own position.
+    """
+    fields = [(b"host", head.authority or b"-")]
+    for name, value in head.fields:
+        is_replaced = name == LAST_EVENT_ID and last_event_id is not None
+        if name not in _HOP_BY_HOP and not is_replaced:
+            fields.append((name, value))
+    if last_event_id is not None:
+        fields.append((LAST_EVENT_ID, last_event_id))
+    fields.append((b"connection", b"close"))
+    return fields
+
+
+def is_event_stream(fields: Headers) -> bool:
+    """Tell whether a response is an event stream."""
+    by_name = {name.lower(): value for name, value in fields}
+    return by_name.get(b"content-type", b"").startswith(EVENT_STREAM)
+
+
 def to_caller(status: int, fields: Headers) -> Headers:
     """Return the headers of the HTTP/3 response."""
     kept = [(n.lower(), v) for n, v in fields if n.lower() not in _HOP_BY_HOP]
--- a/packages/cactushall-daemon/cactushall_daemon/agent/process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/process.py
@@ -11,18 +11,22 @@
     addresses,
     configuration,
     exceptions,
+    handoff,
     identifiers,
+    peering,
     quic_header,
     tunnel,
 )
 from cactushall_core.membership import records
-from cactushall_daemon import counters, events, logs, node, sockets
+from cactushall_daemon import control, counters, events, logs, node, sockets
 from cactushall_daemon.agent import endpoint
 from cactushall_daemon.config import schema
 from cactushall_rpc.generated import control_pb2
 
 log = logs.get_logger(__name__)
 
+STOP_POLL_SECONDS = 0.1
+
 
 class AgentProcess:
     """An agent with its place in the fleet."""
@@ -30,26 +34,38 @@
     def __init__(self, settings: schema.AgentSettings) -> None:
         """Prepare; nothing is bound yet."""
         self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._is_stopping = False
         member = node.make_member(
             settings, records.Role.AGENT, settings.tunnel_port, self._served
         )
         self._node = node.Node(
             settings,
             member,
-            on_member_changed=lambda record: None,
+            on_member_changed=self._on_member_changed,
             on_configuration=self._on_configuration,
-            report_endpoints=self._report_endpoints,
+            duties=control.AgentDuties(
+                self._report_endpoints, self._take_flow, self._switched
+            ),
         )
+        ring = tuple(settings.key_files)
+        self._tunnel = tunnel.make_authenticator(ring)
+        self._peering = peering.make_authenticator(ring)
+        self._socket: socket.socket | None = None
         self._endpoints = {
             made.home: made
             for made in (
-                endpoint.Endpoint(served, settings, member.id, self._node.counters)
+                endpoint.Endpoint(
+                    served,
+                    settings,
+                    member.id,
+                    self._node.counters,
+                    self._node.client,
+                    self._send,
+                )
                 for served in settings.endpoints
             )
         }
-        self._authenticator = tunnel.make_authenticator(tuple(settings.key_files))
-        self._socket: socket.socket | None = None
-        self._loop = asyncio.get_running_loop()
 
     async def start(self) -> None:
         """Take part and serve.
@@ -62,44 +78,61 @@
         sockets.receive_batches(self._socket, self._receive)
         await self._node.start()
         self._node.spawn(self._tick())
+        for served in self._endpoints.values():
+            served.start(self._node.spawn)
 
     async def stop(self) -> None:
-        """Drain all endpoints, then leave the fleet."""
-        log.info(events.Event.DRAIN_BEGAN)
-        self._announce_draining()
-        deadline = self._loop.time() + self._settings.drain_timeout_seconds
-        await asyncio.gather(*(e.drain(deadline) for e in self._endpoints.values()))
-        log.info(events.Event.DRAIN_ENDED)
+        """Move all flows away, then leave the fleet."""
+        self._is_stopping = True
+        self._update_draining()
+        timeout = self._settings.drain_timeout_seconds or None
+        try:
+            async with asyncio.timeout(timeout):
+                await self._drained()
+            log.info(events.Event.DRAIN_ENDED)
+        except TimeoutError:
+            log.warning(events.Event.DRAIN_TIMED_OUT)
         await self._node.stop()
-        if self._socket is not None:
-            sockets.close(self._socket)
         for served in self._endpoints.values():
             served.close()
+        if self._socket is not None:
+            sockets.close(self._socket)
+
+    async def _drained(self) -> None:
+        while not all(e.drain.is_empty for e in self._endpoints.values()):
+            await asyncio.sleep(STOP_POLL_SECONDS)
 
     def _served(self, member: identifiers.MemberId) -> tuple[records.Endpoint, ...]:
+        names = [identifiers.ServiceName(e.service) for e in self._settings.endpoints]
+        limits = [e.connections for e in self._settings.endpoints]
         return tuple(
-            records.Endpoint(
-                identifiers.ServiceName(served.service),
-                identifiers.derive_home_id(
-                    member, identifiers.ServiceName(served.service)
-                ),
-                served.connections,
-            )
-            for served in self._settings.endpoints
+            records.Endpoint(name, identifiers.derive_home_id(member, name), limit)
+            for name, limit in zip(names, limits, strict=True)
         )
 
-    def _announce_draining(self) -> None:
+    def _update_draining(self) -> None:
+        """Drain where operators or the stop of the process ask for it."""
         member = self._node.gossip.membership.member
-        drained = tuple(
-            records.Endpoint(e.service, e.home, e.connection_limit, True)
-            for e in member.endpoints
+        adopted = self._node.configuration
+        is_draining = self._is_stopping or adopted.is_drained(member.name, member.zone)
+        for served in self._endpoints.values():
+            served.drain.set_draining(is_draining)
+        announced = tuple(
+            structs.replace(e, is_draining=is_draining) for e in member.endpoints
         )
-        self._node.gossip.update(structs.replace(member, endpoints=drained))
+        if announced != member.endpoints:
+            changed = structs.replace(member, endpoints=announced)
+            self._node.gossip.update(changed)
+
+    # Datagrams.
 
     def _receive(self, datagram: bytes, _source: tuple[str, int]) -> None:
         self._node.counters.add(counters.Counter.RECEIVED)
         try:
-            envelope = tunnel.decode(self._authenticator, datagram)
+            if peering.is_peer_message(datagram):
+                self._hear(peering.decode(self._peering, datagram))
+                return
+            envelope = tunnel.decode(self._tunnel, datagram)
         except exceptions.DecodeError:
             self._node.counters.add(counters.Counter.TUNNEL_REJECTED)
             return
@@ -109,6 +142,11 @@
         else:
             self._reset_former_home(envelope)
 
+    def _hear(self, report: peering.LoadReport) -> None:
+        for served in self._endpoints.values():
+            if served.service == report.service:
+                served.peers.hear(report)
+
     def _reset_former_home(self, envelope: tunnel.Envelope) -> None:
         """Answer for the process that had this address before."""
         header = quic_header.parse(envelope.payload)
@@ -121,16 +159,47 @@
                 return
         self._node.counters.add(counters.Counter.FOREIGN_ID)
 
+    def _send(self, datagram: bytes, address: addresses.Address) -> None:
+        if self._socket is None:
+            return
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError:
+            self._node.counters.add(counters.Counter.SEND_FAILED)
+
+    # What the node tells.
+
+    def _on_member_changed(self, record: records.Record) -> None:
+        for served in self._endpoints.values():
+            served.peers.apply_member(record)
+
     def _on_configuration(self, adopted: configuration.Configuration) -> None:
         for served in self._endpoints.values():
             try:
                 served.configure(adopted.service(served.service))
             except sockets.BindError as error:
                 log.error(events.Event.BIND_FAILED, why=str(error))
+        self._update_draining()
 
     def _report_endpoints(self) -> list[control_pb2.EndpointStatus]:
         return [served.describe() for served in self._endpoints.values()]
 
+    async def _take_flow(self, encoded: bytes) -> control_pb2.MoveFlowResponse:
+        try:
+            record = handoff.decode(encoded)
+        except exceptions.DecodeError as error:
+            return control.rejected(str(error))
+        for served in self._endpoints.values():
+            if served.service == record.service:
+                return await served.arrivals.take(record)
+        return control.rejected(f"{record.service} has no backend server here")
+
+    def _switched(self, move_ids: list[bytes]) -> list[bytes]:
+        remaining = set(move_ids)
+        for served in self._endpoints.values():
+            remaining &= set(served.arrivals.switched(list(remaining)))
+        return list(remaining)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(endpoint.TICK_SECONDS)
--- a/packages/cactushall-daemon/cactushall_daemon/agent/quic.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/quic/connection.py
@@ -1,8 +1,4 @@
-"""QUIC connections with connection ids of our own.
-
-All uses of private names of `aioquic` are in this module, which is why the library
-is pinned to one version.
-"""
+"""QUIC connections with connection ids of our own."""
 
 from __future__ import annotations
 
@@ -22,6 +18,7 @@
     recovery,
     stream,
 )
+from aioquic.quic import events as quic_events
 
 from cactushall_core import connection_id, identifiers
 
@@ -35,7 +32,7 @@
 _CLOSED_STREAM = stream.QuicStream()
 REQUEST_STREAM_TYPE = 0
 
-CidFactory = collections.abc.Callable[[], connection.QuicConnectionId]
+CidFactory = collections.abc.Callable[[int], connection.QuicConnectionId]
 
 
 # The sets of epochs are the same for each connection, yet 7 KB each.
@@ -44,7 +41,7 @@
 
 def make_cid_factory(
     service_keys: connection_id.ServiceKeys, home: identifiers.HomeId
-) -> collections.abc.Callable[[int], connection.QuicConnectionId]:
+) -> CidFactory:
     """Return a function that issues connection ids for flows of one home."""
 
     def issue(sequence_number: int) -> connection.QuicConnectionId:
@@ -81,7 +78,7 @@
         self,
         quic_configuration: configuration.QuicConfiguration,
         original_cid: bytes,
-        issue_cid: collections.abc.Callable[[int], connection.QuicConnectionId],
+        issue_cid: CidFactory,
     ) -> None:
         """Create the connection for a first packet.
 
@@ -96,6 +93,9 @@
         )
         self._issue_cid = issue_cid
         self._unread_bytes: dict[int, int] = {}
+        self.first_secrets = [b"", b""]
+        self.former_cids: set[bytes] = set()
+        self.retire_prior_to = 0
         first = issue_cid(0)
         first.was_sent = True
         self._host_cids = [first]
@@ -107,6 +107,11 @@
         """All connection ids that the peer may use."""
         return tuple(issued.cid for issued in self._host_cids)
 
+    @property
+    def is_caller_switched(self) -> bool:
+        """Whether the caller has retired all ids of a former home."""
+        return not any(issued.cid in self.former_cids for issued in self._host_cids)
+
     @property
     def is_handshake_confirmed(self) -> bool:
         """Whether the peer no longer uses the id that it chose first."""
@@ -144,6 +149,39 @@
         """Stop limiting a stream's window."""
         self._unread_bytes.pop(stream_id, None)
 
+    def _update_traffic_key(
+        self,
+        direction: tls.Direction,
+        epoch: tls.Epoch,
+        cipher_suite: tls.CipherSuite,
+        secret: bytes,
+    ) -> None:
+        if epoch is tls.Epoch.ONE_RTT:
+            self.first_secrets[direction is tls.Direction.ENCRYPT] = secret
+        super()._update_traffic_key(direction, epoch, cipher_suite, secret)
+
+    def _write_new_connection_id_frame(
+        self,
+        builder: packet_builder.QuicPacketBuilder,
+        connection_id: connection.QuicConnectionId,
+    ) -> None:
+        """Write the frame; the library's own never retires earlier ids."""
+        frame = builder.start_frame(
+            packet.QuicFrameType.NEW_CONNECTION_ID,
+            capacity=connection.NEW_CONNECTION_ID_FRAME_CAPACITY,
+            handler=self._on_new_connection_id_delivery,
+            handler_args=(connection_id,),
+        )
+        sequence_number = connection_id.sequence_number or 0
+        frame.push_uint_var(sequence_number)
+        frame.push_uint_var(min(self.retire_prior_to, sequence_number))
+        frame.push_uint8(len(connection_id.cid))
+        frame.push_bytes(connection_id.cid)
+        frame.push_bytes(connection_id.stateless_reset_token or b"")
+        connection_id.was_sent = True
+        issued = quic_events.ConnectionIdIssued(connection_id=connection_id.cid)
+        self._events.append(issued)
+
     def _replenish_connection_ids(self) -> None:
         wanted = min(MAX_CONNECTION_IDS, self._remote_active_connection_id_limit)
         while len(self._host_cids) < wanted:
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/quic/transfer.py
@@ -0,0 +1,324 @@
+"""Export of a live QUIC connection and its restoration at another agent."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from aioquic import tls
+from aioquic.quic import configuration, crypto, rangeset, recovery, stream
+from aioquic.quic import connection as quic_connection
+
+from cactushall_core import addresses, handoff
+from cactushall_daemon.agent.quic import connection
+
+PACKET_NUMBER_GAP = 1024
+
+
+class NotMovableError(Exception):
+    """The connection is not in a state in which it can move."""
+
+
+def export(moved: connection.SteeredConnection) -> handoff.Quic:
+    """Return the state of a connection whose handshake is confirmed.
+
+    Raises:
+        NotMovableError: The handshake is not confirmed or the connection ends.
+    """
+    connected = quic_connection.QuicConnectionState.CONNECTED
+    if not moved.is_handshake_confirmed or moved._state is not connected:
+        raise NotMovableError("connection is opening or closing")
+    space = moved._spaces[tls.Epoch.ONE_RTT]
+    pair = moved._cryptos[tls.Epoch.ONE_RTT]
+    return handoff.Quic(
+        quic_version=moved._version or 0,
+        original_cid=moved.original_destination_connection_id,
+        host_cids=tuple(_export_cid(cid) for cid in moved._host_cids),
+        current_host_cid=moved.host_cid,
+        next_host_sequence=moved._host_cid_seq,
+        peer_cid=_export_cid(moved._peer_cid),
+        spare_peer_cids=tuple(_export_cid(c) for c in moved._peer_cid_available),
+        peer_sequences=tuple(moved._peer_cid_sequence_numbers),
+        peer_retire_prior_to=moved._peer_retire_prior_to,
+        receive=_export_direction(pair.recv, moved.first_secrets[0]),
+        send=_export_direction(pair.send, moved.first_secrets[1]),
+        next_packet_number=moved._packet_number,
+        largest_acknowledged=space.largest_acked_packet,
+        expected_packet_number=space.expected_packet_number,
+        largest_received=space.largest_received_packet,
+        received_floor=space.received_packets._lower,
+        received=tuple(space.received_packets._received),
+        unreported=_export_ranges(space.ack_queue),
+        round_trip=_export_round_trip(moved._loss),
+        congestion_window=moved._loss._cc.congestion_window,
+        peer_limits=_export_peer_limits(moved),
+        data_limit=_export_limit(moved._local_max_data),
+        bidi_limit=_export_limit(moved._local_max_streams_bidi),
+        uni_limit=_export_limit(moved._local_max_streams_uni),
+        next_bidi_stream=moved._local_next_stream_id_bidi,
+        next_uni_stream=moved._local_next_stream_id_uni,
+        streams=tuple(_export_stream(s) for s in moved._streams.values()),
+    )
+
+
+def restore(
+    record: handoff.Quic,
+    settings: configuration.QuicConfiguration,
+    caller: addresses.Address,
+    issue_cid: connection.CidFactory,
+    now: float,
+) -> connection.SteeredConnection:
+    """Make a connection that goes on where another agent stopped.
+
+    Args:
+        record: The exported state.
+        settings: Certificate and limits.
+        caller: The caller's address.
+        issue_cid: Issues connection ids of the new home.
+        now: Present time in seconds.
+    """
+    made = connection.SteeredConnection(settings, record.original_cid, issue_cid)
+    made._version = record.quic_version
+    made._initialize(record.original_cid)
+    made.tls.state = tls.State.SERVER_POST_HANDSHAKE
+    _restore_handshake(made)
+    _restore_keys(made, record)
+    _restore_connection_ids(made, record)
+    _restore_packets(made, record)
+    _restore_limits(made, record)
+    for item in record.streams:
+        restored = _restore_stream(item)
+        made._streams[item.id] = restored
+        made._streams_queue.append(restored)
+    path = quic_connection.QuicNetworkPath(caller, is_validated=True)
+    made._network_paths = [path]
+    made._close_at = now + made._idle_timeout()
+    made.release_handshake_state()
+    made.send_ping(0)
+    return made
+
+
+def skip_packet_numbers(resumed: connection.SteeredConnection) -> None:
+    """Leave out the numbers that another agent may have used after an export."""
+    resumed._packet_number += 2 * PACKET_NUMBER_GAP
+
+
+def _restore_handshake(made: connection.SteeredConnection) -> None:
+    made._set_state(quic_connection.QuicConnectionState.CONNECTED)
+    made._handshake_complete = True
+    made._handshake_confirmed = True
+    made._handshake_done_pending = True
+    made._loss.handshake_confirmed = True
+    made._loss.peer_completed_address_validation = True
+    for epoch in (tls.Epoch.INITIAL, tls.Epoch.HANDSHAKE):
+        made._discard_epoch(epoch)
+
+
+def _restore_keys(made: connection.SteeredConnection, record: handoff.Quic) -> None:
+    pair = made._cryptos[tls.Epoch.ONE_RTT]
+    made.first_secrets = [record.receive.first_secret, record.send.first_secret]
+    for context, direction in ((pair.recv, record.receive), (pair.send, record.send)):
+        suite = tls.CipherSuite(direction.cipher_suite)
+        version = record.quic_version
+        context.setup(
+            cipher_suite=suite, secret=direction.first_secret, version=version
+        )
+        if direction.secret != direction.first_secret:
+            present = crypto.CryptoContext(key_phase=direction.key_phase)
+            present.setup(cipher_suite=suite, secret=direction.secret, version=version)
+            crypto.apply_key_phase(context, present, trigger="restore")
+
+
+def _restore_connection_ids(
+    made: connection.SteeredConnection, record: handoff.Quic
+) -> None:
+    """Keep the old ids until the caller retires them, and issue new ones."""
+    made._host_cid_seq = record.next_host_sequence
+    made._host_cids = []
+    made._remote_active_connection_id_limit = record.peer_limits.active_connection_ids
+    made._replenish_connection_ids()
+    made.retire_prior_to = record.next_host_sequence
+    made.former_cids = {cid.cid for cid in record.host_cids}
+    former = [_restore_cid(cid) for cid in record.host_cids]
+    for cid in former:
+        cid.was_sent = True
+    made._host_cids = former + made._host_cids
+    made.host_cid = record.current_host_cid
+    made._peer_cid = _restore_cid(record.peer_cid)
+    made._peer_cid_available = [_restore_cid(c) for c in record.spare_peer_cids]
+    made._peer_cid_sequence_numbers = set(record.peer_sequences)
+    made._peer_retire_prior_to = record.peer_retire_prior_to
+
+
+def _restore_packets(made: connection.SteeredConnection, record: handoff.Quic) -> None:
+    made._packet_number = record.next_packet_number + PACKET_NUMBER_GAP
+    space = made._spaces[tls.Epoch.ONE_RTT]
+    space.largest_acked_packet = record.largest_acknowledged
+    space.expected_packet_number = record.expected_packet_number
+    space.largest_received_packet = record.largest_received
+    space.received_packets._lower = record.received_floor
+    space.received_packets._received = set(record.received)
+    space.ack_queue = _restore_ranges(record.unreported)
+    loss = made._loss
+    loss._cc.congestion_window = record.congestion_window
+    if record.round_trip is not None:
+        loss._rtt_initialized = True
+        loss._rtt_latest = record.round_trip.latest
+        loss._rtt_min = record.round_trip.minimum
+        loss._rtt_smoothed = record.round_trip.smoothed
+        loss._rtt_variance = record.round_trip.variance
+
+
+def _restore_limits(made: connection.SteeredConnection, record: handoff.Quic) -> None:
+    peer = record.peer_limits
+    made._remote_max_data = peer.max_data
+    made._remote_max_data_used = peer.max_data_used
+    made._remote_max_streams_bidi = peer.max_streams_bidi
+    made._remote_max_streams_uni = peer.max_streams_uni
+    made._remote_max_stream_data_bidi_local = peer.max_stream_data_bidi_local
+    made._remote_max_stream_data_bidi_remote = peer.max_stream_data_bidi_remote
+    made._remote_max_stream_data_uni = peer.max_stream_data_uni
+    made._remote_max_idle_timeout = peer.idle_timeout
+    made._remote_ack_delay_exponent = peer.ack_delay_exponent
+    for limit, exported in (
+        (made._local_max_data, record.data_limit),
+        (made._local_max_streams_bidi, record.bidi_limit),
+        (made._local_max_streams_uni, record.uni_limit),
+    ):
+        limit.value = exported.value
+        limit.used = exported.used
+        limit.sent = 0
+    made._local_next_stream_id_bidi = record.next_bidi_stream
+    made._local_next_stream_id_uni = record.next_uni_stream
+
+
+def _export_cid(cid: quic_connection.QuicConnectionId) -> handoff.ConnectionId:
+    return handoff.ConnectionId(
+        cid.cid, cid.sequence_number or 0, cid.stateless_reset_token or b""
+    )
+
+
+def _restore_cid(cid: handoff.ConnectionId) -> quic_connection.QuicConnectionId:
+    return quic_connection.QuicConnectionId(
+        cid.cid, cid.sequence_number, cid.reset_token
+    )
+
+
+def _export_direction(
+    context: crypto.CryptoContext, first_secret: bytes
+) -> handoff.Direction:
+    if context.cipher_suite is None or context.secret is None:
+        raise NotMovableError("connection has no keys")
+    return handoff.Direction(
+        context.cipher_suite.value, first_secret, context.secret, context.key_phase
+    )
+
+
+def _export_round_trip(
+    loss: recovery.QuicPacketRecovery,
+) -> handoff.RoundTrip | None:
+    if not loss._rtt_initialized:
+        return None
+    return handoff.RoundTrip(
+        loss._rtt_latest, loss._rtt_min, loss._rtt_smoothed, loss._rtt_variance
+    )
+
+
+def _export_limit(limit: quic_connection.Limit) -> handoff.Limit:
+    return handoff.Limit(limit.value, limit.used)
+
+
+def _export_peer_limits(moved: connection.SteeredConnection) -> handoff.PeerLimits:
+    return handoff.PeerLimits(
+        max_data=moved._remote_max_data,
+        max_data_used=moved._remote_max_data_used,
+        max_streams_bidi=moved._remote_max_streams_bidi,
+        max_streams_uni=moved._remote_max_streams_uni,
+        max_stream_data_bidi_local=moved._remote_max_stream_data_bidi_local,
+        max_stream_data_bidi_remote=moved._remote_max_stream_data_bidi_remote,
+        max_stream_data_uni=moved._remote_max_stream_data_uni,
+        active_connection_ids=moved._remote_active_connection_id_limit,
+        idle_timeout=moved._remote_max_idle_timeout,
+        ack_delay_exponent=moved._remote_ack_delay_exponent,
+    )
+
+
+def _export_stream(exported: stream.QuicStream) -> handoff.Stream:
+    receiver = exported.receiver
+    sender = exported.sender
+    return handoff.Stream(
+        id=exported.stream_id or 0,
+        window=exported.max_stream_data_local,
+        peer_window=exported.max_stream_data_remote,
+        is_blocked=exported.is_blocked,
+        receive_start=receiver._buffer_start,
+        receive_buffer=bytes(receiver._buffer),
+        receive_spans=_export_ranges(receiver._ranges),
+        receive_highest=receiver.highest_offset,
+        receive_final_size=receiver._final_size,
+        is_receive_finished=receiver.is_finished,
+        send_start=sender._buffer_start,
+        send_buffer=bytes(sender._buffer),
+        send_acknowledged=_export_ranges(sender._acked),
+        send_highest=sender.highest_offset,
+        send_final_size=sender._buffer_fin,
+        is_send_final_acknowledged=sender._acked_fin,
+        is_send_finished=sender.is_finished,
+        reset_code=sender._reset_error_code,
+    )
+
+
+def _restore_stream(record: handoff.Stream) -> stream.QuicStream:
+    made = stream.QuicStream(
+        stream_id=record.id,
+        max_stream_data_local=record.window,
+        max_stream_data_remote=record.peer_window,
+    )
+    made.max_stream_data_local_sent = 0
+    made.is_blocked = record.is_blocked
+    receiver = made.receiver
+    receiver._buffer_start = record.receive_start
+    receiver._buffer = bytearray(record.receive_buffer)
+    receiver._ranges = _restore_ranges(record.receive_spans)
+    receiver.highest_offset = record.receive_highest
+    receiver._final_size = record.receive_final_size
+    receiver.is_finished = record.is_receive_finished
+    _restore_sender(made.sender, record)
+    return made
+
+
+def _restore_sender(sender: stream.QuicStreamSender, record: handoff.Stream) -> None:
+    """Schedule everything that was not acknowledged to be sent again."""
+    sender._buffer_start = record.send_start
+    sender._buffer = bytearray(record.send_buffer)
+    sender._buffer_stop = record.send_start + len(record.send_buffer)
+    sender._acked = _restore_ranges(record.send_acknowledged)
+    sender.highest_offset = record.send_highest
+    sender.is_finished = record.is_send_finished
+    sender._buffer_fin = record.send_final_size
+    sender._acked_fin = record.is_send_final_acknowledged
+    if record.reset_code is not None:
+        sender.reset(record.reset_code)
+        return
+    if sender._buffer_stop > sender._buffer_start:
+        sender._pending.add(sender._buffer_start, sender._buffer_stop)
+        for start, stop in record.send_acknowledged:
+            sender._pending.subtract(start, stop)
+    has_final = record.send_final_size is not None
+    sender._pending_eof = has_final and not record.is_send_final_acknowledged
+    has_pending = len(sender._pending) > 0 or sender._pending_eof
+    sender.buffer_is_empty = not has_pending
+
+
+def _export_ranges(
+    ranges: collections.abc.Iterable[range],
+) -> tuple[handoff.Span, ...]:
+    return tuple((item.start, item.stop) for item in ranges)
+
+
+def _restore_ranges(
+    spans: collections.abc.Iterable[handoff.Span],
+) -> rangeset.RangeSet:
+    made = rangeset.RangeSet()
+    for start, stop in spans:
+        made.add(start, stop)
+    return made
--- a/packages/cactushall-daemon/cactushall_daemon/commands/run.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/run.py
@@ -78,6 +78,12 @@
     log.info(events.Event.STARTED, node=settings.node, zone=settings.zone)
     await stop_requested.wait()
     log.info(events.Event.STOPPING, node=settings.node)
-    await process.stop()
+    stop_requested.clear()
+    stopping = asyncio.create_task(process.stop())
+    forced = asyncio.create_task(stop_requested.wait())
+    await asyncio.wait((stopping, forced), return_when=asyncio.FIRST_COMPLETED)
+    if not stopping.done():
+        return exit_codes.ExitCode.FORCED
+    await stopping
     log.info(events.Event.STOPPED, node=settings.node)
     return exit_codes.ExitCode.OK
--- a/packages/cactushall-daemon/cactushall_daemon/config/schema.py
+++ b/packages/cactushall-daemon/cactushall_daemon/config/schema.py
@@ -9,9 +9,11 @@
 
 from cactushall_core import addresses, keys
 from cactushall_daemon.config import base, options
+from cactushall_rpc import control
 
 MAX_PORT = addresses.MAX_PORT
 NO_ADDRESSES: tuple[addresses.Address, ...] = ()
+NO_TIMEOUT = 0.0
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -45,10 +47,23 @@
     key_files = options.Option(
         options.list_of(key_file(), minimum=1, maximum=keys.MAX_KEYS)
     )
+    control_certificate = options.Option(options.file(), None)
+    control_private_key = options.Option(options.file(), None)
+    control_authority = options.Option(options.file(), None)
     log_level = options.Option(options.text(LOG_LEVELS), "info")
 
+    def credentials(self) -> control.Credentials | None:
+        """Return the files for mutual TLS, None where it is not set up."""
+        certificate = self.control_certificate
+        private_key = self.control_private_key
+        authority = self.control_authority
+        if certificate is None or private_key is None or authority is None:
+            return None
+        return control.Credentials(certificate, private_key, authority)
+
     def validate(self, report: options.Report, lines: dict[str, int]) -> None:
-        """Check ports, keys and ways to find other processes."""
+        """Check ports, keys, certificates and ways to find other processes."""
+        self._validate_credentials(report, lines)
         if self.gossip_port == self.control_port:
             line = lines.get("control_port", 0)
             report.error(line, "control_port", "is the same as gossip_port")
@@ -59,6 +74,23 @@
             message = "neither store nor contacts is set; the process stays alone"
             report.warning(lines["node"], "store", message)
 
+    def _validate_credentials(
+        self, report: options.Report, lines: dict[str, int]
+    ) -> None:
+        names = ("control_certificate", "control_private_key", "control_authority")
+        given = [name for name in names if name in lines]
+        if not given:
+            message = "is not set; control calls go unprotected"
+            report.warning(lines["node"], names[0], message)
+        elif len(given) < len(names):
+            missing = ", ".join(sorted(set(names) - set(given)))
+            report.error(lines[given[0]], given[0], f"needs {missing} as well")
+        else:
+            try:
+                control.server_context(self.credentials())
+            except OSError as error:
+                report.error(lines[given[0]], given[0], f"cannot be used: {error}")
+
 
 class EntrySettings(NodeSettings):
     """Settings of an entry."""
@@ -82,7 +114,7 @@
     endpoints = options.Option(
         options.list_of(base.section(EndpointSettings), minimum=1, maximum=64)
     )
-    drain_timeout_seconds = options.Option(options.seconds(0, 86_400), 30.0)
+    drain_timeout_seconds = options.Option(options.seconds(0, 86_400), NO_TIMEOUT)
 
     def validate(self, report: options.Report, lines: dict[str, int]) -> None:
         """Check that each service is named once."""
--- a/packages/cactushall-daemon/cactushall_daemon/control.py
+++ b/packages/cactushall-daemon/cactushall_daemon/control.py
@@ -15,6 +15,34 @@
 RECORDS_PER_PART = 500
 
 
+def rejected(reason: str) -> control_pb2.MoveFlowResponse:
+    """Return the answer to a flow that cannot be taken."""
+    return control_pb2.MoveFlowResponse(
+        result=control_pb2.MoveFlowResponse.REJECTED, reason=reason
+    )
+
+
+async def _take_no_flow(_: bytes) -> control_pb2.MoveFlowResponse:
+    return rejected("not an agent")
+
+
+@dataclasses.dataclass(frozen=True)
+class AgentDuties:
+    """What only agents do; the defaults are those of other processes.
+
+    Attributes:
+        endpoints: Returns the state of the endpoints.
+        take_flow: Takes over an encoded flow.
+        switched: Returns those moves whose callers use their new homes.
+    """
+
+    endpoints: collections.abc.Callable[[], list[control_pb2.EndpointStatus]] = list
+    take_flow: collections.abc.Callable[
+        [bytes], collections.abc.Awaitable[control_pb2.MoveFlowResponse]
+    ] = _take_no_flow
+    switched: collections.abc.Callable[[list[bytes]], list[bytes]] = list
+
+
 @dataclasses.dataclass(frozen=True)
 class NodeView:
     """What the control service shows of a process.
@@ -24,18 +52,18 @@
         merge: Takes in another process's table.
         configuration: Returns the adopted configuration, encoded.
         revision: Returns the revision of the adopted configuration.
-        endpoints: Returns the state of the endpoints.
+        duties: What only agents do.
         tallies: The counters.
-        member: What the process says of itself.
+        member: Returns what the process says of itself.
     """
 
     snapshot: collections.abc.Callable[[], tuple[records.Record, ...]]
     merge: collections.abc.Callable[[tuple[records.Record, ...]], None]
     configuration: collections.abc.Callable[[], bytes]
     revision: collections.abc.Callable[[], int]
-    endpoints: collections.abc.Callable[[], list[control_pb2.EndpointStatus]]
+    duties: AgentDuties
     tallies: counters.Counters
-    member: records.Member
+    member: collections.abc.Callable[[], records.Member]
 
 
 class ControlService(control_grpc.ControlBase):
@@ -90,7 +118,7 @@
     ) -> None:
         """Return the state of this process."""
         await stream.recv_message()
-        member = self._view.member
+        member = self._view.member()
         present = sum(record.is_present for record in self._view.snapshot())
         response = control_pb2.StatusResponse(
             node=member.name,
@@ -102,7 +130,7 @@
                 control_pb2.Counter(name=counter.value, value=value)
                 for counter, value in self._view.tallies.items()
             ],
-            endpoints=self._view.endpoints(),
+            endpoints=self._view.duties.endpoints(),
         )
         await stream.send_message(response)
 
@@ -116,3 +144,27 @@
         await stream.recv_message()
         table = messages.encode_table(self._view.snapshot())
         await stream.send_message(control_pb2.MembersResponse(table=table))
+
+    async def MoveFlow(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[
+            control_pb2.MoveFlowRequest, control_pb2.MoveFlowResponse
+        ],
+    ) -> None:
+        """Take over a flow."""
+        request = await stream.recv_message()
+        if request is not None:
+            answer = await self._view.duties.take_flow(request.record)
+            await stream.send_message(answer)
+
+    async def Switched(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[
+            control_pb2.SwitchedRequest, control_pb2.SwitchedResponse
+        ],
+    ) -> None:
+        """Return the moves whose callers use their new homes."""
+        request = await stream.recv_message()
+        if request is not None:
+            switched = self._view.duties.switched(list(request.move_ids))
+            await stream.send_message(control_pb2.SwitchedResponse(move_ids=switched))
--- a/packages/cactushall-daemon/cactushall_daemon/entry/process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/entry/process.py
@@ -4,7 +4,7 @@
 
 from cactushall_core import configuration
 from cactushall_core.membership import records
-from cactushall_daemon import node
+from cactushall_daemon import control, node
 from cactushall_daemon.config import schema
 from cactushall_daemon.entry import receiver
 
@@ -20,7 +20,7 @@
             member,
             on_member_changed=self._on_member_changed,
             on_configuration=self._on_configuration,
-            report_endpoints=list,
+            duties=control.AgentDuties(),
         )
         ring = tuple(settings.key_files)
         self._receiver = receiver.Receiver(ring, self._node.counters, settings.address)
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -32,8 +32,12 @@
     REQUEST_REFUSED = (3101, "request refused")
     REQUEST_UNKNOWN = (3102, "outcome of request unknown")
     REQUEST_FAILED = (3103, "request handling failed")
+    MOVE_UNANSWERED = (3004, "offer of a flow not answered")
     DRAIN_BEGAN = (3201, "drain began")
     DRAIN_ENDED = (3202, "drain ended")
+    DRAIN_WAITS = (3203, "drain waits for room")
+    DRAIN_TIMED_OUT = (3204, "drain timed out")
+    DRAIN_WITHDRAWN = (3205, "drain withdrawn")
 
     @property
     def number(self) -> int:
--- a/packages/cactushall-daemon/cactushall_daemon/exit_codes.py
+++ b/packages/cactushall-daemon/cactushall_daemon/exit_codes.py
@@ -12,3 +12,4 @@
     FAILURE = 1
     INVALID_SETTINGS = 2
     CANNOT_BIND = 3
+    FORCED = 4
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -23,7 +23,6 @@
 from cactushall_daemon.config import schema
 from cactushall_rpc import control as control_client
 from cactushall_rpc import paths, store
-from cactushall_rpc.generated import control_pb2
 
 log = logs.get_logger(__name__)
 
@@ -32,7 +31,6 @@
 WATCH_RETRY_SECONDS = 1.0
 
 ConfigurationAdopted = collections.abc.Callable[[configuration.Configuration], None]
-EndpointReport = collections.abc.Callable[[], list[control_pb2.EndpointStatus]]
 
 
 def make_member(
@@ -67,7 +65,7 @@
         member: records.Member,
         on_member_changed: gossip.MemberChanged,
         on_configuration: ConfigurationAdopted,
-        report_endpoints: EndpointReport,
+        duties: control.AgentDuties,
     ) -> None:
         """Prepare; nothing is sent yet.
 
@@ -76,12 +74,15 @@
             member: What the process says of itself.
             on_member_changed: Called when what is believed of a member changes.
             on_configuration: Called when a configuration is adopted.
-            report_endpoints: Returns the state of the process's endpoints.
+            duties: What only agents do.
         """
         self._settings = settings
         self._on_configuration = on_configuration
         self._counters = counters.Counters()
         self._adopter = adoption.Adopter()
+        credentials = settings.credentials()
+        self._client = control_client.Client(control_client.client_context(credentials))
+        self._server_context = control_client.server_context(credentials)
         self._store = store.Store(tuple(settings.store))
         self._tasks: set[asyncio.Task[None]] = set()
         self._fetching = identifiers.Revision(0)
@@ -98,9 +99,9 @@
             merge=self._gossip.merge,
             configuration=lambda: self._adopter.value,
             revision=lambda: self._adopter.current.revision,
-            endpoints=report_endpoints,
+            duties=duties,
             tallies=self._counters,
-            member=member,
+            member=lambda: self._gossip.membership.member,
         )
         self._control = grpclib.server.Server([control.ControlService(view)])
 
@@ -109,6 +110,11 @@
         """The process's counters."""
         return self._counters
 
+    @property
+    def client(self) -> control_client.Client:
+        """Makes control calls."""
+        return self._client
+
     @property
     def gossip(self) -> gossip.GossipEndpoint:
         """The process's place in the membership protocol."""
@@ -128,7 +134,9 @@
         self._gossip.start()
         address = self._gossip.membership.member.control_address
         try:
-            await self._control.start(address.host, address.port)
+            await self._control.start(
+                address.host, address.port, ssl=self._server_context
+            )
         except OSError as error:
             raise sockets.BindError(f"cannot bind TCP {address}: {error}") from error
         self.spawn(self._join())
@@ -174,7 +182,7 @@
     async def _synchronize(self, address: addresses.Address) -> bool:
         table = messages.encode_table(self._gossip.membership.snapshot())
         try:
-            parts = await control_client.synchronize(address, table)
+            parts = await self._client.synchronize(address, table)
             for part in parts:
                 self._gossip.merge(messages.decode_table(part.table))
         except (control_client.ControlError, exceptions.DecodeError) as error:
@@ -248,7 +256,7 @@
 
     async def _fetch_configuration(self, member: records.Member) -> None:
         try:
-            value = await control_client.fetch_configuration(member.control_address)
+            value = await self._client.configuration(member.control_address)
             self._offer(value, member.name)
         except control_client.ControlError as error:
             log.warning(
--- a/packages/cactushall-rpc/cactushall_rpc/control.py
+++ b/packages/cactushall-rpc/cactushall_rpc/control.py
@@ -4,6 +4,9 @@
 
 import collections.abc
 import contextlib
+import dataclasses
+import pathlib
+import ssl
 
 import grpclib.client
 import grpclib.exceptions
@@ -13,12 +16,13 @@
 
 CALL_TIMEOUT_SECONDS = 5.0
 
-
+_ALPN = ["h2"]
 _UNREACHABLE = (
     OSError,
     TimeoutError,
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
 )
 
 
@@ -26,59 +30,131 @@
     """A control call got no answer."""
 
 
-@contextlib.asynccontextmanager
-async def connect(
-    address: addresses.Address,
-) -> collections.abc.AsyncIterator[control_grpc.ControlStub]:
-    """Open a connection to a daemon's control service.
+@dataclasses.dataclass(frozen=True)
+class Credentials:
+    """Files for mutual TLS between the system's processes.
 
-    Raises:
-        ControlError: A call made within the context failed.
+    Attributes:
+        certificate: Certificate chain of this process.
+        private_key: Its private key.
+        authority: Certificate of the authority that signs all processes.
     """
-    channel = grpclib.client.Channel(address.host, address.port)
-    try:
-        yield control_grpc.ControlStub(channel)
-    except _UNREACHABLE as error:
-        raise ControlError(f"{address}: {error!r}") from error
-    finally:
-        channel.close()
 
+    certificate: pathlib.Path
+    private_key: pathlib.Path
+    authority: pathlib.Path
+
+
+def client_context(credentials: Credentials | None) -> ssl.SSLContext | None:
+    """Return the TLS context for calls, None for calls in plain text.
+
+    A process is known by the authority that signed it, not by a host name.
 
-async def fetch_status(address: addresses.Address) -> control_pb2.StatusResponse:
-    """Return a daemon's status."""
-    async with connect(address) as stub:
-        request = control_pb2.StatusRequest()
-        return await stub.Status(request, timeout=CALL_TIMEOUT_SECONDS)
+    Raises:
+        OSError: A file cannot be read or is not valid.
+    """
+    if credentials is None:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.check_hostname = False
+    return _load(context, credentials)
 
 
-async def fetch_configuration(address: addresses.Address) -> bytes:
-    """Return the service configuration that a daemon has adopted, encoded."""
-    async with connect(address) as stub:
-        request = control_pb2.ConfigurationRequest()
-        response = await stub.Configuration(request, timeout=CALL_TIMEOUT_SECONDS)
-        return response.configuration
+def server_context(credentials: Credentials | None) -> ssl.SSLContext | None:
+    """Return the TLS context for serving, None for plain text.
 
+    Raises:
+        OSError: A file cannot be read or is not valid.
+    """
+    if credentials is None:
+        return None
+    return _load(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER), credentials)
 
-async def fetch_members(address: addresses.Address) -> bytes:
-    """Return a daemon's table of members, encoded."""
-    async with connect(address) as stub:
-        request = control_pb2.MembersRequest()
-        response = await stub.Members(request, timeout=CALL_TIMEOUT_SECONDS)
-        return response.table
 
+def _load(context: ssl.SSLContext, credentials: Credentials) -> ssl.SSLContext:
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.load_cert_chain(credentials.certificate, credentials.private_key)
+    context.load_verify_locations(credentials.authority)
+    context.set_alpn_protocols(_ALPN)
+    return context
 
-async def synchronize(
-    address: addresses.Address, table: bytes
-) -> list[control_pb2.SynchronizeResponse]:
-    """Exchange tables of members with a daemon.
 
-    Args:
-        address: The daemon's control address.
-        table: The caller's table, encoded.
+class Client:
+    """Makes control calls, each over a connection of its own.
 
-    Returns:
-        The daemon's table in parts.
+    Every method raises ControlError where no answer came.
     """
-    async with connect(address) as stub:
-        request = control_pb2.SynchronizeRequest(table=table)
-        return await stub.Synchronize(request, timeout=CALL_TIMEOUT_SECONDS)
+
+    def __init__(self, context: ssl.SSLContext | None = None) -> None:
+        """Prepare calls.
+
+        Args:
+            context: TLS context, None for calls in plain text.
+        """
+        self._context = context
+
+    async def status(self, address: addresses.Address) -> control_pb2.StatusResponse:
+        """Return a daemon's status."""
+        async with self._connect(address) as stub:
+            request = control_pb2.StatusRequest()
+            return await stub.Status(request, timeout=CALL_TIMEOUT_SECONDS)
+
+    async def configuration(self, address: addresses.Address) -> bytes:
+        """Return the service configuration that a daemon has adopted, encoded."""
+        async with self._connect(address) as stub:
+            request = control_pb2.ConfigurationRequest()
+            response = await stub.Configuration(request, timeout=CALL_TIMEOUT_SECONDS)
+            return response.configuration
+
+    async def members(self, address: addresses.Address) -> bytes:
+        """Return a daemon's table of members, encoded."""
+        async with self._connect(address) as stub:
+            request = control_pb2.MembersRequest()
+            response = await stub.Members(request, timeout=CALL_TIMEOUT_SECONDS)
+            return response.table
+
+    async def synchronize(
+        self, address: addresses.Address, table: bytes
+    ) -> list[control_pb2.SynchronizeResponse]:
+        """Exchange tables of members with a daemon.
+
+        Args:
+            address: The daemon's control address.
+            table: The caller's table, encoded.
+
+        Returns:
+            The daemon's table in parts.
+        """
+        async with self._connect(address) as stub:
+            request = control_pb2.SynchronizeRequest(table=table)
+            return await stub.Synchronize(request, timeout=CALL_TIMEOUT_SECONDS)
+
+    async def move_flow(
+        self, address: addresses.Address, record: bytes
+    ) -> control_pb2.MoveFlowResponse:
+        """Offer a live flow to another agent."""
+        async with self._connect(address) as stub:
+            request = control_pb2.MoveFlowRequest(record=record)
+            return await stub.MoveFlow(request, timeout=CALL_TIMEOUT_SECONDS)
+
+    async def switched(
+        self, address: addresses.Address, move_ids: list[bytes]
+    ) -> set[bytes]:
+        """Return those moves whose callers no longer need the former home."""
+        async with self._connect(address) as stub:
+            request = control_pb2.SwitchedRequest(move_ids=move_ids)
+            response = await stub.Switched(request, timeout=CALL_TIMEOUT_SECONDS)
+            return set(response.move_ids)
+
+    @contextlib.asynccontextmanager
+    async def _connect(
+        self, address: addresses.Address
+    ) -> collections.abc.AsyncIterator[control_grpc.ControlStub]:
+        channel = grpclib.client.Channel(address.host, address.port, ssl=self._context)
+        try:
+            yield control_grpc.ControlStub(channel)
+        except _UNREACHABLE as error:
+            raise ControlError(f"{address}: {error!r}") from error
+        finally:
+            channel.close()
