Membership: constant-time sampling, joins are news at once

The contact took a joining member's table in silently, and the joining member did not announce itself. Change: the table samples in constant time and keeps the gone apart; short tables are passed on; a member announces itself once it has joined.

--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -30,6 +30,7 @@
 
 INDIRECT_PROBES = 3
 GOSSIP_FANOUT = 2
+MAX_NEWS_RECORDS = 16
 MAX_BUCKETS_PER_DIGEST = 4
 
 
@@ -159,12 +160,21 @@
         self._revision_rounds = broadcasts.transmit_limit(self._table.present_count)
 
     def merge(self, table_: tuple[records.Record, ...], now: float) -> list[Action]:
-        """Take in another member's whole table."""
+        """Take in another member's whole table.
+
+        A short table is that of a joining member and is passed on; a long one is
+        known to others already.
+        """
+        is_news = len(table_) <= MAX_NEWS_RECORDS
         actions: list[Action] = []
         for record in table_:
-            actions += self._apply_record(record, now, is_news=False)
+            actions += self._apply_record(record, now, is_news=is_news)
         return actions
 
+    def announce(self, now: float) -> list[Action]:
+        """Tell others of this member, once it has joined."""
+        return self._announce(now)
+
     def tick(self, now: float) -> list[Action]:
         """Do what is due."""
         self._refill(now)
@@ -333,7 +343,7 @@
 
     def _probe_one_dead(self) -> list[Action]:
         """Look whether a partition has healed."""
-        dead = [r for r in self._table if r.status is records.Status.DEAD]
+        dead = [r for r in self._table.gone if r.status is records.Status.DEAD]
         if not dead:
             return []
         target = self._rng.choice(dead)
@@ -478,9 +488,8 @@
         ]
         offered = [
             record
-            for member in self._table.bucket_members(body.bucket)
-            if (record := self._table.get(member)) is not None
-            and _is_older(theirs.get(member), record)
+            for record in self._table.bucket_records(body.bucket)
+            if _is_older(theirs.get(record.member.id), record)
         ]
         actions: list[Action] = []
         if wanted:
@@ -537,12 +546,7 @@
         self._refilled_at = now
 
     def _random_present(self, count: int) -> list[records.Record]:
-        present = [
-            record
-            for record in self._table
-            if record.is_present and record.member.id != self._member.id
-        ]
-        return self._rng.sample(present, min(count, len(present)))
+        return self._table.sample(count, self._member.id, self._rng)
 
 
 def _is_newer(entry: messages.BucketEntry, known: records.Record | None) -> bool:
--- a/packages/cactushall-core/cactushall_core/membership/table.py
+++ b/packages/cactushall-core/cactushall_core/membership/table.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import dataclasses
 import hashlib
+import random
 import typing
 
 from cactushall_core import addresses, identifiers
@@ -14,12 +14,7 @@
 LEFT_RETENTION_SECONDS = 600.0
 
 _BUCKET_HASH_BYTES = 4
-
-
-@dataclasses.dataclass
-class _Row:
-    record: records.Record
-    changed_at: float
+_SAMPLE_TRIES = 8
 
 
 class Table:
@@ -27,9 +22,10 @@
 
     def __init__(self) -> None:
         """Create an empty table."""
-        self._rows: dict[identifiers.MemberId, _Row] = {}
+        self._records: dict[identifiers.MemberId, records.Record] = {}
         self._by_address: dict[addresses.Address, identifiers.MemberId] = {}
-        self._buckets: list[set[identifiers.MemberId]] = [set() for _ in range(BUCKETS)]
+        self._order: list[identifiers.MemberId] = []
+        self._gone_at: dict[identifiers.MemberId, float] = {}
         self._hashes = [0] * BUCKETS
         self._present = 0
 
@@ -38,18 +34,33 @@
         """How many members are believed to be running."""
         return self._present
 
+    @property
+    def gone(self) -> typing.Iterable[records.Record]:
+        """Records of members that are dead or have left."""
+        return (self._records[member] for member in self._gone_at)
+
     def __len__(self) -> int:
-        """Return how many records there are, dead ones included."""
-        return len(self._rows)
+        """Return how many records there are, those of gone members included."""
+        return len(self._records)
 
     def __iter__(self) -> typing.Iterator[records.Record]:
         """Iterate over all records."""
-        return (row.record for row in self._rows.values())
+        return iter(self._records.values())
+
+    def copy(self) -> Table:
+        """Return an independent table with the same beliefs."""
+        made = Table()
+        made._records = self._records.copy()
+        made._by_address = self._by_address.copy()
+        made._order = self._order.copy()
+        made._gone_at = self._gone_at.copy()
+        made._hashes = self._hashes.copy()
+        made._present = self._present
+        return made
 
     def get(self, member: identifiers.MemberId) -> records.Record | None:
         """Return the record of a member."""
-        row = self._rows.get(member)
-        return row.record if row else None
+        return self._records.get(member)
 
     def at_address(self, address: addresses.Address) -> records.Record | None:
         """Return the latest started member at a gossip address."""
@@ -59,18 +70,42 @@
     def put(self, record: records.Record, now: float) -> None:
         """Store a record in place of an older one."""
         member = record.member.id
-        old = self.get(member)
-        if old is not None:
-            self._forget(old)
-        self._rows[member] = _Row(record, now)
-        bucket = member % BUCKETS
-        self._buckets[bucket].add(member)
-        self._hashes[bucket] ^= _hash(record)
+        old = self._records.get(member)
+        if old is None:
+            self._order.append(member)
+        else:
+            self._discount(old)
+        self._records[member] = record
+        self._hashes[member % BUCKETS] ^= _hash(record)
         self._present += record.is_present
+        if record.is_present:
+            self._gone_at.pop(member, None)
+        else:
+            self._gone_at.setdefault(member, now)
         known = self._by_address.get(record.member.gossip_address)
         if known is None or known <= member:
             self._by_address[record.member.gossip_address] = member
 
+    def sample(
+        self, count: int, exclude: identifiers.MemberId, rng: random.Random
+    ) -> list[records.Record]:
+        """Return distinct random members that are believed to be running.
+
+        Args:
+            count: How many to return at most.
+            exclude: A member to leave out.
+            rng: Source of random choices.
+        """
+        chosen: dict[identifiers.MemberId, records.Record] = {}
+        for _ in range(count * _SAMPLE_TRIES):
+            if len(chosen) == count:
+                break
+            member = self._order[int(rng.random() * len(self._order))]
+            record = self._records[member]
+            if record.is_present and member != exclude:
+                chosen[member] = record
+        return list(chosen.values())
+
     def digest(self) -> bytes:
         """Return the hashes of all buckets."""
         return b"".join(
@@ -92,40 +127,41 @@
 
     def summary(self, bucket: int) -> messages.BucketSummary:
         """Return the versions of all records in a bucket."""
-        found = [self._rows[member].record for member in self._buckets[bucket]]
         entries = tuple(
             messages.BucketEntry(record.member.id, record.incarnation, record.status)
-            for record in found
+            for record in self.bucket_records(bucket)
         )
         return messages.BucketSummary(bucket, entries)
 
-    def bucket_members(self, bucket: int) -> frozenset[identifiers.MemberId]:
-        """Return the ids in a bucket."""
-        return frozenset(self._buckets[bucket])
+    def bucket_records(self, bucket: int) -> list[records.Record]:
+        """Return the records in a bucket."""
+        return [self._records[m] for m in self._order if m % BUCKETS == bucket]
 
     def expire(self, now: float) -> None:
         """Forget members that have been gone for long."""
-        expired = [row.record for row in self._rows.values() if _is_expired(row, now)]
-        for record in expired:
-            self._forget(record)
-            del self._rows[record.member.id]
+        expired = {
+            m for m, since in self._gone_at.items() if self._is_old(m, since, now)
+        }
+        if not expired:
+            return
+        self._order = [member for member in self._order if member not in expired]
+        for member in expired:
+            record = self._records.pop(member)
+            self._discount(record)
+            del self._gone_at[member]
             address = record.member.gossip_address
-            if self._by_address.get(address) == record.member.id:
+            if self._by_address.get(address) == member:
                 del self._by_address[address]
 
-    def _forget(self, record: records.Record) -> None:
-        bucket = record.member.id % BUCKETS
-        self._buckets[bucket].discard(record.member.id)
-        self._hashes[bucket] ^= _hash(record)
-        self._present -= record.is_present
-
+    def _is_old(self, member: identifiers.MemberId, since: float, now: float) -> bool:
+        retention = DEAD_RETENTION_SECONDS
+        if self._records[member].status is records.Status.LEFT:
+            retention = LEFT_RETENTION_SECONDS
+        return now - since > retention
 
-def _is_expired(row: _Row, now: float) -> bool:
-    if row.record.status is records.Status.DEAD:
-        return now - row.changed_at > DEAD_RETENTION_SECONDS
-    if row.record.status is records.Status.LEFT:
-        return now - row.changed_at > LEFT_RETENTION_SECONDS
-    return False
+    def _discount(self, record: records.Record) -> None:
+        self._hashes[record.member.id % BUCKETS] ^= _hash(record)
+        self._present -= record.is_present
 
 
 def _hash(record: records.Record) -> int:
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -76,6 +76,10 @@
         """Take in another member's table."""
         self._carry_out(self._state.merge(table, self._loop.time()))
 
+    def announce(self) -> None:
+        """Tell others of this process, once it has joined."""
+        self._carry_out(self._state.announce(self._loop.time()))
+
     def update(self, member: records.Member) -> None:
         """Say something new of this process."""
         self._carry_out(self._state.update(member, self._loop.time()))
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -164,6 +164,7 @@
         while True:
             for address in await self._contact_addresses():
                 if await self._synchronize(address):
+                    self._gossip.announce()
                     log.info(events.Event.JOINED, contact=str(address))
                     return
             if self._gossip.membership.table.present_count > 1:
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -39,6 +39,7 @@
         mine, theirs = node.snapshot(), contact.snapshot()
         self.carry_out(contact, contact.merge(mine, self.now))
         self.carry_out(node, node.merge(theirs, self.now))
+        self.carry_out(node, node.announce(self.now))
 
     def introduce_all(self):
         """Let every member know every other."""
