--- a/packages/cactushall-core/cactushall_core/placement.py
+++ b/packages/cactushall-core/cactushall_core/placement.py
@@ -21,7 +21,7 @@
 HAND_MARGIN = 0.01
 MAX_HANDED = 4096
 REBALANCE_MARGIN = 0.04
-REBALANCE_BATCH = 16
+REBALANCE_BATCH = 32
 MIN_REBALANCED_FLOWS = 8
 MIN_WEIGHT = 0.1
 
@@ -58,6 +58,7 @@
         self._rng = rng
         self._peers: dict[identifiers.HomeId, _Peer] = {}
         self._eligible: set[identifiers.HomeId] = set()
+        self._own_seconds = 0.0
         self._handed: dict[bytes, identifiers.HomeId] = {}
         self._reported: peering.LoadReport | None = None
         self._reported_at = float("-inf")
@@ -119,6 +120,7 @@
             The own home, or that of the second choice where it has clearly fewer
             flows for its capacity.
         """
+        self._own_seconds = own.service_seconds
         if (handed := self._handed.get(cid)) in self._eligible:
             assert handed is not None
             return handed
@@ -158,6 +160,7 @@
     def _weight(self, report: peering.LoadReport) -> float:
         """Return the share of flows a server gets while it is slower than others."""
         known = [p.report.service_seconds for p in self._peers.values()]
+        known.append(self._own_seconds)
         measured = [seconds for seconds in known if seconds > 0]
         if not measured or report.service_seconds <= 0:
             return 1.0
@@ -190,23 +193,27 @@
         Nothing moves within a margin of the mean, so that flows do not move to and
         fro.
         """
+        self._own_seconds = own.service_seconds
         fresh = [p for p in self._peers.values() if now - p.heard_at < STALE_SECONDS]
         roomy = [peer for peer in fresh if self._has_room(peer, now)]
         if not roomy or own.is_draining:
             return 0
         flows = own.flows + sum(peer.flows for peer in roomy)
-        limit = own.connection_limit + sum(p.report.connection_limit for p in roomy)
-        fair = flows * own.connection_limit / max(1, limit)
+        own_share = own.connection_limit * self._weight(own)
+        shares = own_share + sum(
+            peer.report.connection_limit * self._weight(peer.report) for peer in roomy
+        )
+        fair = flows * own_share / max(1.0, shares)
         excess = own.flows - fair
         if own.flows < MIN_REBALANCED_FLOWS or excess <= fair * REBALANCE_MARGIN:
             return 0
         return min(REBALANCE_BATCH, math.ceil(excess / 2))
 
     def emptiest(self, now: float) -> identifiers.HomeId | None:
-        """Return the peer with the smallest share of its limit in use."""
+        """Return the peer with the smallest share of its capacity in use."""
         roomy = [p for p in self._peers.values() if self._has_room(p, now)]
         if not roomy:
             return None
-        best = min(roomy, key=lambda peer: (peer.fill, peer.report.home))
+        best = min(roomy, key=lambda peer: peer.fill / self._weight(peer.report))
         best.added += 1
         return best.report.home
