--- a/packages/cactushall-core/cactushall_core/once/epoch.py
+++ b/packages/cactushall-core/cactushall_core/once/epoch.py
@@ -31,11 +31,14 @@
         number: Grows by one with each change.
         members: The members.
         former: Members that were removed lately without handing over their keys.
+        alone_at: When there was last a single member, whose keys nobody else
+            knows; seconds since the epoch of Unix time.
     """
 
     number: int = 0
     members: tuple[identifiers.MemberId, ...] = ()
     former: tuple[Former, ...] = ()
+    alone_at: float = 0.0
 
 
 _decoder = msgspec.json.Decoder(Epoch)
@@ -58,10 +61,11 @@
         raise exceptions.DecodeError(str(error)) from error
 
 
-def with_member(epoch: Epoch, member: identifiers.MemberId) -> Epoch:
+def with_member(epoch: Epoch, member: identifiers.MemberId, wall_now: float) -> Epoch:
     """Return the next epoch, with one member more."""
     members = (*epoch.members, member)
-    return Epoch(epoch.number + 1, members, epoch.former)
+    alone_at = wall_now if len(epoch.members) <= 1 else epoch.alone_at
+    return Epoch(epoch.number + 1, members, epoch.former, alone_at)
 
 
 def without(
@@ -84,7 +88,8 @@
     kept = [f for f in epoch.former if wall_now - f.removed_at < 2 * key_lifetime]
     lost = [member for member in epoch.members if member in gone - handed_over]
     former = (*kept, *(Former(member, wall_now) for member in lost))
-    return Epoch(epoch.number + 1, members, former[-MAX_FORMER:])
+    alone_at = wall_now if len(members) <= 1 else epoch.alone_at
+    return Epoch(epoch.number + 1, members, former[-MAX_FORMER:], alone_at)
 
 
 def is_majority(count: int, epoch: Epoch) -> bool:
--- a/packages/cactushall-core/cactushall_core/once/ledger.py
+++ b/packages/cactushall-core/cactushall_core/once/ledger.py
@@ -7,6 +7,7 @@
    another member bar it.
 2. Members start keys only while, within the last W/2, more than half of the epoch
    vouched for that epoch.
+   Where there was a single member within W, none may stay silent below.
 3. A registrar that does not know a key within W of a change of the epoch, and a
    runner whose registrar is silent, ask all members. The key is fresh where at most
    one stays silent and more than half of the epoch answered.
@@ -26,13 +27,18 @@
 
 
 class State(enum.Enum):
-    """What a member knows of a key."""
+    """What a member knows of a key.
+
+    The first four are a runner's own; HELD is a grant to another member, BARRED only
+    an inquiry in its favour, which may have found that the key is not fresh.
+    """
 
     CLAIMING = "claiming"
     GRANTED = "granted"
     STARTED = "started"
     RELEASED = "released"
     HELD = "held"
+    BARRED = "barred"
 
 
 class Verdict(enum.Enum):
@@ -87,6 +93,8 @@
     asked: set[identifiers.MemberId]
     deadline: float
     is_whole: bool
+    epoch: int
+    released_by: identifiers.MemberId | None
     cleared: set[identifiers.MemberId] = dataclasses.field(default_factory=set)
 
 
@@ -111,13 +119,14 @@
         self._epoch = epoch.Epoch()
         self._epoch_changed_at = now
         self._former: dict[identifiers.MemberId, float] = {}
+        self._alone_until = now
         self._entries: dict[messages.KeyDigest, _Entry] = {}
         self._claims: dict[messages.KeyDigest, float] = {}
         self._inquests: dict[messages.KeyDigest, _Inquest] = {}
         self._vouched_at: dict[identifiers.MemberId, float] = {}
 
     @property
-    def epoch(self) -> epoch.Epoch:
+    def current_epoch(self) -> epoch.Epoch:
         """The present epoch."""
         return self._epoch
 
@@ -138,13 +147,13 @@
             if age < self._lifetime:
                 until = now + self._lifetime - age
                 self._former.setdefault(former.member, until)
+        alone_age = max(0.0, wall_now - adopted.alone_at)
+        self._alone_until = max(self._alone_until, now + self._lifetime - alone_age)
         self._epoch = adopted
         self._epoch_changed_at = now
         self._vouched_at.clear()
 
-    def vouch(
-        self, member: identifiers.MemberId, number: int, stamp: float
-    ) -> None:
+    def vouch(self, member: identifiers.MemberId, number: int, stamp: float) -> None:
         """Note that a member vouches for an epoch.
 
         Args:
@@ -185,16 +194,18 @@
         """
         entry = self._entry(key, now)
         if entry is not None and entry.state is not State.RELEASED:
-            if entry.state is not State.HELD:
+            if entry.holder == self._member:
                 return [Decide(key, Verdict.OWN)]
             if entry.holder != released_by:
                 return [Decide(key, Verdict.FETCH, entry.holder)]
         if not self.has_quorum(now):
             return [Decide(key, Verdict.NOT_RUN)]
+        if (inquest := self._inquests.get(key)) is not None:
+            return [Decide(key, Verdict.FETCH, inquest.runner)]
         self._put(key, State.CLAIMING, self._member, now)
         registrar = self._ranked(key)[0]
         if registrar == self._member:
-            return self._ask_for_self(key, now)
+            return self._ask_for_self(key, now, released_by)
         self._claims[key] = now + ANSWER_TIMEOUT_SECONDS
         return [Send(registrar, messages.Claim(key, self._epoch.number, released_by))]
 
@@ -228,12 +239,12 @@
             Whether it never ran here; it never will then.
         """
         entry = self._entry(key, now)
-        is_own = entry is not None and entry.holder == self._member
-        if entry is not None and is_own and entry.state is not State.RELEASED:
+        if entry is None:
             return False
-        if entry is not None and not is_own and entry.holder != member:
+        is_released = entry.state is State.RELEASED
+        if not is_released and entry.holder != member:
             return False
-        self._put(key, State.HELD, member, now)
+        self._put(key, State.BARRED, member, now)
         return True
 
     def export(self, now: float) -> list[tuple[messages.KeyDigest, int]]:
@@ -251,7 +262,7 @@
         """Remember the keys of a member that leaves."""
         for key, holder in keys:
             if self._entry(key, now) is None:
-                self._put(key, State.HELD, holder, now)
+                self._put(key, State.BARRED, holder, now)
 
     # Messages.
 
@@ -299,8 +310,9 @@
                 return [Send(sender, messages.Held(key, number, entry.holder))]
             if entry.holder == self._member:
                 return [Send(sender, messages.Held(key, number, self._member))]
-        elif self._needs_inquiry(now):
-            return self._ask_all(key, sender, now)
+        is_granted = entry is not None and entry.state is State.HELD
+        if not is_granted and self._needs_inquiry(now):
+            return self._ask_all(key, sender, now, claim.released_by)
         self._put(key, State.HELD, sender, now)
         return [Send(sender, messages.Granted(key, number))]
 
@@ -311,9 +323,13 @@
         entry = self._entry(key, now)
         is_free = entry is None or entry.state is State.RELEASED
         if entry is not None and not is_free and entry.holder != runner:
-            return [Send(sender, messages.Held(key, inquiry.epoch, entry.holder))]
+            is_own = entry.holder == self._member
+            if is_own or entry.holder != inquiry.released_by:
+                held = messages.Held(key, inquiry.epoch, entry.holder)
+                return [Send(sender, held)]
+            is_free = True
         if is_free:
-            self._put(key, State.HELD, runner, now)
+            self._put(key, State.BARRED, runner, now)
         return [Send(sender, messages.Clear(key, inquiry.epoch, runner))]
 
     def _handle_granted(self, key: messages.KeyDigest, now: float) -> list[Action]:
@@ -359,21 +375,30 @@
 
     # Inquests.
 
-    def _ask_for_self(self, key: messages.KeyDigest, now: float) -> list[Action]:
+    def _ask_for_self(
+        self,
+        key: messages.KeyDigest,
+        now: float,
+        released_by: identifiers.MemberId | None,
+    ) -> list[Action]:
         """Have another member bar a key whose registrar is this member."""
         if self._needs_inquiry(now) or len(self._epoch.members) == 1:
-            return self._ask_all(key, self._member, now)
+            return self._ask_all(key, self._member, now, released_by)
         witness = self._ranked(key)[1]
-        return self._ask(key, self._member, {witness}, now, is_whole=False)
+        return self._ask(key, self._member, {witness}, now, released_by, is_whole=False)
 
     def _ask_all(
-        self, key: messages.KeyDigest, runner: identifiers.MemberId, now: float
+        self,
+        key: messages.KeyDigest,
+        runner: identifiers.MemberId,
+        now: float,
+        released_by: identifiers.MemberId | None = None,
     ) -> list[Action]:
         if key in self._inquests:
             return []
         former = {m for m, until in self._former.items() if until > now}
         asked = (set(self._epoch.members) | former) - {self._member, runner}
-        return self._ask(key, runner, asked, now, is_whole=True)
+        return self._ask(key, runner, asked, now, released_by, is_whole=True)
 
     def _ask(
         self,
@@ -381,24 +406,27 @@
         runner: identifiers.MemberId,
         asked: set[identifiers.MemberId],
         now: float,
+        released_by: identifiers.MemberId | None,
         *,
         is_whole: bool,
     ) -> list[Action]:
         deadline = now + ANSWER_TIMEOUT_SECONDS
-        inquest = _Inquest(runner, asked, deadline, is_whole)
+        inquest = _Inquest(
+            runner, asked, deadline, is_whole, self._epoch.number, released_by
+        )
         if not asked:
             return self._conclude(key, inquest, now)
         self._inquests[key] = inquest
-        message = messages.Inquiry(key, self._epoch.number, runner)
+        message = messages.Inquiry(key, self._epoch.number, runner, released_by)
         return [Send(member, message) for member in sorted(asked)]
 
     def _conclude(
         self, key: messages.KeyDigest, inquest: _Inquest, now: float
     ) -> list[Action]:
         silent = inquest.asked - inquest.cleared
-        if not inquest.is_whole and silent:
-            return self._ask_all(key, inquest.runner, now)
-        is_fresh = not inquest.is_whole or self._is_fresh(inquest, silent)
+        if not inquest.is_whole and (silent or inquest.epoch != self._epoch.number):
+            return self._ask_all(key, inquest.runner, now, inquest.released_by)
+        is_fresh = not inquest.is_whole or self._is_fresh(inquest, silent, now)
         if inquest.runner == self._member:
             if is_fresh:
                 return self._grant_self(key, now)
@@ -407,20 +435,26 @@
             refused = messages.Refused(key, self._epoch.number)
             return [Send(inquest.runner, refused)]
         entry = self._entry(key, now)
-        if entry is not None and entry.state is not State.RELEASED:
-            if entry.holder != inquest.runner:
-                held = messages.Held(key, self._epoch.number, entry.holder)
-                return [Send(inquest.runner, held)]
+        is_taken = entry is not None and entry.state is not State.RELEASED
+        allowed = (inquest.runner, inquest.released_by)
+        if entry is not None and is_taken and entry.holder not in allowed:
+            held = messages.Held(key, self._epoch.number, entry.holder)
+            return [Send(inquest.runner, held)]
         self._put(key, State.HELD, inquest.runner, now)
         return [Send(inquest.runner, messages.Granted(key, self._epoch.number))]
 
     def _is_fresh(
-        self, inquest: _Inquest, silent: set[identifiers.MemberId]
+        self,
+        inquest: _Inquest,
+        silent: set[identifiers.MemberId],
+        now: float,
     ) -> bool:
+        if inquest.epoch != self._epoch.number:
+            return False
         informed = inquest.cleared | {self._member, inquest.runner}
         answered = sum(member in informed for member in self._epoch.members)
-        is_few_silent = len(silent) <= MAX_SILENT
-        return is_few_silent and epoch.is_majority(answered, self._epoch)
+        allowed = 0 if now < self._alone_until else MAX_SILENT
+        return len(silent) <= allowed and epoch.is_majority(answered, self._epoch)
 
     def _grant_self(self, key: messages.KeyDigest, now: float) -> list[Action]:
         if not self._is_claiming(key):
@@ -444,9 +478,7 @@
         return entry is not None and entry.state is State.CLAIMING
 
     def _ranked(self, key: messages.KeyDigest) -> list[identifiers.MemberId]:
-        return rendezvous.rank(
-            key, sorted(self._epoch.members), int, lambda _: 1.0, 2
-        )
+        return rendezvous.rank(key, sorted(self._epoch.members), int, lambda _: 1.0, 2)
 
     def _entry(self, key: messages.KeyDigest, now: float) -> _Entry | None:
         entry = self._entries.get(key)
--- a/packages/cactushall-core/cactushall_core/once/messages.py
+++ b/packages/cactushall-core/cactushall_core/once/messages.py
@@ -57,11 +57,20 @@
 
 
 class Inquiry(msgspec.Struct, frozen=True, array_like=True, tag=15):
-    """Asks a member what it knows of a key, or to bar it in a runner's favour."""
+    """Asks a member what it knows of a key, or to bar it in a runner's favour.
+
+    Attributes:
+        key: The key.
+        epoch: Number of the sender's epoch.
+        runner: In whose favour the key is to be barred.
+        released_by: A member that has told the runner that the key never ran and
+            never will there.
+    """
 
     key: KeyDigest
     epoch: int
     runner: identifiers.MemberId
+    released_by: identifiers.MemberId | None = None
 
 
 class Clear(msgspec.Struct, frozen=True, array_like=True, tag=16):
--- a/packages/cactushall-core/cactushall_core/outcomes.py
+++ b/packages/cactushall-core/cactushall_core/outcomes.py
@@ -29,6 +29,8 @@
     CANCELLED = "cancelled"
     UPSTREAM_CUT = "upstream-cut"
     TOO_LARGE = "too-large"
+    NO_QUORUM = "no-quorum"
+    EARLIER_SUBMISSION = "earlier-submission"
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/cactushall-core/cactushall_core/peering.py
+++ b/packages/cactushall-core/cactushall_core/peering.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from cactushall_core import exceptions, identifiers, keys
+from cactushall_core.once import messages
 
 VERSION = 2
 TAG_BYTES = 8
@@ -16,7 +17,7 @@
 _CONTEXT = b"peering"
 
 
-class LoadReport(msgspec.Struct, frozen=True, array_like=True, tag=1):
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
     """The true load of one endpoint.
 
     Attributes:
@@ -42,13 +43,46 @@
     is_draining: bool
 
 
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """A load report with what the at-most-once rule needs.
+
+    Attributes:
+        load: The sender's load.
+        epoch: Number of the epoch that the sender vouches for.
+        stamp: The sender's time.
+        echo: Stamp of the last heartbeat from the receiver, 0 where there is none.
+    """
+
+    load: LoadReport
+    epoch: int
+    stamp: float
+    echo: float
+
+
+Body = Heartbeat | messages.Message
+
+
+class Packet(msgspec.Struct, frozen=True, array_like=True):
+    """One message between agents.
+
+    Attributes:
+        sender: The agent that sends it.
+        service: The service that it is about.
+        body: What it says.
+    """
+
+    sender: identifiers.MemberId
+    service: identifiers.ServiceName
+    body: Body
+
+
 def make_authenticator(ring: tuple[keys.Key, ...]) -> keys.Authenticator:
     """Return the authenticator of these messages."""
     return keys.Authenticator(ring, keys.Purpose.TUNNEL, _CONTEXT, TAG_BYTES)
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(LoadReport)
+_decoder = msgspec.msgpack.Decoder(Packet)
 
 
 def is_peer_message(datagram: bytes) -> bool:
@@ -56,14 +90,14 @@
     return bool(datagram) and datagram[0] >> 4 == VERSION
 
 
-def encode(authenticator: keys.Authenticator, report: LoadReport) -> bytes:
+def encode(authenticator: keys.Authenticator, packet: Packet) -> bytes:
     """Encode one message."""
-    body = _encoder.encode(report)
+    body = _encoder.encode(packet)
     head = bytes([VERSION << 4 | authenticator.signing_key_id])
     return head + authenticator.sign(body) + body
 
 
-def decode(authenticator: keys.Authenticator, datagram: bytes) -> LoadReport:
+def decode(authenticator: keys.Authenticator, datagram: bytes) -> Packet:
     """Decode and verify one message.
 
     Raises:
--- a/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
@@ -21,15 +21,24 @@
     tunnel,
 )
 from cactushall_daemon import counters, events, logs, sockets
-from cactushall_daemon.agent import drain, flow, moves, peers, requests
+from cactushall_daemon.agent import (
+    drain,
+    epochs,
+    flow,
+    moves,
+    once,
+    peers,
+    requests,
+)
 from cactushall_daemon.agent.quic import connection, http3, transfer
 from cactushall_daemon.config import schema
-from cactushall_rpc import control
+from cactushall_rpc import control, store
 from cactushall_rpc.generated import control_pb2
 
 log = logs.get_logger(__name__)
 
 TICK_SECONDS = 0.05
+STARTUP_SECONDS = 15.0
 KEEP_ALIVE_TICKS = 20
 ALPN = ["h3"]
 
@@ -46,6 +55,7 @@
         member: identifiers.MemberId,
         tallies: counters.Counters,
         client: control.Client,
+        key_value_store: store.Store,
         send: SendTunnel,
     ) -> None:
         """Prepare; flows are taken once the service is configured.
@@ -56,6 +66,7 @@
             member: The agent's member id.
             tallies: Takes counts.
             client: Makes control calls.
+            key_value_store: Holds the epoch of the service.
             send: Sends a datagram to another agent's tunnel address.
         """
         self._settings = settings
@@ -76,11 +87,18 @@
         self._return_socket: socket.socket | None = None
         self._ancillary: list[tuple[int, int, bytes]] = []
         self._ticks = 0
-        self._desk = requests.RequestDesk(
-            self._service, settings.server, settings.slots, tallies
-        )
+        self._created_at = self._loop.time()
         self._peers = peers.Peers(
-            self._service, self._home, peering.make_authenticator(ring), send
+            self._service, member, peering.make_authenticator(ring), send
+        )
+        self._epochs = epochs.EpochKeeper(
+            self._service, member, self._peers, key_value_store
+        )
+        self._once = once.OnceDesk(
+            self._service, member, self._peers, client, self._epochs.want_read
+        )
+        self._desk = requests.RequestDesk(
+            self._service, settings.server, settings.slots, self._once, tallies
         )
         self._departures = moves.Departures(
             self._service, self._desk, self._peers, client, self._forward, tallies
@@ -115,6 +133,25 @@
         """The other agents of the service."""
         return self._peers
 
+    @property
+    def once(self) -> once.OnceDesk:
+        """Idempotency keys."""
+        return self._once
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the endpoint can take every kind of request.
+
+        One that has waited long for its epoch takes what it can.
+        """
+        has_waited = self._loop.time() - self._created_at > STARTUP_SECONDS
+        return has_waited or self._once.keys.has_quorum(self._loop.time())
+
+    async def leave_epoch(self) -> None:
+        """Hand over all keys and leave the epoch, before the process stops."""
+        is_handed_over = await self._once.hand_over()
+        await self._epochs.leave(self._once.keys, is_handed_over=is_handed_over)
+
     @property
     def drain(self) -> drain.Drain:
         """Drain and rebalancing of the flows."""
@@ -128,6 +165,7 @@
     def start(self, spawn: collections.abc.Callable[..., None]) -> None:
         """Start the background work."""
         spawn(self._departures.watch())
+        spawn(self._epochs.run(self._once.keys))
         spawn(self._drain.run(self.load))
 
     def describe(self) -> control_pb2.EndpointStatus:
@@ -143,6 +181,9 @@
             is_draining=self._drain.is_draining,
             flows_waiting=self._drain.waiting_count,
             flows_switching=self._departures.switching_count,
+            epoch=self._once.keys.current_epoch.number,
+            epoch_members=len(self._once.keys.current_epoch.members),
+            has_quorum=self._once.keys.has_quorum(self._loop.time()),
         )
 
     def load(self) -> peering.LoadReport:
@@ -218,7 +259,8 @@
         """Do what is due: deadlines, load reports, keep-alives."""
         now = self._loop.time()
         self._desk.tick(now)
-        self._peers.tell(self.load())
+        self._once.tick(now)
+        self._peers.tell(self.load(), self._once.keys.current_epoch.number)
         self._ticks += 1
         if self._ticks % KEEP_ALIVE_TICKS == 0:
             for kept in list(self._flows):
--- a/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
@@ -38,6 +38,45 @@
     """The caller has reset the stream or the connection is gone."""
 
 
+class Recording:
+    """Keeps a copy of an answer, up to a size."""
+
+    def __init__(self, max_body_bytes: int) -> None:
+        """Start with nothing.
+
+        Args:
+            max_body_bytes: A larger body is not kept.
+        """
+        self._max_body_bytes = max_body_bytes
+        self._headers: Headers | None = None
+        self._body = b""
+        self._is_complete = False
+        self._is_too_large = False
+
+    @property
+    def headers(self) -> Headers | None:
+        """Headers of the answer."""
+        return self._headers
+
+    @property
+    def body(self) -> bytes | None:
+        """The whole body, None where it is incomplete or too large."""
+        return self._body if self._is_complete and not self._is_too_large else None
+
+    def add_headers(self, headers: Headers, *, is_last: bool) -> None:
+        """Note the headers."""
+        self._headers = headers
+        self._is_complete = is_last
+
+    def add_data(self, data: bytes, *, is_last: bool) -> None:
+        """Note body data."""
+        if len(self._body) + len(data) > self._max_body_bytes:
+            self._is_too_large = True
+        else:
+            self._body += data
+        self._is_complete = is_last
+
+
 class RequestStream:
     """One request's stream: body chunks in, response out."""
 
@@ -54,6 +93,7 @@
         self._is_response_started = False
         self._events: event_stream.EventSplitter | None = None
         self._changed = asyncio.Event()
+        self.recording: Recording | None = None
 
     @property
     def headers(self) -> Headers:
@@ -80,6 +120,11 @@
         """Whether any part of the request body has been read."""
         return self._is_body_read
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the caller no longer listens here."""
+        return self._is_closed
+
     @property
     def is_response_started(self) -> bool:
         """Whether response headers have left."""
@@ -157,6 +202,10 @@
         Raises:
             StreamClosedError: The caller has gone.
         """
+        if self.recording is not None:
+            self.recording.add_headers(headers, is_last=is_last)
+            if self._is_closed:
+                return
         self._check_open()
         self._is_response_started = True
         self._owner.http.send_headers(self._stream_id, headers, is_last)
@@ -166,8 +215,12 @@
         """Send response body data as soon as there is room.
 
         Raises:
-            StreamClosedError: The caller has gone.
+            StreamClosedError: The caller has gone, and the answer is not recorded.
         """
+        if self.recording is not None:
+            self.recording.add_data(data, is_last=is_last)
+            if self._is_closed:
+                return
         while self._owner.is_frozen or self._is_far_behind():
             self._check_open()
             await self._wait()
@@ -200,7 +253,8 @@
     Attributes:
         transmit: Sends a datagram to a caller.
         on_request: Takes a new request.
-        on_stream_closed: Told when a caller gives up a request.
+        on_stream_closed: Told when a caller gives up a request, and whether by a
+            reset of the stream rather than by the loss of its connection.
         on_cid_issued: Told of a new connection id.
         on_cid_retired: Told of an id that the caller no longer uses.
         on_closed: Told when the flow has ended.
@@ -208,7 +262,7 @@
 
     transmit: collections.abc.Callable[[bytes, addresses.Address], None]
     on_request: collections.abc.Callable[[RequestStream], None]
-    on_stream_closed: collections.abc.Callable[[RequestStream], None]
+    on_stream_closed: collections.abc.Callable[[RequestStream, bool], None]
     on_cid_issued: collections.abc.Callable[[Flow, bytes], None]
     on_cid_retired: collections.abc.Callable[[Flow, bytes], None]
     on_closed: collections.abc.Callable[[Flow], None]
@@ -425,7 +479,7 @@
         elif isinstance(
             event, quic_events.StreamReset | quic_events.StopSendingReceived
         ):
-            self._close_stream(event.stream_id)
+            self._close_stream(event.stream_id, is_reset=True)
         if self._http is not None and not self._is_closed:
             for http_event in self._http.handle_event(event):
                 self._process_http_event(http_event)
@@ -449,11 +503,11 @@
         request.feed(b"", event.stream_ended)
         self._handler.on_request(request)
 
-    def _close_stream(self, stream_id: int) -> None:
+    def _close_stream(self, stream_id: int, *, is_reset: bool) -> None:
         request = self._streams.get(stream_id)
         if request is not None:
             request.close()
-            self._handler.on_stream_closed(request)
+            self._handler.on_stream_closed(request, is_reset)
 
     def _terminate(self) -> None:
         if self._is_closed:
@@ -461,5 +515,5 @@
         self._is_closed = True
         self._cancel_timer()
         for stream_id in list(self._streams):
-            self._close_stream(stream_id)
+            self._close_stream(stream_id, is_reset=False)
         self._handler.on_closed(self)
--- a/packages/cactushall-daemon/cactushall_daemon/agent/headers.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/headers.py
@@ -10,6 +10,7 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 TIMEOUT_HEADER = b"request-timeout-ms"
+IDEMPOTENCY_KEY = b"idempotency-key"
 EVENT_STREAM = b"text/event-stream"
 LAST_EVENT_ID = b"last-event-id"
 
@@ -26,6 +27,7 @@
         outcomes.OUTCOME_HEADER.encode(),
     }
 )
+_NOT_IDEMPOTENT_METHODS = frozenset({b"POST", b"PATCH"})
 _BODYLESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 
 
@@ -40,6 +42,8 @@
         fields: All other headers.
         timeout_seconds: Time the caller gives the request, if any.
         is_feed: Whether the caller asks for an event stream.
+        idempotency_key: What marks a request that must not run twice, where its
+            method is not idempotent by itself.
     """
 
     method: bytes
@@ -48,6 +52,7 @@
     fields: Headers
     timeout_seconds: float | None
     is_feed: bool
+    idempotency_key: bytes | None
 
 
 def parse_request(headers: Headers) -> RequestHead:
@@ -62,6 +67,7 @@
         fields=fields,
         timeout_seconds=_timeout(by_name.get(TIMEOUT_HEADER)),
         is_feed=EVENT_STREAM in by_name.get(b"accept", b""),
+        idempotency_key=_idempotency_key(pseudo, by_name),
     )
 
 
@@ -122,6 +128,11 @@
     return [(b":status", str(status).encode()), *kept]
 
 
+def status_of(fields: Headers) -> int:
+    """Return the status of an HTTP/3 response."""
+    return int(dict(fields)[b":status"])
+
+
 def refusal(refused: outcomes.Refusal) -> Headers:
     """Return the headers of the response to a request that was not answered."""
     return [
@@ -135,6 +146,14 @@
     ]
 
 
+def _idempotency_key(
+    pseudo: dict[bytes, bytes], by_name: dict[bytes, bytes]
+) -> bytes | None:
+    if pseudo.get(b":method") not in _NOT_IDEMPOTENT_METHODS:
+        return None
+    return by_name.get(IDEMPOTENCY_KEY)
+
+
 def _timeout(value: bytes | None) -> float | None:
     if value is None or not value.isdigit():
         return None
--- a/packages/cactushall-daemon/cactushall_daemon/agent/peers.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/peers.py
@@ -8,6 +8,7 @@
 
 from cactushall_core import addresses, identifiers, keys, peering, placement
 from cactushall_core.membership import records
+from cactushall_core.once import messages
 
 SendReport = collections.abc.Callable[[bytes, addresses.Address], None]
 
@@ -18,7 +19,7 @@
     def __init__(
         self,
         service: identifiers.ServiceName,
-        home: identifiers.HomeId,
+        member: identifiers.MemberId,
         authenticator: keys.Authenticator,
         send: SendReport,
     ) -> None:
@@ -26,16 +27,19 @@
 
         Args:
             service: The service.
-            home: The endpoint's own home id.
+            member: The agent's member id.
             authenticator: Signs load reports.
             send: Sends a datagram to another agent's tunnel address.
         """
         self._service = service
-        self._home = home
+        self._member = member
+        self._home = identifiers.derive_home_id(member, service)
+        self._told_epoch = 0
+        self._stamps: dict[identifiers.MemberId, float] = {}
         self._authenticator = authenticator
         self._send = send
         self._loop = asyncio.get_running_loop()
-        self._placement = placement.Placement(home, random.Random())
+        self._placement = placement.Placement(self._home, random.Random())
         self._members: dict[identifiers.HomeId, records.Record] = {}
 
     @property
@@ -58,29 +62,42 @@
         record = self._members.get(home)
         return record.member if record is not None and record.is_present else None
 
-    def hear(self, report: peering.LoadReport) -> None:
-        """Take in a peer's load."""
-        self._placement.hear(report, self._loop.time())
+    def present(self) -> dict[identifiers.MemberId, records.Member]:
+        """Return the agents of the service that are present, but for this one."""
+        return {r.member.id: r.member for r in self._members.values()}
 
-    def tell(self, own: peering.LoadReport) -> None:
-        """Report the own load to all peers, where that is due."""
-        if not self._placement.is_report_due(own, self._loop.time()):
-            return
-        datagram = peering.encode(self._authenticator, own)
-        for record in self._members.values():
-            self._send(datagram, record.member.tunnel_address)
+    def hear(self, sender: identifiers.MemberId, beat: peering.Heartbeat) -> None:
+        """Take in a peer's heartbeat."""
+        self._placement.hear(beat.load, self._loop.time())
+        self._stamps[sender] = beat.stamp
 
-    def tell_one(self, own: peering.LoadReport, home: identifiers.HomeId) -> None:
-        """Report the own load to one peer now."""
-        member = self.member(home)
+    def tell(self, own: peering.LoadReport, epoch_number: int) -> None:
+        """Send a heartbeat to all peers, where that is due."""
+        now = self._loop.time()
+        is_due = self._placement.is_report_due(own, now)
+        if not is_due and epoch_number == self._told_epoch:
+            return
+        self._told_epoch = epoch_number
+        for member_id, member in self.present().items():
+            echo = self._stamps.get(member_id, 0.0)
+            beat = peering.Heartbeat(own, epoch_number, now, echo)
+            self._send_body(beat, member)
+
+    def send(self, member_id: identifiers.MemberId, body: messages.Message) -> None:
+        """Send a message about a key to a peer, if it is present."""
+        member = self.present().get(member_id)
         if member is not None:
-            datagram = peering.encode(self._authenticator, own)
-            self._send(datagram, member.tunnel_address)
+            self._send_body(body, member)
+
+    def _send_body(self, body: peering.Body, member: records.Member) -> None:
+        packet = peering.Packet(self._member, self._service, body)
+        datagram = peering.encode(self._authenticator, packet)
+        self._send(datagram, member.tunnel_address)
 
     def _forget_gone(self) -> None:
         gone = [h for h, record in self._members.items() if not record.is_present]
         for home in gone:
-            del self._members[home]
+            self._stamps.pop(self._members.pop(home).member.id, None)
 
     def _is_eligible(self, home: identifiers.HomeId) -> bool:
         record = self._members[home]
--- a/packages/cactushall-daemon/cactushall_daemon/agent/process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/process.py
@@ -36,6 +36,7 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._is_stopping = False
+        self._ready_homes: set[identifiers.HomeId] = set()
         member = node.make_member(
             settings, records.Role.AGENT, settings.tunnel_port, self._served
         )
@@ -45,7 +46,11 @@
             on_member_changed=self._on_member_changed,
             on_configuration=self._on_configuration,
             duties=control.AgentDuties(
-                self._report_endpoints, self._take_flow, self._switched
+                endpoints=self._report_endpoints,
+                take_flow=self._take_flow,
+                switched=self._switched,
+                answer=self._answer,
+                hand_over=self._hand_over,
             ),
         )
         ring = tuple(settings.key_files)
@@ -61,6 +66,7 @@
                     member.id,
                     self._node.counters,
                     self._node.client,
+                    self._node.store,
                     self._send,
                 )
                 for served in settings.endpoints
@@ -92,6 +98,7 @@
             log.info(events.Event.DRAIN_ENDED)
         except TimeoutError:
             log.warning(events.Event.DRAIN_TIMED_OUT)
+        await asyncio.gather(*(e.leave_epoch() for e in self._endpoints.values()))
         await self._node.stop()
         for served in self._endpoints.values():
             served.close()
@@ -106,24 +113,34 @@
         names = [identifiers.ServiceName(e.service) for e in self._settings.endpoints]
         limits = [e.connections for e in self._settings.endpoints]
         return tuple(
-            records.Endpoint(name, identifiers.derive_home_id(member, name), limit)
+            records.Endpoint(
+                name, identifiers.derive_home_id(member, name), limit, is_draining=True
+            )
             for name, limit in zip(names, limits, strict=True)
         )
 
     def _update_draining(self) -> None:
-        """Drain where operators or the stop of the process ask for it."""
+        """Drain where operators or the stop of the process ask for it.
+
+        An endpoint that is not ready yet is announced as draining, too.
+        """
         member = self._node.gossip.membership.member
         adopted = self._node.configuration
         is_draining = self._is_stopping or adopted.is_drained(member.name, member.zone)
         for served in self._endpoints.values():
             served.drain.set_draining(is_draining)
         announced = tuple(
-            structs.replace(e, is_draining=is_draining) for e in member.endpoints
+            structs.replace(e, is_draining=is_draining or not self._is_ready(e.home))
+            for e in member.endpoints
         )
         if announced != member.endpoints:
             changed = structs.replace(member, endpoints=announced)
             self._node.gossip.update(changed)
 
+    def _is_ready(self, home: identifiers.HomeId) -> bool:
+        self._ready_homes |= {h for h, e in self._endpoints.items() if e.is_ready}
+        return home in self._ready_homes
+
     # Datagrams.
 
     def _receive(self, datagram: bytes, _source: tuple[str, int]) -> None:
@@ -142,10 +159,14 @@
         else:
             self._reset_former_home(envelope)
 
-    def _hear(self, report: peering.LoadReport) -> None:
-        for served in self._endpoints.values():
-            if served.service == report.service:
-                served.peers.hear(report)
+    def _hear(self, packet: peering.Packet) -> None:
+        served = self._endpoint_of(packet.service)
+        if served is not None:
+            served.once.handle(packet.sender, packet.body)
+
+    def _endpoint_of(self, service: str) -> endpoint.Endpoint | None:
+        found = (e for e in self._endpoints.values() if e.service == service)
+        return next(found, None)
 
     def _reset_former_home(self, envelope: tunnel.Envelope) -> None:
         """Answer for the process that had this address before."""
@@ -189,10 +210,23 @@
             record = handoff.decode(encoded)
         except exceptions.DecodeError as error:
             return control.rejected(str(error))
-        for served in self._endpoints.values():
-            if served.service == record.service:
-                return await served.arrivals.take(record)
-        return control.rejected(f"{record.service} has no backend server here")
+        served = self._endpoint_of(record.service)
+        if served is None:
+            return control.rejected(f"{record.service} has no backend server here")
+        return await served.arrivals.take(record)
+
+    async def _answer(
+        self, request: control_pb2.AnswerRequest
+    ) -> control_pb2.AnswerResponse:
+        served = self._endpoint_of(request.service)
+        if served is None:
+            return control_pb2.AnswerResponse()
+        return await served.once.answer(request)
+
+    def _hand_over(self, request: control_pb2.HandoverRequest) -> None:
+        served = self._endpoint_of(request.service)
+        if served is not None:
+            served.once.take_over(request)
 
     def _switched(self, move_ids: list[bytes]) -> list[bytes]:
         remaining = set(move_ids)
@@ -205,3 +239,5 @@
             await asyncio.sleep(endpoint.TICK_SECONDS)
             for served in self._endpoints.values():
                 served.tick()
+            if len(self._ready_homes) < len(self._endpoints):
+                self._update_draining()
--- a/packages/cactushall-daemon/cactushall_daemon/agent/requests.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/requests.py
@@ -4,15 +4,19 @@
 
 import asyncio
 import dataclasses
+import http
 import itertools
 import random
 
 from cactushall_core import addresses, handoff, identifiers, outcomes, slots
+from cactushall_core.once import messages
 from cactushall_daemon import counters, events, logs
-from cactushall_daemon.agent import exchange, flow, headers
+from cactushall_daemon.agent import exchange, flow, headers, once
 
 log = logs.get_logger(__name__)
 
+SHED_STATUS = int(http.HTTPStatus.SERVICE_UNAVAILABLE)
+
 _RESULT_COUNTERS = {
     exchange.Result.ANSWERED: counters.Counter.REQUESTS_ANSWERED,
     exchange.Result.NOT_RUN: counters.Counter.REQUESTS_NOT_RUN,
@@ -27,6 +31,7 @@
     stream: flow.RequestStream
     head: headers.RequestHead
     deadline: float
+    key: messages.KeyDigest | None = None
     task: asyncio.Task[None] | None = None
 
 
@@ -38,6 +43,7 @@
         service: identifiers.ServiceName,
         server: addresses.Address,
         slot_count: int,
+        once_desk: once.OnceDesk,
         tallies: counters.Counters,
     ) -> None:
         """Start with no requests.
@@ -46,11 +52,14 @@
             service: The service.
             server: The backend server.
             slot_count: How many requests the server runs at once.
+            once_desk: Admits requests with an idempotency key.
             tallies: Takes counts.
         """
         self._service = service
         self._server = server
+        self._once = once_desk
         self._counters = tallies
+        self._admitting: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
         self._queue = slots.SlotQueue(slot_count, random.Random())
         self._requests: dict[slots.RequestId, _Request] = {}
@@ -93,16 +102,23 @@
             allowed = self.deadline_seconds
             if head.timeout_seconds is not None:
                 allowed = min(allowed, head.timeout_seconds)
-            self._offer(stream, head, allowed)
+            self._admit_or_offer(stream, head, allowed)
+
+    def cancel(self, stream: flow.RequestStream, is_reset: bool) -> None:
+        """Note that the caller has given up a request.
 
-    def cancel(self, stream: flow.RequestStream) -> None:
-        """Note that the caller has given up a request."""
+        A request with an idempotency key that runs goes on where only the
+        connection was lost, since its caller may ask again.
+        """
         request = self._by_stream.get(stream)
         if request is None:
             return
+        if request.key is not None and request.task is not None and not is_reset:
+            return
         self._carry_out(self._queue.cancel(request.id, self._loop.time()))
         if request.task is None:
             self._counters.add(counters.Counter.REQUESTS_CANCELLED)
+            self._release(request)
             self._forget(request)
 
     # Moves of flows.
@@ -127,6 +143,7 @@
                 self._queue.cancel(request.id, now)
                 self._by_stream.pop(stream)
                 self._requests.pop(request.id)
+                self._release(request)
             exported.append(stream.export(remaining))
         return tuple(exported)
 
@@ -136,7 +153,7 @@
             stream = kept.streams.get(item.stream_id)
             if stream is not None and stream not in self._feeds:
                 head = headers.parse_request(stream.headers)
-                self._offer(stream, head, item.remaining_seconds)
+                self._admit_or_offer(stream, head, item.remaining_seconds)
 
     async def attach(
         self, taken: flow.Flow, exported: tuple[handoff.Request, ...]
@@ -163,7 +180,7 @@
             if isinstance(outcome, BaseException):
                 raise exchange.FeedRefusedError(str(outcome))
         for stream, head, remaining in queued:
-            self._offer(stream, head, remaining)
+            self._admit_or_offer(stream, head, remaining)
 
     def _is_stream_movable(self, stream: flow.RequestStream) -> bool:
         request = self._by_stream.get(stream)
@@ -174,12 +191,68 @@
 
     # Requests.
 
-    def _offer(
+    def _admit_or_offer(
         self, stream: flow.RequestStream, head: headers.RequestHead, allowed: float
+    ) -> None:
+        deadline = self._loop.time() + allowed
+        if head.idempotency_key is None:
+            self._offer(stream, head, deadline, None)
+            return
+        key = messages.digest(head.idempotency_key)
+        task = self._loop.create_task(self._admit(stream, head, deadline, key))
+        self._admitting.add(task)
+        task.add_done_callback(self._admitting.discard)
+
+    async def _admit(
+        self,
+        stream: flow.RequestStream,
+        head: headers.RequestHead,
+        deadline: float,
+        key: messages.KeyDigest,
+    ) -> None:
+        admission = await self._once.admit(key, deadline)
+        if stream.is_closed:
+            if isinstance(admission, once.Start):
+                self._once.release(key)
+        elif isinstance(admission, once.Start):
+            self._offer(stream, head, deadline, key)
+        elif isinstance(admission, once.Replay):
+            await self._replay(stream, admission.answer)
+        elif isinstance(admission, once.NotRun):
+            self._refuse(stream, outcomes.Reason.NO_QUORUM)
+        else:
+            reason = outcomes.Reason.EARLIER_SUBMISSION
+            retry_after = exchange.RETRY_AFTER_SECONDS
+            refusal = outcomes.Refusal(outcomes.Outcome.UNKNOWN, reason, retry_after)
+            self._counters.add(counters.Counter.REQUESTS_UNKNOWN)
+            exchange.answer(stream, refusal)
+            stream.flow.finish_stream(stream.stream_id)
+
+    async def _replay(self, stream: flow.RequestStream, answer: once.Answer) -> None:
+        self._counters.add(counters.Counter.REQUESTS_REPLAYED)
+        try:
+            fields = headers.to_caller(answer.status, answer.fields)
+            stream.send_headers(fields, is_last=False)
+            await stream.send_data(answer.body, is_last=True)
+        except flow.StreamClosedError:
+            return
+        finally:
+            stream.flow.finish_stream(stream.stream_id)
+
+    def _release(self, request: _Request) -> None:
+        if request.key is not None:
+            self._once.release(request.key)
+
+    def _offer(
+        self,
+        stream: flow.RequestStream,
+        head: headers.RequestHead,
+        deadline: float,
+        key: messages.KeyDigest | None,
     ) -> None:
         now = self._loop.time()
         request_id = slots.RequestId(next(self._ids))
-        request = _Request(request_id, stream, head, now + allowed)
+        request = _Request(request_id, stream, head, deadline, key)
         self._requests[request_id] = request
         self._by_stream[stream] = request
         caller = slots.CallerKey(stream.flow.caller.host.encode())
@@ -193,6 +266,7 @@
             if isinstance(action, slots.Start):
                 request.task = self._loop.create_task(self._run(request))
             elif isinstance(action, slots.Refuse):
+                self._release(request)
                 self._answer(request.stream, action.refusal)
                 self._forget(request)
             elif request.task is not None:
@@ -200,6 +274,14 @@
 
     async def _run(self, request: _Request) -> None:
         result = exchange.Result.UNKNOWN
+        if request.key is not None and not self._once.start(request.key):
+            self._forget(request)
+            self._refuse(request.stream, outcomes.Reason.NO_QUORUM)
+            now = self._loop.time()
+            self._carry_out(self._queue.finish(request.id, now, is_answered=False))
+            return
+        if request.key is not None:
+            request.stream.recording = flow.Recording(once.MAX_STORED_BODY_BYTES)
         try:
             remaining = request.deadline - self._loop.time()
             result = await exchange.run(
@@ -210,6 +292,7 @@
             log.exception(events.Event.REQUEST_FAILED, service=self._service)
         finally:
             self._counters.add(_RESULT_COUNTERS[result])
+            self._note_result(request, result)
             self._forget(request)
             is_answered = result is exchange.Result.ANSWERED
             now = self._loop.time()
@@ -217,6 +300,19 @@
                 self._queue.finish(request.id, now, is_answered=is_answered)
             )
 
+    def _note_result(self, request: _Request, result: exchange.Result) -> None:
+        """Keep the answer of a key for later submissions."""
+        recording = request.stream.recording
+        if request.key is None or recording is None:
+            return
+        answer = _recorded_answer(recording)
+        is_shed = answer is not None and answer.status == SHED_STATUS
+        if result is exchange.Result.NOT_RUN or is_shed:
+            self._release(request)
+        else:
+            is_answered = result is exchange.Result.ANSWERED
+            self._once.finish(request.key, answer if is_answered else None)
+
     def _refuse(self, stream: flow.RequestStream, reason: outcomes.Reason) -> None:
         outcome = outcomes.Outcome.NOT_RUN
         retry_after = exchange.RETRY_AFTER_SECONDS
@@ -265,3 +361,10 @@
         finally:
             del self._feeds[stream]
             stream.flow.finish_stream(stream.stream_id)
+
+
+def _recorded_answer(recording: flow.Recording) -> once.Answer | None:
+    if recording.headers is None or recording.body is None:
+        return None
+    fields = [(n, v) for n, v in recording.headers if not n.startswith(b":")]
+    return once.Answer(headers.status_of(recording.headers), fields, recording.body)
--- a/packages/cactushall-daemon/cactushall_daemon/control.py
+++ b/packages/cactushall-daemon/cactushall_daemon/control.py
@@ -26,16 +26,35 @@
     return rejected("not an agent")
 
 
+async def _know_no_answer(
+    _: control_pb2.AnswerRequest,
+) -> control_pb2.AnswerResponse:
+    return control_pb2.AnswerResponse()
+
+
+def _take_no_keys(_: control_pb2.HandoverRequest) -> None:
+    return None
+
+
 @dataclasses.dataclass(frozen=True)
 class AgentDuties:
     """What only agents do; the defaults are those of other processes.
 
     Attributes:
+        answer: Waits for the answer to a request with an idempotency key.
+        hand_over: Takes over the keys of a leaving agent.
         endpoints: Returns the state of the endpoints.
         take_flow: Takes over an encoded flow.
         switched: Returns those moves whose callers use their new homes.
     """
 
+    answer: collections.abc.Callable[
+        [control_pb2.AnswerRequest],
+        collections.abc.Awaitable[control_pb2.AnswerResponse],
+    ] = _know_no_answer
+    hand_over: collections.abc.Callable[[control_pb2.HandoverRequest], None] = (
+        _take_no_keys
+    )
     endpoints: collections.abc.Callable[[], list[control_pb2.EndpointStatus]] = list
     take_flow: collections.abc.Callable[
         [bytes], collections.abc.Awaitable[control_pb2.MoveFlowResponse]
@@ -168,3 +187,26 @@
         if request is not None:
             switched = self._view.duties.switched(list(request.move_ids))
             await stream.send_message(control_pb2.SwitchedResponse(move_ids=switched))
+
+    async def Answer(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[
+            control_pb2.AnswerRequest, control_pb2.AnswerResponse
+        ],
+    ) -> None:
+        """Wait for the answer to a request that runs here."""
+        request = await stream.recv_message()
+        if request is not None:
+            await stream.send_message(await self._view.duties.answer(request))
+
+    async def Handover(  # noqa: N802
+        self,
+        stream: grpclib.server.Stream[
+            control_pb2.HandoverRequest, control_pb2.HandoverResponse
+        ],
+    ) -> None:
+        """Take over the keys of a leaving agent."""
+        request = await stream.recv_message()
+        if request is not None:
+            self._view.duties.hand_over(request)
+            await stream.send_message(control_pb2.HandoverResponse())
--- a/packages/cactushall-daemon/cactushall_daemon/counters.py
+++ b/packages/cactushall-daemon/cactushall_daemon/counters.py
@@ -32,6 +32,7 @@
     REQUESTS_NOT_RUN = "requests_not_run"
     REQUESTS_UNKNOWN = "requests_unknown"
     REQUESTS_CANCELLED = "requests_cancelled"
+    REQUESTS_REPLAYED = "requests_replayed"
     FEEDS_OPENED = "feeds_opened"
 
 
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -34,6 +34,8 @@
     REQUEST_FAILED = (3103, "request handling failed")
     MOVE_UNANSWERED = (3004, "offer of a flow not answered")
     MOVE_REFUSED = (3005, "flow not taken by its receiver")
+    EPOCH_ADOPTED = (3111, "epoch adopted")
+    EPOCH_REFUSED = (3112, "stored epoch refused")
     DRAIN_BEGAN = (3201, "drain began")
     DRAIN_ENDED = (3202, "drain ended")
     DRAIN_WAITS = (3203, "drain waits for room")
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -115,6 +115,11 @@
         """Makes control calls."""
         return self._client
 
+    @property
+    def store(self) -> store.Store:
+        """The key-value store."""
+        return self._store
+
     @property
     def gossip(self) -> gossip.GossipEndpoint:
         """The process's place in the membership protocol."""
--- a/packages/cactushall-rpc/cactushall_rpc/control.py
+++ b/packages/cactushall-rpc/cactushall_rpc/control.py
@@ -147,6 +147,21 @@
             response = await stub.Switched(request, timeout=CALL_TIMEOUT_SECONDS)
             return set(response.move_ids)
 
+    async def answer(
+        self, address: addresses.Address, request: control_pb2.AnswerRequest
+    ) -> control_pb2.AnswerResponse:
+        """Wait for the answer to a request that runs at another agent."""
+        timeout = request.timeout_ms / 1000 + CALL_TIMEOUT_SECONDS
+        async with self._connect(address) as stub:
+            return await stub.Answer(request, timeout=timeout)
+
+    async def hand_over(
+        self, address: addresses.Address, request: control_pb2.HandoverRequest
+    ) -> None:
+        """Hand the keys that this agent remembers to another."""
+        async with self._connect(address) as stub:
+            await stub.Handover(request, timeout=CALL_TIMEOUT_SECONDS)
+
     @contextlib.asynccontextmanager
     async def _connect(
         self, address: addresses.Address
--- /dev/null
+++ b/tests/core/once_model.py
@@ -0,0 +1,286 @@
+"""A service whose members are killed, frozen, cut off and restarted at random."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from cactushall_core import identifiers
+from cactushall_core.once import epoch, ledger, messages
+
+LIFETIME = 20.0
+MARGIN = 2.0
+KEY_SECONDS = 8.0
+
+
+@dataclasses.dataclass
+class Vouch:
+    """An answered heartbeat on its way."""
+
+    epoch: int
+    stamp: float
+
+
+@dataclasses.dataclass
+class Node:
+    """One member."""
+
+    member: identifiers.MemberId
+    ledger: ledger.Ledger
+    slot: int
+    is_frozen: bool = False
+    inbox: list = dataclasses.field(default_factory=list)
+    ready: list = dataclasses.field(default_factory=list)
+
+
+class DoubleRunError(AssertionError):
+    """A key has run twice within its lifetime."""
+
+
+class Service:
+    """Members, their network, the store, and the runs of every key."""
+
+    def __init__(self, size, make_ledger=ledger.Ledger):
+        self.make_ledger = make_ledger
+        self.now = 1000.0
+        self.nodes = {}
+        self.next_id = 1
+        self.stored = epoch.Epoch()
+        self.is_store_down = False
+        self.cuts = set()
+        self.in_flight = []
+        self.runs = {}
+        self.decisions = []
+        self.runs_total = 0
+        for slot in range(size):
+            node = self.boot(slot)
+            self.stored = epoch.with_member(self.stored, node.member, self.now)
+        for node in self.nodes.values():
+            self.read_store(node)
+        self.now += LIFETIME
+        self.heartbeat()
+
+    def boot(self, slot):
+        """Start a new member; a member of the epoch adds it later."""
+        member = identifiers.MemberId(self.next_id)
+        self.next_id += 1
+        made = self.make_ledger(member, self.now, LIFETIME)
+        node = Node(member, made, slot)
+        self.nodes[member] = node
+        return node
+
+    def read_store(self, node):
+        """Let a member read the epoch."""
+        if not self.is_store_down and not node.is_frozen:
+            node.ledger.adopt(self.stored, self.now, self.now)
+
+    def is_connected(self, one, other):
+        """Tell whether two members reach each other."""
+        return frozenset((one.slot, other.slot)) not in self.cuts
+
+    def kill(self, node):
+        """End a member for good."""
+        del self.nodes[node.member]
+
+    def propose(self, node, rng):
+        """Let a member that has a quorum add or remove one other."""
+        if self.is_store_down or node.is_frozen or not node.ledger.has_quorum(self.now):
+            return
+        if node.ledger.current_epoch.number != self.stored.number:
+            return
+        unheard = {
+            member
+            for member in self.stored.members
+            if (other := self.nodes.get(member)) is None
+            or other.is_frozen
+            or not self.is_connected(node, other)
+        }
+        removed = {former.member for former in self.stored.former}
+        waiting = set(self.nodes) - set(self.stored.members) - removed
+        if unheard and (not waiting or rng.random() < 0.5):
+            gone = {rng.choice(sorted(unheard))}
+            self.stored = epoch.without(self.stored, gone, set(), self.now, LIFETIME)
+        elif waiting:
+            joined = rng.choice(sorted(waiting))
+            self.stored = epoch.with_member(self.stored, joined, self.now)
+        self.read_store(node)
+
+    def heartbeat(self, rng=None):
+        """Let all members that reach each other answer heartbeats.
+
+        Some answers are late, so that old ones arrive after a freeze.
+        """
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                if node is other or node.is_frozen or other.is_frozen:
+                    continue
+                if self.is_connected(node, other):
+                    vouch = Vouch(other.ledger.current_epoch.number, self.now)
+                    if rng is not None and rng.random() < 0.1:
+                        self.in_flight.append((other.member, node.member, vouch))
+                    else:
+                        self.receive(node, other.member, vouch)
+
+    def submit(self, node, key):
+        """Let a caller submit a key at a member."""
+        if not node.is_frozen:
+            self.carry_out(node, node.ledger.submit(key, self.now))
+
+    def carry_out(self, node, actions):
+        """Put messages on their way and note decisions."""
+        for action in actions:
+            if isinstance(action, ledger.Send):
+                self.in_flight.append((node.member, action.member, action.message))
+            elif action.verdict is ledger.Verdict.START:
+                node.ready.append(action.key)
+            else:
+                self.decisions.append((node.member, action))
+
+    def deliver(self, index):
+        """Deliver one message; a frozen member reads it later."""
+        sender, receiver, message = self.in_flight.pop(index)
+        node = self.nodes.get(receiver)
+        source = self.nodes.get(sender)
+        if node is None:
+            return
+        if source is not None and not self.is_connected(source, node):
+            return
+        if node.is_frozen:
+            node.inbox.append((sender, message))
+        else:
+            self.receive(node, sender, message)
+
+    def receive(self, node, sender, message):
+        """Let a member handle a message."""
+        if isinstance(message, Vouch):
+            node.ledger.vouch(sender, message.epoch, message.stamp)
+        else:
+            self.carry_out(node, node.ledger.handle(sender, message, self.now))
+
+    def thaw(self, node):
+        """Let a frozen member go on, with everything that waited for it."""
+        node.is_frozen = False
+        inbox, node.inbox = node.inbox, []
+        for sender, message in inbox:
+            self.receive(node, sender, message)
+
+    def start(self, node, *, is_shed=False):
+        """Send a granted key to the backend server."""
+        if node.is_frozen or not node.ready:
+            return
+        key = node.ready.pop()
+        if not node.ledger.start(key, self.now):
+            return
+        if is_shed:
+            node.ledger.release(key)
+            return
+        self.runs_total += 1
+        earlier = self.runs.get(key)
+        if earlier is not None and self.now - earlier < LIFETIME - MARGIN:
+            raise DoubleRunError(f"{key!r} ran at {earlier} and {self.now}")
+        self.runs[key] = self.now
+
+    def fetch(self):
+        """Let the first caller that waits for a holder's answer get it."""
+        if not self.decisions:
+            return
+        member, decision = self.decisions.pop(0)
+        node = self.nodes.get(member)
+        if node is None or node.is_frozen:
+            return
+        if decision.verdict is not ledger.Verdict.FETCH:
+            return
+        holder = self.nodes.get(decision.holder)
+        if holder is None or holder.is_frozen or not self.is_connected(node, holder):
+            return
+        if holder.ledger.pass_on(decision.key, member, self.now):
+            actions = node.ledger.submit(decision.key, self.now, holder.member)
+            self.carry_out(node, actions)
+
+    def tick(self, seconds):
+        """Let time pass."""
+        self.now += seconds
+        for node in list(self.nodes.values()):
+            if not node.is_frozen:
+                self.carry_out(node, node.ledger.tick(self.now))
+
+    def step(self, rng: random.Random):
+        """Let one random thing happen."""
+        nodes = list(self.nodes.values())
+        node = rng.choice(nodes)
+        period = int(self.now / KEY_SECONDS)
+        key = messages.digest(b"key-%d" % (period * 2 + rng.randrange(4)))
+        things = {
+            lambda: self.deliver_some(rng): 45,
+            lambda: self.submit(node, key): 10,
+            lambda: self.start(node, is_shed=rng.random() < 0.1): 10,
+            self.fetch: 5,
+            lambda: self.tick(rng.choice((0.05, 0.2, 0.5, 1.0))): 6,
+            lambda: self.heartbeat(rng): 6,
+            lambda: self.read_some(rng): 5,
+            lambda: self.propose(node, rng): 4,
+            lambda: self.lose_one(rng): 1,
+            lambda: self.repeat_one(rng): 1,
+            lambda: self.disturb(rng, node, nodes): 3,
+            lambda: self.heal(rng, node): 4,
+        }
+        (thing,) = rng.choices(list(things), list(things.values()))
+        thing()
+
+    def deliver_some(self, rng):
+        """Deliver some messages in any order."""
+        for _ in range(min(len(self.in_flight), rng.randint(1, 8))):
+            self.deliver(rng.randrange(len(self.in_flight)))
+
+    def read_some(self, rng):
+        """Let most members read the epoch."""
+        for node in self.nodes.values():
+            if rng.random() < 0.7:
+                self.read_store(node)
+
+    def lose_one(self, rng):
+        """Lose one message."""
+        if self.in_flight:
+            self.in_flight.pop(rng.randrange(len(self.in_flight)))
+
+    def repeat_one(self, rng):
+        """Deliver one message twice."""
+        if self.in_flight:
+            self.in_flight.append(rng.choice(self.in_flight))
+
+    def disturb(self, rng, node, nodes):
+        """Let one fault begin."""
+        roll = rng.random()
+        if roll < 0.25 and len(nodes) > 2:
+            self.kill(node)
+            self.boot(node.slot)
+        elif roll < 0.35 and len(nodes) > 2:
+            self.kill(node)
+        elif roll < 0.60:
+            node.is_frozen = True
+        elif roll < 0.85:
+            other = rng.choice(nodes)
+            if other is not node:
+                self.cuts.add(frozenset((node.slot, other.slot)))
+        elif roll < 0.93:
+            self.is_store_down = True
+        else:
+            self.tick(rng.choice((1.0, LIFETIME / 4, LIFETIME / 2)))
+
+    def heal(self, rng, node):
+        """Let one fault end."""
+        if node.is_frozen:
+            self.thaw(node)
+        elif self.cuts and rng.random() < 0.7:
+            self.cuts.remove(rng.choice(sorted(self.cuts, key=sorted)))
+        else:
+            self.is_store_down = False
+
+
+def run(seed, steps, size, make_ledger=ledger.Ledger):
+    """Run random steps and return the service."""
+    rng = random.Random(seed)
+    service = Service(size, make_ledger)
+    for _ in range(steps):
+        service.step(rng)
+    return service
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -24,6 +24,7 @@
 
 from cactushall_core import addresses, configuration, identifiers, keys
 from cactushall_rpc import control, paths, store
+from cactushall_rpc.generated import control_pb2
 from tests.standins import fabric as fabric_standin
 
 STORE_ADDRESS = addresses.Address("127.0.0.2", 23790)
@@ -227,10 +228,16 @@
                     return False
                 if status.members != expected or status.revision == 0:
                     return False
+                if not all(map(self._is_in_epoch, status.endpoints)):
+                    return False
             return True
 
         await poll(is_ready, READY_TIMEOUT_SECONDS)
 
+    def _is_in_epoch(self, status: control_pb2.EndpointStatus) -> bool:
+        agents = sum(e.service == status.service for e in self.plan.endpoints)
+        return status.has_quorum and status.epoch_members == agents
+
     def counts(self, endpoint: str) -> dict:
         """Return what a backend server has seen."""
         return json.loads(self._ask_backend(endpoint, "counts", None))
