At most once: no refusals around a change of the epoch; commands and docs

Cause: scenarios that stop and replace an agent failed with 503 no-quorum and 504 unknown: each change of the epoch cleared the vouches, peers learnt of a leaving member's change 3.4 s late, every bootstrap counted as a time with a lone member, dead members were waited for, and a claim between two epochs was reported as unknown. Change: a heartbeat of an earlier epoch counts for starting keys (not for proposing the next epoch); a leaving member tells its epoch; only a lone member that ran keys counts; answers of the dead are not waited for; a claim across epochs is tried again. apply kept neither drained nodes nor closed zones (a test showed it). repair-epoch removes lost members.

--- a/packages/cactushall-client/cactushall_client/__main__.py
+++ b/packages/cactushall-client/cactushall_client/__main__.py
@@ -12,8 +12,9 @@
 from cactushall_client.commands import apply as apply_command
 from cactushall_client.commands import check as check_command
 from cactushall_client.commands import members as members_command
+from cactushall_client.commands import repair_epoch as repair_epoch_command
 from cactushall_client.commands import status as status_command
-from cactushall_core import addresses, exceptions
+from cactushall_core import addresses, exceptions, identifiers
 from cactushall_rpc import control
 
 CONTACT_HELP = "Control address of any process, as IP:PORT."
@@ -131,5 +132,23 @@
     _report_errors(apply_command.main, path, store)
 
 
+@cli.command()
+@click.argument("service")
+@click.option("--store", type=AddressType(), required=True, help=STORE_HELP)
+@_contact_options
+def repair_epoch(
+    service: str,
+    store: addresses.Address,
+    contact: addresses.Address,
+    output_format: str,
+    **files: pathlib.Path | None,
+) -> None:
+    """Remove lost members from the epoch of a service."""
+    del output_format
+    client = _make_client(**files)
+    name = identifiers.ServiceName(service)
+    _report_errors(repair_epoch_command.main, client, contact, store, name)
+
+
 if __name__ == "__main__":
     cli()
--- a/packages/cactushall-client/cactushall_client/commands/apply.py
+++ b/packages/cactushall-client/cactushall_client/commands/apply.py
@@ -7,6 +7,7 @@
 import sys
 
 import click
+from msgspec import structs
 
 from cactushall_client import exit_codes, intent
 from cactushall_core import addresses, configuration, findings, identifiers
@@ -39,7 +40,7 @@
             base = configuration.decode(entry.value, "store")
             mod_revision = entry.mod_revision
         revision = identifiers.Revision(base.revision + 1)
-        changed = configuration.Configuration(revision, wanted.services)
+        changed = structs.replace(wanted, revision=revision)
         value = configuration.encode(changed)
         is_stored = await client.replace(paths.CONFIGURATION, value, mod_revision)
         return revision if is_stored else None
--- a/packages/cactushall-core/cactushall_core/once/epoch.py
+++ b/packages/cactushall-core/cactushall_core/once/epoch.py
@@ -31,8 +31,8 @@
         number: Grows by one with each change.
         members: The members.
         former: Members that were removed lately without handing over their keys.
-        alone_at: When there was last a single member, whose keys nobody else
-            knows; seconds since the epoch of Unix time.
+        alone_at: When a lone member, whose keys nobody else knows, last ran some;
+            seconds since the epoch of Unix time.
     """
 
     number: int = 0
@@ -61,10 +61,23 @@
         raise exceptions.DecodeError(str(error)) from error
 
 
-def with_member(epoch: Epoch, member: identifiers.MemberId, wall_now: float) -> Epoch:
-    """Return the next epoch, with one member more."""
+def with_member(
+    epoch: Epoch,
+    member: identifiers.MemberId,
+    wall_now: float,
+    *,
+    has_run_alone: bool,
+) -> Epoch:
+    """Return the next epoch, with one member more.
+
+    Args:
+        epoch: The present epoch.
+        member: The member that joins.
+        wall_now: Seconds since the epoch of Unix time.
+        has_run_alone: Whether the proposer was alone and ran keys then.
+    """
     members = (*epoch.members, member)
-    alone_at = wall_now if len(epoch.members) <= 1 else epoch.alone_at
+    alone_at = wall_now if has_run_alone else epoch.alone_at
     return Epoch(epoch.number + 1, members, epoch.former, alone_at)
 
 
@@ -88,7 +101,7 @@
     kept = [f for f in epoch.former if wall_now - f.removed_at < 2 * key_lifetime]
     lost = [member for member in epoch.members if member in gone - handed_over]
     former = (*kept, *(Former(member, wall_now) for member in lost))
-    alone_at = wall_now if len(members) <= 1 else epoch.alone_at
+    alone_at = epoch.alone_at if members else wall_now
     return Epoch(epoch.number + 1, members, former[-MAX_FORMER:], alone_at)
 
 
--- a/packages/cactushall-core/cactushall_core/once/ledger.py
+++ b/packages/cactushall-core/cactushall_core/once/ledger.py
@@ -6,8 +6,8 @@
    (by rendezvous hash) grants it once; a runner that is its own registrar first has
    another member bar it.
 2. Members start keys only while, within the last W/2, more than half of the epoch
-   vouched for that epoch.
-   Where there was a single member within W, none may stay silent below.
+   vouched for that epoch or an earlier one.
+   Where a lone member ran keys within W, none may stay silent below.
 3. A registrar that does not know a key within W of a change of the epoch, and a
    runner whose registrar is silent, ask all members. The key is fresh where at most
    one stays silent and more than half of the epoch answered.
@@ -48,6 +48,7 @@
     START = "start"
     OWN = "own"
     FETCH = "fetch"
+    RETRY = "retry"
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
 
@@ -67,7 +68,8 @@
     Attributes:
         key: The key.
         verdict: START to run it here, OWN where it runs or ran here, FETCH to get
-            the answer from its holder, or the outcome to report.
+            the answer from its holder, RETRY to submit it again since the epoch is
+            changing, or the outcome to report.
         holder: The holder to fetch from.
     """
 
@@ -121,10 +123,13 @@
         self._epoch_changed_at = now
         self._former: dict[identifiers.MemberId, float] = {}
         self._alone_until = now
+        self._ran_alone_at: float | None = None
+        self._reachable: set[identifiers.MemberId] | None = None
         self._entries: dict[messages.KeyDigest, _Entry] = {}
         self._claims: dict[messages.KeyDigest, float] = {}
         self._inquests: dict[messages.KeyDigest, _Inquest] = {}
         self._vouched_at: dict[identifiers.MemberId, float] = {}
+        self._confirmed_by: set[identifiers.MemberId] = set()
 
     @property
     def current_epoch(self) -> epoch.Epoch:
@@ -136,6 +141,15 @@
         """How many keys are remembered."""
         return len(self._entries)
 
+    def has_run_alone(self, now: float) -> bool:
+        """Tell whether keys ran here, within W, while there was no other member."""
+        ran_at = self._ran_alone_at
+        return ran_at is not None and now - ran_at < self._lifetime
+
+    def set_reachable(self, members: set[identifiers.MemberId]) -> None:
+        """Note which members run; no answer of others is waited for."""
+        self._reachable = members
+
     def adopt(self, adopted: epoch.Epoch, now: float, wall_now: float) -> None:
         """Take in a newer epoch."""
         if adopted.number <= self._epoch.number:
@@ -152,7 +166,7 @@
         self._alone_until = max(self._alone_until, now + self._lifetime - alone_age)
         self._epoch = adopted
         self._epoch_changed_at = now
-        self._vouched_at.clear()
+        self._confirmed_by.clear()
 
     def vouch(self, member: identifiers.MemberId, number: int, stamp: float) -> None:
         """Note that a member vouches for an epoch.
@@ -163,12 +177,31 @@
             stamp: Own time of the message that the member has answered, so that
                 old messages read after a pause do not count as new.
         """
+        if number > self._epoch.number:
+            return
+        known = self._vouched_at.get(member, stamp)
+        self._vouched_at[member] = max(known, stamp)
         if number == self._epoch.number:
-            known = self._vouched_at.get(member, stamp)
-            self._vouched_at[member] = max(known, stamp)
+            self._confirmed_by.add(member)
+
+    def may_propose(self, now: float) -> bool:
+        """Tell whether this member may propose the next epoch.
+
+        More than half of the present epoch must have adopted it, so that no two
+        sides of a partition go on with epochs of their own.
+        """
+        confirmed = sum(
+            member == self._member or member in self._confirmed_by
+            for member in self._epoch.members
+        )
+        return self.has_quorum(now) and epoch.is_majority(confirmed, self._epoch)
 
     def has_quorum(self, now: float) -> bool:
-        """Tell whether keys may start here."""
+        """Tell whether keys may start here.
+
+        A heartbeat of a member that has an earlier epoch counts: whoever removed
+        this member since then asks it within W, and it stops within W/2.
+        """
         if self._member not in self._epoch.members:
             return False
         oldest = now - self._lifetime / 2
@@ -207,6 +240,8 @@
         registrar = self._ranked(key)[0]
         if registrar == self._member:
             return self._ask_for_self(key, now, released_by)
+        if not self._is_reachable(registrar):
+            return self._ask_all(key, self._member, now, released_by)
         self._claims[key] = now + ANSWER_TIMEOUT_SECONDS
         return [Send(registrar, messages.Claim(key, self._epoch.number, released_by))]
 
@@ -223,6 +258,8 @@
             entry.state = State.RELEASED
             return False
         entry.state = State.STARTED
+        if len(self._epoch.members) == 1:
+            self._ran_alone_at = now
         return True
 
     def release(self, key: messages.KeyDigest) -> None:
@@ -283,7 +320,7 @@
             return self._handle_clear(sender, message, now)
         if isinstance(message, messages.Held):
             return self._handle_held(message, now)
-        return self._handle_refused(message.key)
+        return self._handle_refused(message)
 
     def tick(self, now: float) -> list[Action]:
         """Give up waiting for members that stay silent."""
@@ -304,7 +341,7 @@
     ) -> list[Action]:
         key, number = claim.key, self._epoch.number
         if claim.epoch != number or self._member not in self._epoch.members:
-            return [Send(sender, messages.Refused(key, claim.epoch))]
+            return [Send(sender, messages.Refused(key, claim.epoch, True))]
         entry = self._entry(key, now)
         if entry is not None and entry.state is not State.RELEASED:
             if entry.holder not in (sender, claim.released_by):
@@ -354,11 +391,11 @@
         self._put(key, State.BARRED, held.holder, now)
         return [Decide(key, Verdict.FETCH, held.holder)]
 
-    def _handle_refused(self, key: messages.KeyDigest) -> list[Action]:
-        if self._claims.pop(key, None) is None or not self._is_claiming(key):
+    def _handle_refused(self, refused: messages.Refused) -> list[Action]:
+        if self._claims.pop(refused.key, None) is None:
             return []
-        self._entries[key].state = State.RELEASED
-        return [Decide(key, Verdict.UNKNOWN)]
+        verdict = Verdict.RETRY if refused.is_stale else Verdict.UNKNOWN
+        return self._give_up(refused.key, verdict)
 
     def _handle_clear(
         self, sender: identifiers.MemberId, clear: messages.Clear, now: float
@@ -369,7 +406,7 @@
         if sender not in inquest.asked:
             return []
         inquest.cleared.add(sender)
-        if inquest.cleared != inquest.asked:
+        if any(map(self._is_reachable, inquest.asked - inquest.cleared)):
             return []
         del self._inquests[clear.key]
         return self._conclude(clear.key, inquest, now)
@@ -415,7 +452,7 @@
         inquest = _Inquest(
             runner, asked, deadline, is_whole, self._epoch.number, released_by
         )
-        if not asked:
+        if not any(map(self._is_reachable, asked)):
             return self._conclude(key, inquest, now)
         self._inquests[key] = inquest
         message = messages.Inquiry(key, self._epoch.number, runner, released_by)
@@ -431,7 +468,8 @@
         if inquest.runner == self._member:
             if is_fresh:
                 return self._grant_self(key, now)
-            return self._give_up(key)
+            is_stale = inquest.epoch != self._epoch.number
+            return self._give_up(key, Verdict.RETRY if is_stale else Verdict.UNKNOWN)
         if not is_fresh:
             refused = messages.Refused(key, self._epoch.number)
             return [Send(inquest.runner, refused)]
@@ -463,14 +501,17 @@
         self._put(key, State.GRANTED, self._member, now)
         return [Decide(key, Verdict.START)]
 
-    def _give_up(self, key: messages.KeyDigest) -> list[Action]:
+    def _give_up(self, key: messages.KeyDigest, verdict: Verdict) -> list[Action]:
         if not self._is_claiming(key):
             return []
         self._entries[key].state = State.RELEASED
-        return [Decide(key, Verdict.UNKNOWN)]
+        return [Decide(key, verdict)]
 
     # Entries.
 
+    def _is_reachable(self, member: identifiers.MemberId) -> bool:
+        return self._reachable is None or member in self._reachable
+
     def _needs_inquiry(self, now: float) -> bool:
         return now - self._epoch_changed_at < self._lifetime
 
--- a/packages/cactushall-core/cactushall_core/once/messages.py
+++ b/packages/cactushall-core/cactushall_core/once/messages.py
@@ -50,10 +50,17 @@
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag=14):
-    """The sender cannot tell whether the key has run, or has another epoch."""
+    """The sender cannot tell whether the key has run.
+
+    Attributes:
+        key: The key.
+        epoch: Number of the receiver's epoch.
+        is_stale: Whether that is only since the epochs of the two differ.
+    """
 
     key: KeyDigest
     epoch: int
+    is_stale: bool = False
 
 
 class Inquiry(msgspec.Struct, frozen=True, array_like=True, tag=15):
--- a/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
@@ -151,6 +151,7 @@
         """Hand over all keys and leave the epoch, before the process stops."""
         is_handed_over = await self._once.hand_over()
         await self._epochs.leave(self._once.keys, is_handed_over=is_handed_over)
+        self._peers.tell(self.load(), self._once.keys.current_epoch.number)
 
     @property
     def drain(self) -> drain.Drain:
@@ -259,6 +260,7 @@
         """Do what is due: deadlines, load reports, keep-alives."""
         now = self._loop.time()
         self._desk.tick(now)
+        self._once.keys.set_reachable(set(self._peers.present()))
         self._once.tick(now)
         self._peers.tell(self.load(), self._once.keys.current_epoch.number)
         self._ticks += 1
--- a/packages/cactushall-daemon/cactushall_daemon/agent/epochs.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/epochs.py
@@ -96,12 +96,10 @@
         """Change the epoch by one member, where this member has a quorum."""
         present = keys.current_epoch
         if not present.members:
-            await self._write(
-                keys, epoch.with_member(present, self._member, time.time())
-            )
+            await self._write(keys, self._with_member(keys, self._member))
             return
         now = self._loop.time()
-        if not keys.has_quorum(now):
+        if not keys.may_propose(now):
             return
         known = {self._member, *self._peers.present()}
         gone = self._long_absent(present, known, now)
@@ -111,7 +109,7 @@
         if gone:
             await self._write(keys, self._without(present, {gone[0]}, set()))
         elif waiting:
-            await self._write(keys, epoch.with_member(present, waiting[0], time.time()))
+            await self._write(keys, self._with_member(keys, waiting[0]))
 
     def _is_first(self, present: epoch.Epoch, known: set[identifiers.MemberId]) -> bool:
         """Tell whether this member is the one to propose, to spare the store."""
@@ -131,6 +129,14 @@
         limit = now - ABSENT_SECONDS
         return sorted(m for m, since in self._absent_since.items() if since <= limit)
 
+    def _with_member(
+        self, keys: ledger.Ledger, member: identifiers.MemberId
+    ) -> epoch.Epoch:
+        has_run_alone = keys.has_run_alone(self._loop.time())
+        return epoch.with_member(
+            keys.current_epoch, member, time.time(), has_run_alone=has_run_alone
+        )
+
     def _without(
         self,
         present: epoch.Epoch,
--- a/packages/cactushall-daemon/cactushall_daemon/agent/once.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/once.py
@@ -13,8 +13,8 @@
 from cactushall_rpc.generated import control_pb2
 
 MAX_STORED_BODY_BYTES = 64 * 1024
-MAX_ATTEMPTS = 3
-RETRY_PAUSE_SECONDS = 0.1
+MAX_ATTEMPTS = 5
+RETRY_PAUSE_SECONDS = 0.2
 HANDOVER_RECEIVERS = 2
 
 
@@ -112,6 +112,9 @@
                 return await self._wait_here(key, deadline)
             if decision.verdict is ledger.Verdict.NOT_RUN:
                 return NotRun()
+            if decision.verdict is ledger.Verdict.RETRY:
+                await asyncio.sleep(RETRY_PAUSE_SECONDS)
+                continue
             if decision.verdict is ledger.Verdict.UNKNOWN or decision.holder is None:
                 return Unknown()
             fetched = await self._fetch(key, decision.holder, deadline)
@@ -119,7 +122,7 @@
                 return fetched
             released_by = decision.holder
             await asyncio.sleep(RETRY_PAUSE_SECONDS)
-        return NotRun()
+        return Unknown()
 
     def start(self, key: messages.KeyDigest) -> bool:
         """Note that a request starts, where that is still allowed."""
--- a/tests/core/once_model.py
+++ b/tests/core/once_model.py
@@ -56,12 +56,19 @@
         self.runs_total = 0
         for slot in range(size):
             node = self.boot(slot)
-            self.stored = epoch.with_member(self.stored, node.member, self.now)
+            self.stored = self.with_member(node.member, has_run_alone=False)
         for node in self.nodes.values():
             self.read_store(node)
         self.now += LIFETIME
+        self.began_at = self.now
         self.heartbeat()
 
+    def with_member(self, member, *, has_run_alone):
+        """Return the stored epoch with one member more."""
+        return epoch.with_member(
+            self.stored, member, self.now, has_run_alone=has_run_alone
+        )
+
     def boot(self, slot):
         """Start a new member; a member of the epoch adds it later."""
         member = identifiers.MemberId(self.next_id)
@@ -86,7 +93,11 @@
 
     def propose(self, node, rng):
         """Let a member that has a quorum add or remove one other."""
-        if self.is_store_down or node.is_frozen or not node.ledger.has_quorum(self.now):
+        if (
+            self.is_store_down
+            or node.is_frozen
+            or not node.ledger.may_propose(self.now)
+        ):
             return
         if node.ledger.current_epoch.number != self.stored.number:
             return
@@ -104,7 +115,8 @@
             self.stored = epoch.without(self.stored, gone, set(), self.now, LIFETIME)
         elif waiting:
             joined = rng.choice(sorted(waiting))
-            self.stored = epoch.with_member(self.stored, joined, self.now)
+            has_run_alone = node.ledger.has_run_alone(self.now)
+            self.stored = self.with_member(joined, has_run_alone=has_run_alone)
         self.read_store(node)
 
     def heartbeat(self, rng=None):
@@ -243,7 +255,8 @@
     @property
     def is_calm(self):
         """Whether faults heal and none begin; storms and calms take turns."""
-        return int(self.now / (STORM_LIFETIMES * LIFETIME)) % 2 == 1
+        age = self.now - self.began_at
+        return int(age / (STORM_LIFETIMES * LIFETIME)) % 2 == 1
 
     def deliver_some(self, rng):
         """Deliver some messages in any order."""
--- a/tests/core/test_once.py
+++ b/tests/core/test_once.py
@@ -173,7 +173,9 @@
     lone = node_at(service, 0)
     run_once(service, 0)
     joined = service.boot(1)
-    service.stored = epoch.with_member(service.stored, joined.member, service.now)
+    service.stored = service.with_member(
+        joined.member, has_run_alone=lone.ledger.has_run_alone(service.now)
+    )
     for node in service.nodes.values():
         service.read_store(node)
     service.heartbeat()
@@ -261,5 +263,38 @@
 
 
 def test_epoch_is_read_back():
-    made = epoch.with_member(epoch.Epoch(), identifiers.MemberId(7), 5.0)
+    made = epoch.with_member(
+        epoch.Epoch(), identifiers.MemberId(7), 5.0, has_run_alone=False
+    )
     assert epoch.decode(epoch.encode(made)) == made
+
+
+def test_submission_during_a_change_of_the_epoch_is_tried_again():
+    service = once_model.Service(3)
+    node = node_at(service, 0)
+    keys = [messages.digest(b"key-%d" % n) for n in range(20)]
+    key = next(k for k in keys if node.ledger._ranked(k)[0] != node.member)
+    registrar = service.nodes[node.ledger._ranked(key)[0]]
+    joined = service.boot(3)
+    service.stored = service.with_member(joined.member, has_run_alone=False)
+    service.read_store(registrar)
+    service.submit(node, key)
+    while service.in_flight:
+        service.deliver(0)
+    assert verdicts(service, 0) == [ledger.Verdict.RETRY]
+    service.read_store(node)
+    run_once(service, 0, key)
+    assert service.runs_total == 1
+
+
+def test_dead_members_are_not_waited_for():
+    service = once_model.Service(5)
+    dead = node_at(service, 4)
+    service.kill(dead)
+    for node in service.nodes.values():
+        node.ledger.set_reachable(set(service.nodes))
+    node = node_at(service, 0)
+    service.submit(node, KEY)
+    while service.in_flight:
+        service.deliver(0)
+    assert node.ready == [KEY]
--- a/tests/standins/site.py
+++ b/tests/standins/site.py
@@ -33,6 +33,7 @@
 STOP_TIMEOUT_SECONDS = 40.0
 READY_TIMEOUT_SECONDS = 60.0
 POLL_SECONDS = 0.1
+SPREAD_SECONDS = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -233,6 +234,7 @@
             return True
 
         await poll(is_ready, READY_TIMEOUT_SECONDS)
+        await asyncio.sleep(SPREAD_SECONDS)
 
     def _is_in_epoch(self, status: control_pb2.EndpointStatus) -> bool:
         agents = sum(e.service == status.service for e in self.plan.endpoints)
