--- a/packages/cactushall-core/cactushall_core/membership/messages.py
+++ b/packages/cactushall-core/cactushall_core/membership/messages.py
@@ -1,18 +1,13 @@
-"""Messages of the membership protocol and their codec.
-
-A datagram is a version byte, an authentication tag and a MessagePack body.
-"""
+"""Messages of the membership protocol and their codec."""
 
 from __future__ import annotations
 
 import msgspec
 
-from cactushall_core import exceptions, identifiers, keys
+from cactushall_core import exceptions, identifiers, keys, sealing
 from cactushall_core.membership import records
 
 VERSION = 1
-TAG_BYTES = 8
-HEADER_BYTES = 1 + TAG_BYTES
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -92,14 +87,12 @@
 
 def make_authenticator(ring: tuple[keys.Key, ...]) -> keys.Authenticator:
     """Return the authenticator of membership datagrams."""
-    return keys.Authenticator(ring, keys.Purpose.GOSSIP, b"", TAG_BYTES)
+    return keys.Authenticator(ring, keys.Purpose.GOSSIP, b"", sealing.TAG_BYTES)
 
 
 def encode(authenticator: keys.Authenticator, packet: Packet) -> bytes:
     """Encode one datagram."""
-    body = _encoder.encode(packet)
-    head = bytes([VERSION << 4 | authenticator.signing_key_id])
-    return head + authenticator.sign(body) + body
+    return sealing.seal(authenticator, VERSION, packet)
 
 
 def decode(authenticator: keys.Authenticator, datagram: bytes) -> Packet:
@@ -109,16 +102,7 @@
         DecodeError: The datagram is malformed.
         AuthenticationError: The tag does not fit.
     """
-    if len(datagram) <= HEADER_BYTES or datagram[0] >> 4 != VERSION:
-        raise exceptions.DecodeError("not a membership datagram")
-    body = datagram[HEADER_BYTES:]
-    tag = datagram[1:HEADER_BYTES]
-    if not authenticator.verify(datagram[0] & 0x0F, body, tag):
-        raise exceptions.AuthenticationError("tag does not fit")
-    try:
-        return _decoder.decode(body)
-    except msgspec.DecodeError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    return sealing.unseal(authenticator, VERSION, datagram, _decoder)
 
 
 def encoded_size(delta: records.Delta) -> int:
--- a/packages/cactushall-core/cactushall_core/peering.py
+++ b/packages/cactushall-core/cactushall_core/peering.py
@@ -7,13 +7,11 @@
 
 import msgspec
 
-from cactushall_core import exceptions, identifiers, keys
+from cactushall_core import identifiers, keys, sealing
 from cactushall_core.once import messages
 
 VERSION = 2
-TAG_BYTES = 8
 
-_HEADER_BYTES = 1 + TAG_BYTES
 _CONTEXT = b"peering"
 
 
@@ -78,23 +76,20 @@
 
 def make_authenticator(ring: tuple[keys.Key, ...]) -> keys.Authenticator:
     """Return the authenticator of these messages."""
-    return keys.Authenticator(ring, keys.Purpose.TUNNEL, _CONTEXT, TAG_BYTES)
+    return keys.Authenticator(ring, keys.Purpose.TUNNEL, _CONTEXT, sealing.TAG_BYTES)
 
 
-_encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Packet)
 
 
 def is_peer_message(datagram: bytes) -> bool:
     """Tell whether a datagram at the tunnel's port is one of these messages."""
-    return bool(datagram) and datagram[0] >> 4 == VERSION
+    return sealing.version_of(datagram) == VERSION
 
 
 def encode(authenticator: keys.Authenticator, packet: Packet) -> bytes:
     """Encode one message."""
-    body = _encoder.encode(packet)
-    head = bytes([VERSION << 4 | authenticator.signing_key_id])
-    return head + authenticator.sign(body) + body
+    return sealing.seal(authenticator, VERSION, packet)
 
 
 def decode(authenticator: keys.Authenticator, datagram: bytes) -> Packet:
@@ -104,11 +99,4 @@
         DecodeError: The message is malformed.
         AuthenticationError: The tag does not fit.
     """
-    body = datagram[_HEADER_BYTES:]
-    tag = datagram[1:_HEADER_BYTES]
-    if not authenticator.verify(datagram[0] & 0x0F, body, tag):
-        raise exceptions.AuthenticationError("tag does not fit")
-    try:
-        return _decoder.decode(body)
-    except msgspec.DecodeError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    return sealing.unseal(authenticator, VERSION, datagram, _decoder)
--- a/packages/cactushall-daemon/cactushall_daemon/agent/exchange.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/exchange.py
@@ -11,7 +11,7 @@
 import h11
 
 from cactushall_core import addresses, event_stream, outcomes
-from cactushall_daemon.agent import flow, headers, upstream
+from cactushall_daemon.agent import headers, request_stream, upstream
 
 RETRY_AFTER_SECONDS = 1
 REOPEN_ATTEMPTS = 5
@@ -37,7 +37,7 @@
 
 
 async def run(
-    stream: flow.RequestStream,
+    stream: request_stream.RequestStream,
     head: headers.RequestHead,
     server: addresses.Address,
     remaining_seconds: float,
@@ -68,14 +68,14 @@
         return _refuse(stream, outcomes.Reason.CONNECT_FAILED, progress)
     except upstream.UpstreamCutError:
         return _refuse(stream, outcomes.Reason.UPSTREAM_CUT, progress)
-    except flow.StreamClosedError:
+    except request_stream.StreamClosedError:
         return Result.CANCELLED
     except asyncio.CancelledError:
         return _refuse(stream, outcomes.Reason.DEADLINE, progress)
 
 
 async def run_feed(
-    stream: flow.RequestStream,
+    stream: request_stream.RequestStream,
     head: headers.RequestHead,
     server: addresses.Address,
     opened: asyncio.Future[None] | None = None,
@@ -97,7 +97,7 @@
         try:
             await _relay_feed(stream, head, server, opened)
             return Result.ANSWERED
-        except flow.StreamClosedError:
+        except request_stream.StreamClosedError:
             return Result.CANCELLED
         except (
             upstream.ConnectError,
@@ -116,7 +116,7 @@
 
 
 async def _relay_feed(
-    stream: flow.RequestStream,
+    stream: request_stream.RequestStream,
     head: headers.RequestHead,
     server: addresses.Address,
     opened: asyncio.Future[None] | None,
@@ -148,7 +148,7 @@
 
 
 async def _relay_events(
-    stream: flow.RequestStream,
+    stream: request_stream.RequestStream,
     connection: upstream.UpstreamConnection,
     splitter: event_stream.EventSplitter,
 ) -> None:
@@ -169,7 +169,7 @@
 
 
 async def _send_head(
-    stream: flow.RequestStream,
+    stream: request_stream.RequestStream,
     head: headers.RequestHead,
     connection: upstream.UpstreamConnection,
     remaining_seconds: float,
@@ -185,7 +185,7 @@
 
 
 async def _send_body(
-    stream: flow.RequestStream, connection: upstream.UpstreamConnection
+    stream: request_stream.RequestStream, connection: upstream.UpstreamConnection
 ) -> None:
     while data := await stream.read():
         await connection.send(h11.Data(data=data))
@@ -195,13 +195,15 @@
 async def _stop(sending: asyncio.Task[None]) -> None:
     sending.cancel()
     with contextlib.suppress(
-        asyncio.CancelledError, upstream.UpstreamCutError, flow.StreamClosedError
+        asyncio.CancelledError,
+        upstream.UpstreamCutError,
+        request_stream.StreamClosedError,
     ):
         await sending
 
 
 async def _relay_response(
-    stream: flow.RequestStream, connection: upstream.UpstreamConnection
+    stream: request_stream.RequestStream, connection: upstream.UpstreamConnection
 ) -> None:
     response = await _receive_response(connection)
     _send_response_head(stream, response)
@@ -217,7 +219,9 @@
             return event
 
 
-def _send_response_head(stream: flow.RequestStream, response: h11.Response) -> None:
+def _send_response_head(
+    stream: request_stream.RequestStream, response: h11.Response
+) -> None:
     fields = headers.to_caller(response.status_code, list(response.headers))
     if response.status_code == http.HTTPStatus.SERVICE_UNAVAILABLE:
         value = f"{Result.NOT_RUN.value}; {outcomes.Reason.SHED.value}"
@@ -226,7 +230,7 @@
 
 
 async def _relay_body(
-    stream: flow.RequestStream, connection: upstream.UpstreamConnection
+    stream: request_stream.RequestStream, connection: upstream.UpstreamConnection
 ) -> None:
     while True:
         event = await connection.receive()
@@ -238,10 +242,10 @@
 
 
 def _refuse(
-    stream: flow.RequestStream, reason: outcomes.Reason, progress: _Progress
+    stream: request_stream.RequestStream, reason: outcomes.Reason, progress: _Progress
 ) -> Result:
     if stream.is_response_started:
-        stream.reset(flow.ResetCode.INTERNAL_ERROR)
+        stream.reset(request_stream.ResetCode.INTERNAL_ERROR)
         return Result.UNKNOWN
     outcome = outcomes.Outcome.NOT_RUN
     if progress.is_request_sent:
@@ -250,7 +254,7 @@
     return Result(outcome.value)
 
 
-def answer(stream: flow.RequestStream, refused: outcomes.Refusal) -> None:
+def answer(stream: request_stream.RequestStream, refused: outcomes.Refusal) -> None:
     """Give a caller the final answer to a request that was not answered."""
-    with contextlib.suppress(flow.StreamClosedError):
+    with contextlib.suppress(request_stream.StreamClosedError):
         stream.send_headers(headers.refusal(refused), is_last=True)
--- a/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/flow.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import collections.abc
 import dataclasses
 import enum
@@ -11,21 +10,13 @@
 from aioquic.h3 import events as h3_events
 from aioquic.quic import events as quic_events
 
-from cactushall_core import addresses, event_stream, handoff
+from cactushall_core import addresses, handoff
+from cactushall_daemon.agent import request_stream
 from cactushall_daemon.agent.quic import connection, http3, transfer
 
-MAX_UNSENT_BYTES = 256 * 1024
 MAX_HELD_DATAGRAMS = 256
 PINGS_PER_IDLE_TIMEOUT = 3.0
 
-Headers = list[tuple[bytes, bytes]]
-
-
-class ResetCode(enum.IntEnum):
-    """HTTP/3 error codes for streams (RFC 9114 section 8.1)."""
-
-    INTERNAL_ERROR = 0x102
-
 
 class CloseCode(enum.IntEnum):
     """QUIC transport error codes for connections (RFC 9000 section 20.1)."""
@@ -34,218 +25,6 @@
     CONNECTION_REFUSED = 0x2
 
 
-class StreamClosedError(Exception):
-    """The caller has reset the stream or the connection is gone."""
-
-
-class Recording:
-    """Keeps a copy of an answer, up to a size."""
-
-    def __init__(self, max_body_bytes: int) -> None:
-        """Start with nothing.
-
-        Args:
-            max_body_bytes: A larger body is not kept.
-        """
-        self._max_body_bytes = max_body_bytes
-        self._headers: Headers | None = None
-        self._body = b""
-        self._is_complete = False
-        self._is_too_large = False
-
-    @property
-    def headers(self) -> Headers | None:
-        """Headers of the answer."""
-        return self._headers
-
-    @property
-    def body(self) -> bytes | None:
-        """The whole body, None where it is incomplete or too large."""
-        return self._body if self._is_complete and not self._is_too_large else None
-
-    def add_headers(self, headers: Headers, *, is_last: bool) -> None:
-        """Note the headers."""
-        self._headers = headers
-        self._is_complete = is_last
-
-    def add_data(self, data: bytes, *, is_last: bool) -> None:
-        """Note body data."""
-        if len(self._body) + len(data) > self._max_body_bytes:
-            self._is_too_large = True
-        else:
-            self._body += data
-        self._is_complete = is_last
-
-
-class RequestStream:
-    """One request's stream: body chunks in, response out."""
-
-    def __init__(self, owner: Flow, stream_id: int, headers: Headers) -> None:
-        """Wrap a stream whose request headers have arrived."""
-        self._owner = owner
-        self._stream_id = stream_id
-        self._headers = headers
-        self._chunks: collections.deque[bytes] = collections.deque()
-        self._unread_bytes = 0
-        self._is_body_complete = False
-        self._is_body_read = False
-        self._is_closed = False
-        self._is_response_started = False
-        self._events: event_stream.EventSplitter | None = None
-        self._changed = asyncio.Event()
-        self.recording: Recording | None = None
-
-    @property
-    def headers(self) -> Headers:
-        """The request's headers."""
-        return self._headers
-
-    @property
-    def flow(self) -> Flow:
-        """The flow that the stream belongs to."""
-        return self._owner
-
-    @property
-    def stream_id(self) -> int:
-        """QUIC stream id."""
-        return self._stream_id
-
-    @property
-    def is_body_complete(self) -> bool:
-        """Whether the whole request body has arrived."""
-        return self._is_body_complete
-
-    @property
-    def is_body_read(self) -> bool:
-        """Whether any part of the request body has been read."""
-        return self._is_body_read
-
-    @property
-    def is_closed(self) -> bool:
-        """Whether the caller no longer listens here."""
-        return self._is_closed
-
-    @property
-    def is_response_started(self) -> bool:
-        """Whether response headers have left."""
-        return self._is_response_started
-
-    @property
-    def events(self) -> event_stream.EventSplitter | None:
-        """Position in the response where that is an event stream."""
-        return self._events
-
-    def follow_events(self, last_event_id: bytes | None) -> event_stream.EventSplitter:
-        """Treat the response as an event stream from a position on."""
-        self._events = event_stream.EventSplitter(last_event_id)
-        return self._events
-
-    def export(self, remaining_seconds: float) -> handoff.Request:
-        """Return the request for another agent."""
-        return handoff.Request(
-            stream_id=self._stream_id,
-            headers=tuple(self._headers),
-            body=b"".join(self._chunks),
-            is_body_complete=self._is_body_complete,
-            remaining_seconds=remaining_seconds,
-            is_response_started=self._is_response_started,
-            last_event_id=self._events.last_event_id if self._events else None,
-        )
-
-    def restore(self, request: handoff.Request) -> None:
-        """Take over a request from another agent."""
-        self._is_response_started = request.is_response_started
-        if request.is_response_started:
-            self.follow_events(request.last_event_id)
-        self.feed(request.body, request.is_body_complete)
-
-    def feed(self, data: bytes, is_last: bool) -> None:
-        """Take in body data from the caller."""
-        if data:
-            self._chunks.append(data)
-            self._unread_bytes += len(data)
-            self._owner.quic.set_unread_bytes(self._stream_id, self._unread_bytes)
-        self._is_body_complete = self._is_body_complete or is_last
-        self._changed.set()
-
-    def close(self) -> None:
-        """Note that the caller no longer listens here."""
-        self._is_closed = True
-        self._changed.set()
-
-    def wake(self) -> None:
-        """Let a waiting writer look again for room."""
-        self._changed.set()
-
-    async def read(self) -> bytes:
-        """Return the next body data, or nothing at the end.
-
-        Raises:
-            StreamClosedError: The caller has gone.
-        """
-        self._is_body_read = True
-        while not self._chunks:
-            if self._is_closed:
-                raise StreamClosedError
-            if self._is_body_complete:
-                return b""
-            await self._wait()
-        data = self._chunks.popleft()
-        self._unread_bytes -= len(data)
-        self._owner.quic.set_unread_bytes(self._stream_id, self._unread_bytes)
-        self._owner.schedule_transmit()
-        return data
-
-    def send_headers(self, headers: Headers, *, is_last: bool) -> None:
-        """Send response headers.
-
-        Raises:
-            StreamClosedError: The caller has gone.
-        """
-        if self.recording is not None:
-            self.recording.add_headers(headers, is_last=is_last)
-            if self._is_closed:
-                return
-        self._check_open()
-        self._is_response_started = True
-        self._owner.http.send_headers(self._stream_id, headers, is_last)
-        self._owner.schedule_transmit()
-
-    async def send_data(self, data: bytes, *, is_last: bool) -> None:
-        """Send response body data as soon as there is room.
-
-        Raises:
-            StreamClosedError: The caller has gone, and the answer is not recorded.
-        """
-        if self.recording is not None:
-            self.recording.add_data(data, is_last=is_last)
-            if self._is_closed:
-                return
-        while self._owner.is_frozen or self._is_far_behind():
-            self._check_open()
-            await self._wait()
-        self._check_open()
-        self._owner.http.send_data(self._stream_id, data, is_last)
-        self._owner.schedule_transmit()
-
-    def reset(self, code: ResetCode) -> None:
-        """End the response as incomplete."""
-        if not self._is_closed:
-            self._owner.quic.reset_stream(self._stream_id, code)
-            self._owner.schedule_transmit()
-
-    def _is_far_behind(self) -> bool:
-        return self._owner.quic.unsent_bytes(self._stream_id) > MAX_UNSENT_BYTES
-
-    def _check_open(self) -> None:
-        if self._is_closed:
-            raise StreamClosedError
-
-    async def _wait(self) -> None:
-        self._changed.clear()
-        await self._changed.wait()
-
-
 @dataclasses.dataclass(frozen=True)
 class FlowHandler:
     """Callbacks of the endpoint that holds a flow.
@@ -261,8 +40,10 @@
     """
 
     transmit: collections.abc.Callable[[bytes, addresses.Address], None]
-    on_request: collections.abc.Callable[[RequestStream], None]
-    on_stream_closed: collections.abc.Callable[[RequestStream, bool], None]
+    on_request: collections.abc.Callable[[request_stream.RequestStream], None]
+    on_stream_closed: collections.abc.Callable[
+        [request_stream.RequestStream, bool], None
+    ]
     on_cid_issued: collections.abc.Callable[[Flow, bytes], None]
     on_cid_retired: collections.abc.Callable[[Flow, bytes], None]
     on_closed: collections.abc.Callable[[Flow], None]
@@ -300,7 +81,7 @@
         self._handler = handler
         self._loop = asyncio.get_running_loop()
         self._http = http
-        self._streams: dict[int, RequestStream] = {}
+        self._streams: dict[int, request_stream.RequestStream] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._transmit_handle: asyncio.Handle | None = None
         self._ping_interval = idle_timeout / PINGS_PER_IDLE_TIMEOUT
@@ -332,7 +113,7 @@
         return self._caller
 
     @property
-    def streams(self) -> dict[int, RequestStream]:
+    def streams(self) -> dict[int, request_stream.RequestStream]:
         """Requests in progress, by stream id."""
         return self._streams
 
@@ -381,9 +162,11 @@
         self._streams.pop(stream_id, None)
         self._quic.forget_stream(stream_id)
 
-    def restore_stream(self, request: handoff.Request) -> RequestStream:
+    def restore_stream(self, request: handoff.Request) -> request_stream.RequestStream:
         """Take over a request from another agent."""
-        stream = RequestStream(self, request.stream_id, list(request.headers))
+        stream = request_stream.RequestStream(
+            self, request.stream_id, list(request.headers)
+        )
         self._streams[request.stream_id] = stream
         self._quic.set_unread_bytes(request.stream_id, 0)
         stream.restore(request)
@@ -497,7 +280,7 @@
         if existing is not None:
             existing.feed(b"", event.stream_ended)
             return
-        request = RequestStream(self, event.stream_id, event.headers)
+        request = request_stream.RequestStream(self, event.stream_id, event.headers)
         self._streams[event.stream_id] = request
         self._quic.set_unread_bytes(event.stream_id, 0)
         request.feed(b"", event.stream_ended)
--- a/packages/cactushall-daemon/cactushall_daemon/agent/requests.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/requests.py
@@ -11,7 +11,13 @@
 from cactushall_core import addresses, handoff, identifiers, outcomes, slots
 from cactushall_core.once import messages
 from cactushall_daemon import counters, events, logs
-from cactushall_daemon.agent import exchange, flow, headers, once
+from cactushall_daemon.agent import (
+    exchange,
+    flow,
+    headers,
+    once,
+    request_stream,
+)
 
 log = logs.get_logger(__name__)
 
@@ -28,7 +34,7 @@
 @dataclasses.dataclass
 class _Request:
     id: slots.RequestId
-    stream: flow.RequestStream
+    stream: request_stream.RequestStream
     head: headers.RequestHead
     deadline: float
     key: messages.KeyDigest | None = None
@@ -63,9 +69,9 @@
         self._loop = asyncio.get_running_loop()
         self._queue = slots.SlotQueue(slot_count, random.Random())
         self._requests: dict[slots.RequestId, _Request] = {}
-        self._by_stream: dict[flow.RequestStream, _Request] = {}
+        self._by_stream: dict[request_stream.RequestStream, _Request] = {}
         self._ids = itertools.count(1)
-        self._feeds: dict[flow.RequestStream, asyncio.Task[None]] = {}
+        self._feeds: dict[request_stream.RequestStream, asyncio.Task[None]] = {}
         self._is_draining = False
         self.deadline_seconds = 0.0
 
@@ -90,7 +96,7 @@
         """Refuse and abort what is past its deadline."""
         self._carry_out(self._queue.tick(now))
 
-    def start(self, stream: flow.RequestStream) -> None:
+    def start(self, stream: request_stream.RequestStream) -> None:
         """Take a new request."""
         self._counters.add(counters.Counter.REQUESTS)
         head = headers.parse_request(stream.headers)
@@ -104,7 +110,7 @@
                 allowed = min(allowed, head.timeout_seconds)
             self._admit_or_offer(stream, head, allowed)
 
-    def cancel(self, stream: flow.RequestStream, is_reset: bool) -> None:
+    def cancel(self, stream: request_stream.RequestStream, is_reset: bool) -> None:
         """Note that the caller has given up a request.
 
         A request with an idempotency key that runs goes on where only the
@@ -182,7 +188,7 @@
         for stream, head, remaining in queued:
             self._admit_or_offer(stream, head, remaining)
 
-    def _is_stream_movable(self, stream: flow.RequestStream) -> bool:
+    def _is_stream_movable(self, stream: request_stream.RequestStream) -> bool:
         request = self._by_stream.get(stream)
         if request is not None:
             return request.task is None and not stream.is_body_read
@@ -192,7 +198,10 @@
     # Requests.
 
     def _admit_or_offer(
-        self, stream: flow.RequestStream, head: headers.RequestHead, allowed: float
+        self,
+        stream: request_stream.RequestStream,
+        head: headers.RequestHead,
+        allowed: float,
     ) -> None:
         deadline = self._loop.time() + allowed
         if head.idempotency_key is None:
@@ -205,7 +214,7 @@
 
     async def _admit(
         self,
-        stream: flow.RequestStream,
+        stream: request_stream.RequestStream,
         head: headers.RequestHead,
         deadline: float,
         key: messages.KeyDigest,
@@ -228,13 +237,15 @@
             exchange.answer(stream, refusal)
             stream.flow.finish_stream(stream.stream_id)
 
-    async def _replay(self, stream: flow.RequestStream, answer: once.Answer) -> None:
+    async def _replay(
+        self, stream: request_stream.RequestStream, answer: once.Answer
+    ) -> None:
         self._counters.add(counters.Counter.REQUESTS_REPLAYED)
         try:
             fields = headers.to_caller(answer.status, answer.fields)
             stream.send_headers(fields, is_last=False)
             await stream.send_data(answer.body, is_last=True)
-        except flow.StreamClosedError:
+        except request_stream.StreamClosedError:
             return
         finally:
             stream.flow.finish_stream(stream.stream_id)
@@ -245,7 +256,7 @@
 
     def _offer(
         self,
-        stream: flow.RequestStream,
+        stream: request_stream.RequestStream,
         head: headers.RequestHead,
         deadline: float,
         key: messages.KeyDigest | None,
@@ -281,14 +292,16 @@
             self._carry_out(self._queue.finish(request.id, now, is_answered=False))
             return
         if request.key is not None:
-            request.stream.recording = flow.Recording(once.MAX_STORED_BODY_BYTES)
+            request.stream.recording = request_stream.Recording(
+                once.MAX_STORED_BODY_BYTES
+            )
         try:
             remaining = request.deadline - self._loop.time()
             result = await exchange.run(
                 request.stream, request.head, self._server, remaining
             )
         except Exception:
-            request.stream.reset(flow.ResetCode.INTERNAL_ERROR)
+            request.stream.reset(request_stream.ResetCode.INTERNAL_ERROR)
             log.exception(events.Event.REQUEST_FAILED, service=self._service)
         finally:
             self._counters.add(_RESULT_COUNTERS[result])
@@ -313,13 +326,17 @@
             is_answered = result is exchange.Result.ANSWERED
             self._once.finish(request.key, answer if is_answered else None)
 
-    def _refuse(self, stream: flow.RequestStream, reason: outcomes.Reason) -> None:
+    def _refuse(
+        self, stream: request_stream.RequestStream, reason: outcomes.Reason
+    ) -> None:
         outcome = outcomes.Outcome.NOT_RUN
         retry_after = exchange.RETRY_AFTER_SECONDS
         self._answer(stream, outcomes.Refusal(outcome, reason, retry_after))
         stream.flow.finish_stream(stream.stream_id)
 
-    def _answer(self, stream: flow.RequestStream, refusal: outcomes.Refusal) -> None:
+    def _answer(
+        self, stream: request_stream.RequestStream, refusal: outcomes.Refusal
+    ) -> None:
         self._counters.add(counters.Counter.REQUESTS_NOT_RUN)
         log.info(
             events.Event.REQUEST_REFUSED,
@@ -338,7 +355,7 @@
 
     def _open_feed(
         self,
-        stream: flow.RequestStream,
+        stream: request_stream.RequestStream,
         head: headers.RequestHead,
         opened: asyncio.Future[None] | None,
     ) -> None:
@@ -348,7 +365,7 @@
 
     async def _run_feed(
         self,
-        stream: flow.RequestStream,
+        stream: request_stream.RequestStream,
         head: headers.RequestHead,
         opened: asyncio.Future[None] | None,
     ) -> None:
@@ -356,14 +373,14 @@
             result = await exchange.run_feed(stream, head, self._server, opened)
             self._counters.add(_RESULT_COUNTERS[result])
         except Exception:
-            stream.reset(flow.ResetCode.INTERNAL_ERROR)
+            stream.reset(request_stream.ResetCode.INTERNAL_ERROR)
             log.exception(events.Event.REQUEST_FAILED, service=self._service)
         finally:
             del self._feeds[stream]
             stream.flow.finish_stream(stream.stream_id)
 
 
-def _recorded_answer(recording: flow.Recording) -> once.Answer | None:
+def _recorded_answer(recording: request_stream.Recording) -> once.Answer | None:
     if recording.headers is None or recording.body is None:
         return None
     fields = [(n, v) for n, v in recording.headers if not n.startswith(b":")]
