Zones of callers; admission that holds at the crest

Callers' own zones were not preferred at all. Change: half of the time is kept in reserve and the wait is counted by the caller's own turn. First packets go to a server of their caller's zone where the configuration names networks; flows leave it at 80% of the connections.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -58,7 +58,7 @@
     datagram = datagram.ljust(1200, b"\0")
     started = time.perf_counter()
     for number in range(LOOKUPS):
-        entry.steer(names[number % SERVICES], datagram, 0.0)
+        entry.steer(names[number % SERVICES], datagram, "192.0.2.7", 0.0)
     first_packet = (time.perf_counter() - started) / LOOKUPS
     services = tuple(
         configuration.Service(name, f"10.1.{n // 250}.{n % 250}:443")
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -91,7 +91,9 @@
         """Place one new flow."""
         cid = self.rng.randbytes(8)
         entry = self.rng.choice(self.entries)
-        decision = entry.steer(builders.SWAP_DESK, test_steering.initial(cid), self.now)
+        decision = entry.steer(
+            builders.SWAP_DESK, test_steering.initial(cid), "192.0.2.7", self.now
+        )
         home = decision.home
         if self.is_balancing:
             first = home
@@ -120,7 +122,7 @@
                 self.hand_over(home, table.receiver(self.now))
         elif round(self.now / STEP_SECONDS) % round(1 / STEP_SECONDS) == 0:
             for _ in range(table.surplus(self.report(home), self.now)):
-                self.hand_over(home, table.emptiest(self.now))
+                self.hand_over(home, table.emptiest(self.report(home), self.now))
 
     def hand_over(
         self, home: identifiers.HomeId, receiver: identifiers.HomeId | None
--- a/packages/cactushall-core/cactushall_core/configuration.py
+++ b/packages/cactushall-core/cactushall_core/configuration.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 import msgspec
 
 from cactushall_core import addresses, exceptions, findings, identifiers
@@ -38,18 +40,33 @@
         return addresses.parse(self.address)
 
 
+class Zone(msgspec.Struct, frozen=True):
+    """An availability zone.
+
+    Attributes:
+        name: Unique name.
+        caller_networks: Networks of the callers that the zone is nearest to.
+    """
+
+    name: identifiers.ZoneName
+    caller_networks: tuple[str, ...] = ()
+
+
 class Configuration(msgspec.Struct, frozen=True):
     """All services at one revision.
 
     Attributes:
         revision: Grows by one with each confirmed change.
         services: The services.
+        zones: Availability zones with callers of their own; callers of no zone may
+            be served anywhere.
         drained_nodes: Agents whose backend servers take no new work.
         closed_zones: Availability zones whose backend servers take no new work.
     """
 
     revision: identifiers.Revision = identifiers.Revision(0)
     services: tuple[Service, ...] = ()
+    zones: tuple[Zone, ...] = ()
     drained_nodes: tuple[identifiers.NodeName, ...] = ()
     closed_zones: tuple[identifiers.ZoneName, ...] = ()
 
@@ -115,9 +132,22 @@
         names.add(service.name)
         places[service.address] = service.name
         found += [_error(source, key, message) for message in messages]
+    for index, zone in enumerate(configuration.zones):
+        key = f"zones.{index}.caller_networks"
+        found += [_error(source, key, message) for message in _validate_zone(zone)]
     return found
 
 
+def _validate_zone(zone: Zone) -> list[str]:
+    messages = []
+    for network in zone.caller_networks:
+        try:
+            ipaddress.ip_network(network)
+        except ValueError as error:
+            messages.append(str(error))
+    return messages
+
+
 def _validate_service(service: Service) -> list[str]:
     messages = []
     if not 0 < len(service.name) <= MAX_NAME_LENGTH:
--- a/packages/cactushall-core/cactushall_core/placement.py
+++ b/packages/cactushall-core/cactushall_core/placement.py
@@ -26,6 +26,7 @@
 MIN_REBALANCED_FLOWS = 8
 MIN_WEIGHT = 0.1
 SIMILAR_WEIGHT = 0.7
+SPARE_FILL = 0.8
 
 
 @dataclasses.dataclass
@@ -60,6 +61,7 @@
         self._rng = rng
         self._peers: dict[identifiers.HomeId, _Peer] = {}
         self._eligible: set[identifiers.HomeId] = set()
+        self._near: set[identifiers.HomeId] | None = None
         self._own_seconds = 0.0
         self._handed: dict[bytes, identifiers.HomeId] = {}
         self._reported: peering.LoadReport | None = None
@@ -76,6 +78,10 @@
         for home in self._peers.keys() - homes:
             del self._peers[home]
 
+    def set_near(self, homes: set[identifiers.HomeId] | None) -> None:
+        """Note the peers of the own zone; None where no zone is preferred."""
+        self._near = homes
+
     def hear(self, report: peering.LoadReport, now: float) -> None:
         """Take in a peer's load."""
         full_until = 0.0
@@ -146,6 +152,8 @@
             return False
         if own.is_draining:
             return True
+        if not self._is_allowed(peer, own):
+            return False
         own_fill = own.flows / max(1, own.connection_limit) / self._weight(own)
         peer_fill = peer.fill / self._weight(peer.report)
         margin = max(HAND_MARGIN * own_fill, 1 / max(1, own.connection_limit))
@@ -169,6 +177,12 @@
         ratio = statistics.median(measured) / report.service_seconds
         return 1.0 if ratio >= SIMILAR_WEIGHT else max(MIN_WEIGHT, ratio)
 
+    def _is_allowed(self, peer: _Peer, own: peering.LoadReport) -> bool:
+        """Tell whether flows may go there while the own zone has spare capacity."""
+        if self._near is None or peer.report.home in self._near:
+            return True
+        return own.flows >= SPARE_FILL * own.connection_limit
+
     # Moves of open flows.
 
     def receiver(self, now: float) -> identifiers.HomeId | None:
@@ -184,6 +198,8 @@
             for home in self.peers
             if (peer := self._peers.get(home)) is not None and self._has_room(peer, now)
         ]
+        near = [p for p in roomy if self._near and p.report.home in self._near]
+        roomy = [peer for peer in near if peer.fill < SPARE_FILL] or roomy
         if not roomy:
             return None
         sampled = self._rng.sample(roomy, min(2, len(roomy)))
@@ -204,7 +220,11 @@
         """
         self._own_seconds = own.service_seconds
         fresh = [p for p in self._peers.values() if now - p.heard_at < STALE_SECONDS]
-        roomy = [peer for peer in fresh if self._has_room(peer, now)]
+        roomy = [
+            peer
+            for peer in fresh
+            if self._has_room(peer, now) and self._is_allowed(peer, own)
+        ]
         if not roomy or own.is_draining:
             return 0
         flows = own.flows + sum(peer.flows for peer in roomy)
@@ -219,9 +239,15 @@
             return 0
         return min(REBALANCE_BATCH, math.ceil(excess / 2))
 
-    def emptiest(self, now: float) -> identifiers.HomeId | None:
+    def emptiest(
+        self, own: peering.LoadReport, now: float
+    ) -> identifiers.HomeId | None:
         """Return the peer with the smallest share of its capacity in use."""
-        roomy = [p for p in self._peers.values() if self._has_room(p, now)]
+        roomy = [
+            peer
+            for peer in self._peers.values()
+            if self._has_room(peer, now) and self._is_allowed(peer, own)
+        ]
         if not roomy:
             return None
         best = min(roomy, key=lambda peer: peer.fill / self._weight(peer.report))
--- a/packages/cactushall-core/cactushall_core/slots.py
+++ b/packages/cactushall-core/cactushall_core/slots.py
@@ -19,6 +19,7 @@
 CallerKey = typing.NewType("CallerKey", bytes)
 
 MAX_QUEUED = 1024
+ADMISSION_SHARE = 0.5
 INITIAL_SERVICE_SECONDS = 0.05
 SERVICE_TIME_GAIN = 0.1
 MIN_RETRY_SECONDS = 1
@@ -123,7 +124,7 @@
         """Take in a request, or refuse it at once where it cannot be in time."""
         if self._queued >= MAX_QUEUED:
             return [self._refuse(request, outcomes.Reason.QUEUE_FULL)]
-        if now + self.expected_wait() + self._service_seconds > deadline:
+        if not self._is_in_time(caller, deadline - now):
             return [self._refuse(request, outcomes.Reason.DEADLINE)]
         self._entries[request] = _Entry(request, caller, deadline, Phase.QUEUED)
         self._turns.setdefault(caller, collections.deque()).append(request)
@@ -189,6 +190,22 @@
         self._has_measured = True
         self._service_seconds += SERVICE_TIME_GAIN * (seconds - self._service_seconds)
 
+    def _is_in_time(self, caller: CallerKey, remaining: float) -> bool:
+        """Tell whether a new request will surely be answered in some time.
+
+        Half of the time is left for service times that vary and for callers whose
+        turn comes first, so that what is admitted is not refused later.
+        """
+        wait = self.expected_wait()
+        if wait + self._service_seconds > remaining:
+            return False
+        waiting = self._turns.get(caller)
+        if waiting:
+            rounds = len(waiting) + 1
+            turns = rounds * len(self._turns)
+            wait = max(wait, turns * self._service_seconds / self._slots)
+        return wait <= ADMISSION_SHARE * remaining
+
     def _can_start(self) -> bool:
         has_slot = self._running < self._slots
         return has_slot and bool(self._turns) and not self._is_paused
--- a/packages/cactushall-core/cactushall_core/steering.py
+++ b/packages/cactushall-core/cactushall_core/steering.py
@@ -20,6 +20,7 @@
     keys,
     quic_header,
     rendezvous,
+    zones,
 )
 from cactushall_core.membership import records
 
@@ -35,6 +36,7 @@
 
     home: identifiers.HomeId
     tunnel_address: addresses.Address
+    zone: identifiers.ZoneName
 
 
 class Reset(msgspec.Struct, frozen=True):
@@ -88,6 +90,7 @@
         """
         self._ring = ring
         self._services: dict[identifiers.ServiceName, _ServiceTable] = {}
+        self._zone_map = zones.ZoneMap()
         self._refused: dict[addresses.Address, float] = {}
 
     def set_services(self, names: typing.Iterable[identifiers.ServiceName]) -> None:
@@ -99,6 +102,10 @@
         for name in self._services.keys() - wanted:
             del self._services[name]
 
+    def set_zones(self, zone_map: zones.ZoneMap) -> None:
+        """Prefer callers' own zones from now on."""
+        self._zone_map = zone_map
+
     def load(self, members: typing.Iterable[records.Record]) -> None:
         """Take in everything that is known of members."""
         for table in self._services.values():
@@ -122,13 +129,18 @@
         return len(table.eligible) if table else 0
 
     def steer(
-        self, service: identifiers.ServiceName, datagram: bytes, now: float
+        self,
+        service: identifiers.ServiceName,
+        datagram: bytes,
+        caller_host: str,
+        now: float,
     ) -> Decision:
         """Decide what to do with a datagram.
 
         Args:
             service: The service whose address the datagram was sent to.
             datagram: The payload of the datagram.
+            caller_host: The caller's IP address.
             now: Present time in seconds.
         """
         table = self._services.get(service)
@@ -146,7 +158,7 @@
                 return _reset_flow(table, header, datagram)
             return target
         if header.is_initial or header.is_version_unknown:
-            return self._steer_first_packet(table, header, now)
+            return self._steer_first_packet(table, header, caller_host, now)
         return _DROPS[DropReason.FOREIGN_ID]
 
     def note_refused(self, address: addresses.Address, now: float) -> None:
@@ -167,7 +179,11 @@
         return True
 
     def _steer_first_packet(
-        self, table: _ServiceTable, header: quic_header.Header, now: float
+        self,
+        table: _ServiceTable,
+        header: quic_header.Header,
+        caller_host: str,
+        now: float,
     ) -> Decision:
         candidates = list((table.eligible or table.targets).values())
         if self._refused:
@@ -177,6 +193,9 @@
                 if not self._is_refused(target.tunnel_address, now)
             ]
             candidates = listening or candidates
+        zone = self._zone_map.zone_of(caller_host)
+        near = [target for target in candidates if target.zone == zone]
+        candidates = near or candidates
         if not candidates:
             return _DROPS[DropReason.NO_BACKEND_SERVER]
         ranked = rendezvous.rank(
@@ -217,7 +236,7 @@
         return
     table.gone.discard(endpoint.home)
     table.unknown_since.pop(endpoint.home, None)
-    target = Forward(endpoint.home, record.member.tunnel_address)
+    target = Forward(endpoint.home, record.member.tunnel_address, record.member.zone)
     table.targets[endpoint.home] = target
     if record.status is records.Status.ALIVE and not endpoint.is_draining:
         table.eligible[endpoint.home] = target
--- a/packages/cactushall-daemon/cactushall_daemon/agent/drain.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/drain.py
@@ -122,7 +122,7 @@
         for moved in list(self._flows):
             if surplus <= 0:
                 return
-            home = self._peers.placement.emptiest(self._loop.time())
+            home = self._peers.placement.emptiest(own, self._loop.time())
             outcome = await self._departures.move(moved, home)
             if outcome is moves.MoveOutcome.MOVED:
                 surplus -= 1
--- a/packages/cactushall-daemon/cactushall_daemon/agent/peers.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/peers.py
@@ -35,6 +35,7 @@
         self._member = member
         self._home = identifiers.derive_home_id(member, service)
         self._told_epoch = 0
+        self._zone: identifiers.ZoneName | None = None
         self._stamps: dict[identifiers.MemberId, float] = {}
         self._authenticator = authenticator
         self._send = send
@@ -56,6 +57,20 @@
         self._placement.set_eligible(
             {home for home in self._members if self._is_eligible(home)}
         )
+        self._update_near()
+
+    def prefer_zone(self, zone: identifiers.ZoneName | None) -> None:
+        """Keep flows in a zone while it has spare capacity; None for no zone."""
+        self._zone = zone
+        self._update_near()
+
+    def _update_near(self) -> None:
+        near = {
+            home
+            for home, record in self._members.items()
+            if record.member.zone == self._zone
+        }
+        self._placement.set_near(None if self._zone is None else near)
 
     def member(self, home: identifiers.HomeId) -> records.Member | None:
         """Return the member behind a home, where it is present."""
--- a/packages/cactushall-daemon/cactushall_daemon/agent/process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/process.py
@@ -200,6 +200,12 @@
                 served.configure(adopted.service(served.service))
             except sockets.BindError as error:
                 log.error(events.Event.BIND_FAILED, why=str(error))
+            has_callers = any(
+                zone.name == self._settings.zone and zone.caller_networks
+                for zone in adopted.zones
+            )
+            own_zone = identifiers.ZoneName(self._settings.zone)
+            served.peers.prefer_zone(own_zone if has_callers else None)
         self._update_draining()
 
     def _report_endpoints(self) -> list[control_pb2.EndpointStatus]:
--- a/packages/cactushall-daemon/cactushall_daemon/entry/receiver.py
+++ b/packages/cactushall-daemon/cactushall_daemon/entry/receiver.py
@@ -12,6 +12,7 @@
     keys,
     steering,
     tunnel,
+    zones,
 )
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, logs, sockets
@@ -65,6 +66,7 @@
         for name in [n for n in self._bound if wanted.get(n) != self._bound[n]]:
             self._release(name)
         self._steering.set_services(wanted)
+        self._steering.set_zones(zones.ZoneMap(adopted.zones))
         self._steering.load(table)
         for name, address in wanted.items():
             if name not in self._bound:
@@ -104,7 +106,7 @@
         source: tuple[str, int],
     ) -> None:
         self._received.value += 1
-        decision = self._steering.steer(name, datagram, self._time())
+        decision = self._steering.steer(name, datagram, source[0], self._time())
         if isinstance(decision, steering.Forward):
             out = tunnel.encode(self._authenticator, decision.home, 0, source, datagram)
             if self._send_to_agent(out, decision.tunnel_address):
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -118,3 +118,23 @@
     assert table.is_report_due(report(flows=150), NOW + 0.5)
     assert not table.is_report_due(report(flows=190), NOW + 0.55)
     assert table.is_report_due(report(flows=150), NOW + 1.6)
+
+
+def test_flows_stay_in_their_zone_while_it_has_spare_capacity():
+    table = make_table(report(SECOND, 0))
+    table.set_near(set())
+    spare, full = report(flows=500), report(flows=850)
+    assert table.place(b"cid", spare, NOW) == OWN
+    assert table.surplus(spare, NOW) == 0
+    assert table.emptiest(spare, NOW) is None
+    assert table.surplus(full, NOW) > 0
+    assert table.place(b"cid", full, NOW) == SECOND
+
+
+def test_drained_flows_prefer_their_zone():
+    near, far = identifiers.HomeId(7), identifiers.HomeId(8)
+    table = make_table(report(near, 700), report(far, 0))
+    table.set_near({near})
+    assert {table.receiver(NOW) for _ in range(20)} == {near}
+    table.hear(report(near, 900), NOW)
+    assert far in {table.receiver(NOW) for _ in range(20)}
--- a/tests/core/test_slots.py
+++ b/tests/core/test_slots.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
+from bench import crest
 from cactushall_core import outcomes, slots
 
 ALPHA = slots.CallerKey(b"alpha")
@@ -54,6 +55,23 @@
     assert action.refusal.retry_after >= 1
 
 
+def test_caller_whose_turn_would_come_too_late_is_refused():
+    queue = make_queue()
+    for number in range(6):
+        offer(queue, number, slots.CallerKey(b"%d" % number))
+    deadline = 1.0
+    for number in range(6, 10):
+        actions = offer(queue, number, ALPHA, deadline)
+    assert isinstance(actions[0], slots.Refuse)
+    assert offer(queue, 10, BETA, deadline) == []
+
+
+def test_what_is_admitted_at_a_crest_is_answered_in_time():
+    outcome = crest.QueueRun(1).run()
+    capacity = crest.CREST_SECONDS / crest.SERVICE_SECONDS
+    assert outcome.answered_in_time >= crest.TARGET_SHARE * capacity
+
+
 def test_cancelled_request_leaves_the_queue():
     queue = make_queue()
     offer(queue, 0)
--- a/tests/core/test_steering.py
+++ b/tests/core/test_steering.py
@@ -7,7 +7,14 @@
 import hypothesis
 from hypothesis import strategies
 
-from cactushall_core import connection_id, quic_header, steering
+from cactushall_core import (
+    configuration,
+    connection_id,
+    identifiers,
+    quic_header,
+    steering,
+    zones,
+)
 from cactushall_core.membership import records
 from tests.core import builders
 
@@ -15,6 +22,7 @@
 CATALOGUE_AGENTS = [builders.make_agent(n, builders.CATALOGUE) for n in range(100, 103)]
 DESK_KEYS = connection_id.make_service_keys(builders.RING, builders.SWAP_DESK)
 NOW = 100.0
+HOST = "192.0.2.7"
 NONCE = b"nonce-7"
 VERSION_1 = b"\x00\x00\x00\x01"
 
@@ -42,9 +50,11 @@
 def test_later_packet_goes_to_its_home():
     made = make_steering()
     for record in DESK_AGENTS:
-        decision = made.steer(builders.SWAP_DESK, short(id_of(record)), NOW)
+        decision = made.steer(builders.SWAP_DESK, short(id_of(record)), HOST, NOW)
         assert decision == steering.Forward(
-            builders.home_of(record), record.member.tunnel_address
+            builders.home_of(record),
+            record.member.tunnel_address,
+            record.member.zone,
         )
 
 
@@ -53,17 +63,17 @@
     stale = make_steering(DESK_AGENTS[:3])
     fresh = make_steering()
     datagram = short(cid)
-    assert stale.steer(builders.SWAP_DESK, datagram, NOW) == fresh.steer(
-        builders.SWAP_DESK, datagram, NOW
+    assert stale.steer(builders.SWAP_DESK, datagram, HOST, NOW) == fresh.steer(
+        builders.SWAP_DESK, datagram, HOST, NOW
     )
 
 
 def test_first_packet_goes_to_the_same_home_at_every_entry():
     datagram = initial(b"chosen")
     backwards = make_steering(list(reversed(DESK_AGENTS)))
-    decision = make_steering().steer(builders.SWAP_DESK, datagram, NOW)
+    decision = make_steering().steer(builders.SWAP_DESK, datagram, HOST, NOW)
     assert isinstance(decision, steering.Forward)
-    assert backwards.steer(builders.SWAP_DESK, datagram, NOW) == decision
+    assert backwards.steer(builders.SWAP_DESK, datagram, HOST, NOW) == decision
 
 
 def test_first_packets_avoid_draining_and_suspected_servers():
@@ -72,20 +82,20 @@
     made.apply(builders.make_agent(1, status=records.Status.SUSPECT, incarnation=1))
     avoided = {builders.home_of(DESK_AGENTS[0]), builders.home_of(DESK_AGENTS[1])}
     for _ in range(300):
-        decision = made.steer(builders.SWAP_DESK, initial(os.urandom(8)), NOW)
+        decision = made.steer(builders.SWAP_DESK, initial(os.urandom(8)), HOST, NOW)
         assert decision.home not in avoided
 
 
 def test_flows_of_a_draining_server_still_reach_it():
     made = make_steering()
     made.apply(builders.make_agent(0, is_draining=True, incarnation=1))
-    decision = made.steer(builders.SWAP_DESK, short(id_of(DESK_AGENTS[0])), NOW)
+    decision = made.steer(builders.SWAP_DESK, short(id_of(DESK_AGENTS[0])), HOST, NOW)
     assert isinstance(decision, steering.Forward)
 
 
 def test_id_of_another_service_is_dropped():
     decision = make_steering().steer(
-        builders.CATALOGUE, short(id_of(DESK_AGENTS[0])), NOW
+        builders.CATALOGUE, short(id_of(DESK_AGENTS[0])), HOST, NOW
     )
     assert decision == steering.Drop(steering.DropReason.FOREIGN_ID)
 
@@ -94,7 +104,7 @@
     made = make_steering()
     made.apply(builders.make_agent(0, status=records.Status.DEAD))
     cid = id_of(DESK_AGENTS[0])
-    decision = made.steer(builders.SWAP_DESK, short(cid), NOW)
+    decision = made.steer(builders.SWAP_DESK, short(cid), HOST, NOW)
     assert isinstance(decision, steering.Reset)
     assert decision.datagram.endswith(connection_id.reset_token(DESK_KEYS, cid))
     assert len(decision.datagram) < len(short(cid))
@@ -103,8 +113,10 @@
 def test_flow_of_an_unknown_home_is_reset_only_after_a_while():
     made = make_steering(DESK_AGENTS[1:])
     datagram = short(id_of(DESK_AGENTS[0]))
-    first = made.steer(builders.SWAP_DESK, datagram, NOW)
-    later = made.steer(builders.SWAP_DESK, datagram, NOW + steering.GONE_AFTER_SECONDS)
+    first = made.steer(builders.SWAP_DESK, datagram, HOST, NOW)
+    later = made.steer(
+        builders.SWAP_DESK, datagram, HOST, NOW + steering.GONE_AFTER_SECONDS
+    )
     assert first == steering.Drop(steering.DropReason.UNKNOWN_HOME)
     assert isinstance(later, steering.Reset)
 
@@ -113,7 +125,7 @@
     made = make_steering()
     made.apply(builders.make_agent(0, status=records.Status.DEAD))
     made.apply(builders.make_agent(0, incarnation=1))
-    decision = made.steer(builders.SWAP_DESK, short(id_of(DESK_AGENTS[0])), NOW)
+    decision = made.steer(builders.SWAP_DESK, short(id_of(DESK_AGENTS[0])), HOST, NOW)
     assert isinstance(decision, steering.Forward)
 
 
@@ -122,16 +134,20 @@
     address = DESK_AGENTS[0].member.tunnel_address
     made.note_refused(address, NOW)
     datagram = short(id_of(DESK_AGENTS[0]))
-    assert isinstance(made.steer(builders.SWAP_DESK, datagram, NOW), steering.Reset)
+    assert isinstance(
+        made.steer(builders.SWAP_DESK, datagram, HOST, NOW), steering.Reset
+    )
     later = NOW + steering.REFUSED_SECONDS + 1
-    assert isinstance(made.steer(builders.SWAP_DESK, datagram, later), steering.Forward)
+    assert isinstance(
+        made.steer(builders.SWAP_DESK, datagram, HOST, later), steering.Forward
+    )
 
 
 def test_first_packets_avoid_where_no_agent_listens():
     made = make_steering()
     made.note_refused(DESK_AGENTS[0].member.tunnel_address, NOW)
     for _ in range(200):
-        decision = made.steer(builders.SWAP_DESK, initial(os.urandom(8)), NOW)
+        decision = made.steer(builders.SWAP_DESK, initial(os.urandom(8)), HOST, NOW)
         assert decision.home != builders.home_of(DESK_AGENTS[0])
 
 
@@ -139,18 +155,51 @@
     made = make_steering()
     made.note_refused(DESK_AGENTS[0].member.tunnel_address, NOW)
     made.apply(builders.make_agent(0, incarnation=1))
-    decision = made.steer(builders.SWAP_DESK, short(id_of(DESK_AGENTS[0])), NOW)
+    decision = made.steer(builders.SWAP_DESK, short(id_of(DESK_AGENTS[0])), HOST, NOW)
     assert isinstance(decision, steering.Forward)
 
 
+def test_first_packets_stay_in_the_callers_zone_while_it_has_servers():
+    zone = identifiers.ZoneName("zone-1")
+    made = make_steering()
+    made.set_zones(zones.ZoneMap([configuration.Zone(zone, ("192.0.2.0/24",))]))
+    for _ in range(100):
+        first = initial(os.urandom(8))
+        decision = made.steer(builders.SWAP_DESK, first, HOST, NOW)
+        assert decision.zone == zone
+    decisions = {
+        made.steer(builders.SWAP_DESK, initial(os.urandom(8)), "198.51.100.1", NOW).zone
+        for _ in range(100)
+    }
+    assert len(decisions) == 3
+    for number in (1, 4):
+        made.apply(builders.make_agent(number, is_draining=True, incarnation=1))
+    decision = made.steer(builders.SWAP_DESK, initial(b"chosen"), HOST, NOW)
+    assert decision.zone != zone
+
+
+def test_longest_network_decides():
+    made = zones.ZoneMap(
+        [
+            configuration.Zone(identifiers.ZoneName("wide"), ("10.0.0.0/8",)),
+            configuration.Zone(identifiers.ZoneName("narrow"), ("10.1.0.0/16",)),
+        ]
+    )
+    assert made.zone_of("10.1.2.3") == "narrow"
+    assert made.zone_of("10.2.2.3") == "wide"
+    assert made.zone_of("192.0.2.1") is None
+
+
 def test_service_without_servers_drops():
-    decision = make_steering([]).steer(builders.SWAP_DESK, initial(b"chosen"), NOW)
+    decision = make_steering([]).steer(
+        builders.SWAP_DESK, initial(b"chosen"), HOST, NOW
+    )
     assert decision == steering.Drop(steering.DropReason.NO_BACKEND_SERVER)
 
 
 def test_only_initial_packets_open_flows():
     datagram = b"\xe0" + initial(b"chosen")[1:]
-    decision = make_steering().steer(builders.SWAP_DESK, datagram, NOW)
+    decision = make_steering().steer(builders.SWAP_DESK, datagram, HOST, NOW)
     assert isinstance(decision, steering.Drop)
 
 
@@ -168,7 +217,7 @@
 def test_no_datagram_reaches_another_service_or_raises(datagram):
     made = make_steering()
     own = {builders.home_of(record) for record in CATALOGUE_AGENTS}
-    decision = made.steer(builders.CATALOGUE, datagram, NOW)
+    decision = made.steer(builders.CATALOGUE, datagram, HOST, NOW)
     if isinstance(decision, steering.Forward):
         assert decision.home in own
     else:
