Nothing grows without bound: keys, moved flows and gone homes are forgotten

Old idempotency keys were only dropped when looked up (a test of the ledger's size failed first), ended flows stayed in the table of arrivals, gone homes stayed in the entry for ever, and an admission had no deadline of its own. Change: each has a bound or an expiry; an undecided admission ends as unknown at the request's deadline.

--- a/packages/cactushall-core/cactushall_core/once/ledger.py
+++ b/packages/cactushall-core/cactushall_core/once/ledger.py
@@ -323,7 +323,8 @@
         return self._handle_refused(message)
 
     def tick(self, now: float) -> list[Action]:
-        """Give up waiting for members that stay silent."""
+        """Give up waiting for members that stay silent, and forget old keys."""
+        self._expire(now)
         actions: list[Action] = []
         for key, deadline in list(self._claims.items()):
             if now >= deadline:
@@ -541,7 +542,8 @@
 
     def _expire(self, now: float) -> None:
         """Forget old keys; entries are ordered by their expiry."""
-        for key, entry in list(self._entries.items()):
-            if entry.expires_at > now:
+        while self._entries:
+            key = next(iter(self._entries))
+            if self._entries[key].expires_at > now:
                 return
             del self._entries[key]
--- a/packages/cactushall-core/cactushall_core/steering.py
+++ b/packages/cactushall-core/cactushall_core/steering.py
@@ -27,6 +27,7 @@
 GONE_AFTER_SECONDS = 3.0
 REFUSED_SECONDS = 5.0
 MAX_UNKNOWN_HOMES = 4096
+MAX_GONE_HOMES = 4096
 MIN_RESET_BYTES = 21
 MAX_RESET_BYTES = 64
 
@@ -73,7 +74,7 @@
     eligible: dict[identifiers.HomeId, Forward] = dataclasses.field(
         default_factory=dict
     )
-    gone: set[identifiers.HomeId] = dataclasses.field(default_factory=set)
+    gone: dict[identifiers.HomeId, None] = dataclasses.field(default_factory=dict)
     unknown_since: dict[identifiers.HomeId, float] = dataclasses.field(
         default_factory=dict
     )
@@ -232,9 +233,11 @@
     table.targets.pop(endpoint.home, None)
     table.eligible.pop(endpoint.home, None)
     if not record.is_present:
-        table.gone.add(endpoint.home)
+        table.gone[endpoint.home] = None
+        if len(table.gone) > MAX_GONE_HOMES:
+            del table.gone[next(iter(table.gone))]
         return
-    table.gone.discard(endpoint.home)
+    table.gone.pop(endpoint.home, None)
     table.unknown_since.pop(endpoint.home, None)
     target = Forward(endpoint.home, record.member.tunnel_address, record.member.zone)
     table.targets[endpoint.home] = target
--- a/packages/cactushall-daemon/cactushall_daemon/agent/moves.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/moves.py
@@ -24,6 +24,7 @@
 SWITCH_POLL_SECONDS = 0.2
 SWITCH_TIMEOUT_SECONDS = 120.0
 MAX_REMEMBERED_MOVES = 65_536
+SWEEP_MOVES = 256
 
 Forward = collections.abc.Callable[
     [addresses.Address, identifiers.HomeId, int, flow.HeldDatagram], None
@@ -265,7 +266,7 @@
         self._adopt = adopt
         self._has_room = has_room
         self._counters = tallies
-        self._taken: dict[bytes, flow.Flow] = {}
+        self._taken: dict[bytes, flow.Flow | None] = {}
         self._pending: dict[bytes, asyncio.Future[control_pb2.MoveFlowResponse]] = {}
 
     async def take(self, record: handoff.Record) -> control_pb2.MoveFlowResponse:
@@ -292,7 +293,17 @@
 
     def _is_switched(self, move_id: bytes) -> bool:
         taken = self._taken.get(move_id)
-        return taken is None or taken.is_closed or taken.quic.is_caller_switched
+        if taken is None:
+            return True
+        if not taken.is_closed and not taken.quic.is_caller_switched:
+            return False
+        self._taken[move_id] = None
+        return True
+
+    def _forget_ended(self) -> None:
+        """Keep the ids of moves, but not the flows that have ended."""
+        for move_id in list(self._taken):
+            self._is_switched(move_id)
 
     async def _take(self, record: handoff.Record) -> control_pb2.MoveFlowResponse:
         if not self._has_room():
@@ -310,6 +321,8 @@
             taken.abandon()
             return control.rejected(str(error))
         self._taken[record.move_id] = taken
+        if len(self._taken) % SWEEP_MOVES == 0:
+            self._forget_ended()
         if len(self._taken) > MAX_REMEMBERED_MOVES:
             del self._taken[next(iter(self._taken))]
         self._counters.add(counters.Counter.FLOWS_MOVED_IN)
--- a/packages/cactushall-daemon/cactushall_daemon/agent/once.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/once.py
@@ -104,7 +104,7 @@
         """
         released_by: identifiers.MemberId | None = None
         for _ in range(MAX_ATTEMPTS):
-            decision = await self._decide(key, released_by)
+            decision = await self._decide(key, released_by, deadline)
             if decision.verdict is ledger.Verdict.START:
                 self._begin(key)
                 return Start()
@@ -156,9 +156,10 @@
     def tick(self, now: float) -> None:
         """Do what is due."""
         self._carry_out(self._ledger.tick(now))
-        for key, run in list(self._runs.items()):
-            if run.expires_at > now:
-                break
+        while self._runs:
+            key = next(iter(self._runs))
+            if self._runs[key].expires_at > now:
+                return
             self.finish(key, None)
             del self._runs[key]
 
@@ -214,17 +215,24 @@
         self._ledger.take_over(entries, self._loop.time())
 
     async def _decide(
-        self, key: messages.KeyDigest, released_by: identifiers.MemberId | None
+        self,
+        key: messages.KeyDigest,
+        released_by: identifiers.MemberId | None,
+        deadline: float,
     ) -> ledger.Decide:
         waiting = self._decisions.get(key)
+        is_first = waiting is None
         if waiting is None:
             waiting = self._loop.create_future()
             self._decisions[key] = waiting
             now = self._loop.time()
             self._carry_out(self._ledger.submit(key, now, released_by))
-            return await asyncio.shield(waiting)
-        decision = await asyncio.shield(waiting)
-        if decision.verdict is ledger.Verdict.START:
+        remaining = max(0.0, deadline - self._loop.time())
+        try:
+            decision = await asyncio.wait_for(asyncio.shield(waiting), remaining)
+        except TimeoutError:
+            return ledger.Decide(key, ledger.Verdict.UNKNOWN)
+        if decision.verdict is ledger.Verdict.START and not is_first:
             return ledger.Decide(key, ledger.Verdict.OWN)
         return decision
 
--- a/tests/core/test_once.py
+++ b/tests/core/test_once.py
@@ -215,6 +215,8 @@
     service = once_model.Service(3)
     run_once(service, 0)
     service.now += once_model.LIFETIME + 1
+    service.tick(0.0)
+    assert {node.ledger.key_count for node in service.nodes.values()} == {0}
     service.heartbeat()
     service.runs.clear()
     run_once(service, 1)
