At most once: a planned leave makes no order unknown

Cause: a clean clone failed once in the scenario that stops an agent (one proposal of many got 504 unknown): keys that were claimed at the leaving agent and had not run moved to another, which asked the one that had just left. Further, a registrar that had released a key of its own took hearsay about itself for a claim (a test failed first), an inquiry that ended with a change of the epoch was reported as unknown, and an agent that left while the store was down counted as silent. Change: a leaving agent tells all present agents its keys, those that ran and those that never will; they need no answer of it any more. The scenario of faults had a bound of 60% answered that came from no stated target; in its place all proposals must be answered once the store is back and 8 s have passed (which failed first: 504 for ten minutes).

--- a/packages/cactushall-core/cactushall_core/once/ledger.py
+++ b/packages/cactushall-core/cactushall_core/once/ledger.py
@@ -124,6 +124,7 @@
         self._former: dict[identifiers.MemberId, float] = {}
         self._alone_until = now
         self._ran_alone_at: float | None = None
+        self._handed_over: set[identifiers.MemberId] = set()
         self._reachable: set[identifiers.MemberId] | None = None
         self._entries: dict[messages.KeyDigest, _Entry] = {}
         self._claims: dict[messages.KeyDigest, float] = {}
@@ -136,6 +137,11 @@
         """The present epoch."""
         return self._epoch
 
+    @property
+    def handed_over(self) -> frozenset[identifiers.MemberId]:
+        """Members that have left and whose keys are remembered here."""
+        return frozenset(self._handed_over)
+
     @property
     def key_count(self) -> int:
         """How many keys are remembered."""
@@ -294,10 +300,29 @@
             if entry.state is not State.RELEASED
         ]
 
+    def export_released(self, now: float) -> list[messages.KeyDigest]:
+        """Return the keys that were released here, for a handover."""
+        self._expire(now)
+        released = State.RELEASED
+        return [k for k, entry in self._entries.items() if entry.state is released]
+
+    def forget_released(
+        self, keys: list[messages.KeyDigest], member: identifiers.MemberId
+    ) -> None:
+        """Free keys of a member that leaves and never ran them."""
+        for key in keys:
+            entry = self._entries.get(key)
+            if entry is not None and entry.holder == member:
+                del self._entries[key]
+
     def take_over(
-        self, keys: list[tuple[messages.KeyDigest, identifiers.MemberId]], now: float
+        self,
+        member: identifiers.MemberId,
+        keys: list[tuple[messages.KeyDigest, identifiers.MemberId]],
+        now: float,
     ) -> None:
-        """Remember the keys of a member that leaves."""
+        """Remember the keys of a member that leaves, so that it need not answer."""
+        self._handed_over.add(member)
         for key, holder in keys:
             if self._entry(key, now) is None:
                 self._put(key, State.BARRED, holder, now)
@@ -312,6 +337,8 @@
             return self._handle_claim(sender, message, now)
         if isinstance(message, messages.Inquiry):
             return self._handle_inquiry(sender, message, now)
+        if isinstance(message, messages.Refused) and message.is_stale:
+            return self._handle_refused(message)
         if message.epoch != self._epoch.number:
             return []
         if isinstance(message, messages.Granted):
@@ -351,7 +378,11 @@
                 return [Send(sender, messages.Held(key, number, self._member))]
         is_granted = entry is not None and entry.state is State.HELD
         if not is_granted and self._needs_inquiry(now):
-            return self._ask_all(key, sender, now, claim.released_by)
+            released_by = claim.released_by
+            if entry is not None and entry.state is State.RELEASED:
+                self._put(key, State.BARRED, sender, now)
+                released_by = self._member
+            return self._ask_all(key, sender, now, released_by)
         self._put(key, State.HELD, sender, now)
         return [Send(sender, messages.Granted(key, number))]
 
@@ -381,7 +412,8 @@
         if inquest is not None and held.holder != inquest.runner:
             del self._inquests[key]
             if inquest.runner != self._member:
-                self._put(key, State.BARRED, held.holder, now)
+                if held.holder != self._member:
+                    self._put(key, State.BARRED, held.holder, now)
                 answer = messages.Held(key, self._epoch.number, held.holder)
                 return [Send(inquest.runner, answer)]
         elif key not in self._claims:
@@ -437,6 +469,7 @@
             return []
         former = {m for m, until in self._former.items() if until > now}
         asked = (set(self._epoch.members) | former) - {self._member, runner}
+        asked -= self._handed_over
         return self._ask(key, runner, asked, now, released_by, is_whole=True)
 
     def _ask(
@@ -472,7 +505,8 @@
             is_stale = inquest.epoch != self._epoch.number
             return self._give_up(key, Verdict.RETRY if is_stale else Verdict.UNKNOWN)
         if not is_fresh:
-            refused = messages.Refused(key, self._epoch.number)
+            is_stale = inquest.epoch != self._epoch.number
+            refused = messages.Refused(key, self._epoch.number, is_stale)
             return [Send(inquest.runner, refused)]
         entry = self._entry(key, now)
         is_taken = entry is not None and entry.state is not State.RELEASED
@@ -491,7 +525,8 @@
     ) -> bool:
         if inquest.epoch != self._epoch.number:
             return False
-        informed = inquest.cleared | {self._member, inquest.runner}
+        informed = inquest.cleared | self._handed_over
+        informed |= {self._member, inquest.runner}
         answered = sum(member in informed for member in self._epoch.members)
         allowed = 0 if now < self._alone_until else MAX_SILENT
         return len(silent) <= allowed and epoch.is_majority(answered, self._epoch)
--- a/packages/cactushall-daemon/cactushall_daemon/agent/epochs.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/epochs.py
@@ -107,7 +107,7 @@
         if not self._is_first(present, known):
             return
         if gone:
-            await self._write(keys, self._without(present, {gone[0]}, set()))
+            await self._write(keys, self._without(present, {gone[0]}, keys.handed_over))
         elif waiting:
             await self._write(keys, self._with_member(keys, waiting[0]))
 
--- a/packages/cactushall-daemon/cactushall_daemon/agent/once.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/once.py
@@ -15,7 +15,6 @@
 MAX_STORED_BODY_BYTES = 64 * 1024
 MAX_ATTEMPTS = 5
 RETRY_PAUSE_SECONDS = 0.2
-HANDOVER_RECEIVERS = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -195,10 +194,14 @@
             control_pb2.HandoverEntry(key=key, holder=holder)
             for key, holder in self._ledger.export(self._loop.time())
         ]
-        request = control_pb2.HandoverRequest(service=self._service, entries=entries)
-        receivers = list(self._peers.present().values())[:HANDOVER_RECEIVERS]
+        request = control_pb2.HandoverRequest(
+            service=self._service,
+            entries=entries,
+            member=self._member,
+            released=self._ledger.export_released(self._loop.time()),
+        )
         taken = 0
-        for receiver in receivers:
+        for receiver in self._peers.present().values():
             try:
                 await self._client.hand_over(receiver.control_address, request)
                 taken += 1
@@ -212,7 +215,10 @@
             (messages.KeyDigest(entry.key), identifiers.MemberId(entry.holder))
             for entry in request.entries
         ]
-        self._ledger.take_over(entries, self._loop.time())
+        member = identifiers.MemberId(request.member)
+        self._ledger.take_over(member, entries, self._loop.time())
+        released = [messages.KeyDigest(key) for key in request.released]
+        self._ledger.forget_released(released, member)
 
     async def _decide(
         self,
--- a/tests/core/test_once.py
+++ b/tests/core/test_once.py
@@ -194,7 +194,8 @@
     run_once(service, 0)
     leaving = node_at(service, 0)
     keys = leaving.ledger.export(service.now)
-    node_at(service, 1).ledger.take_over(keys, service.now)
+    for slot in (1, 2):
+        node_at(service, slot).ledger.take_over(leaving.member, keys, service.now)
     service.stored = epoch.without(
         service.stored,
         {leaving.member},
@@ -300,3 +301,64 @@
     while service.in_flight:
         service.deliver(0)
     assert node.ready == [KEY]
+
+
+def service_after_a_change():
+    """Return a service within W of a change of its epoch."""
+    service = once_model.Service(3)
+    joined = service.boot(3)
+    service.stored = service.with_member(joined.member, has_run_alone=False)
+    for node in service.nodes.values():
+        service.read_store(node)
+    service.heartbeat()
+    return service
+
+
+def test_key_that_its_registrar_released_runs_elsewhere():
+    service = service_after_a_change()
+    registrar = service.nodes[node_at(service, 0).ledger._ranked(KEY)[0]]
+    service.submit(registrar, KEY)
+    settle(service)
+    registrar.ledger.release(KEY)
+    other = next(node for node in service.nodes.values() if node is not registrar)
+    del other.ledger._entries[KEY]
+    service.submit(other, KEY)
+    settle(service)
+    assert other.ready == [KEY]
+    service.start(other)
+    registrar.ready.clear()
+    service.submit(registrar, KEY)
+    settle(service)
+    assert registrar.ready == []
+    assert service.runs_total == 1
+
+
+def test_released_key_of_a_member_that_left_runs_elsewhere():
+    service = once_model.Service(3)
+    leaving = node_at(service, 0)
+    service.submit(leaving, KEY)
+    settle(service)
+    leaving.ledger.release(KEY)
+    released = leaving.ledger.export_released(service.now)
+    assert released == [KEY]
+    for slot in (1, 2):
+        node_at(service, slot).ledger.forget_released(released, leaving.member)
+    service.kill(leaving)
+    run_once(service, 1)
+    assert service.runs_total == 1
+
+
+def test_member_that_handed_its_keys_over_need_not_answer():
+    service = service_after_a_change()
+    leaving, dead = node_at(service, 3), node_at(service, 2)
+    for slot in (0, 1):
+        node_at(service, slot).ledger.take_over(leaving.member, [], service.now)
+    service.kill(leaving)
+    service.kill(dead)
+    key = next(
+        key
+        for key in (messages.digest(b"key-%d" % n) for n in range(50))
+        if node_at(service, 0).ledger._ranked(key)[0] == node_at(service, 1).member
+    )
+    run_once(service, 0, key)
+    assert service.runs_total == 1
--- a/tests/daemon/test_quic.py
+++ b/tests/daemon/test_quic.py
@@ -268,3 +268,26 @@
     record = structs.replace(Move(pair).record, version=99)
     with pytest.raises(exceptions.DecodeError, match="version"):
         handoff.decode(handoff.encode(record))
+
+
+def test_caller_keeps_one_home_where_two_agents_answer_its_first_packet(tmp_path):
+    pair = Pair(tmp_path)
+    other = quic.SteeredConnection(
+        pair.settings,
+        pair.client.original_destination_connection_id,
+        quic.make_cid_factory(KEYS, SECOND_HOME),
+    )
+    first = pair.client.datagrams_to_send(pair.now)
+    for datagram, _ in first:
+        pair.server.receive_datagram(datagram, CLIENT, pair.now)
+        other.receive_datagram(datagram, CLIENT, pair.now)
+    answers = pair.server.datagrams_to_send(pair.now)
+    answers += other.datagrams_to_send(pair.now)
+    for datagram, _ in answers:
+        pair.client.receive_datagram(datagram, SERVER, pair.now)
+    pair.client.send_stream_data(0, b"whole", True)
+    pair.exchange(20)
+    assert received(pair, 0) == b"whole"
+    homes = {connection_id.decode(KEYS, cid) for cid in pair.cids_used}
+    assert homes == {HOME}
+    assert not other.is_handshake_confirmed
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -168,3 +168,14 @@
 @then(parsers.parse("{name} ends with exit code {code:d}"))
 def _(world, name, code):
     assert world.run(world.site.terminate(name)) == code
+
+
+@then(parsers.parse("{callers:d} callers can send {each:d} proposals each"))
+def _(world, callers, each):
+    async def trade():
+        for _ in range(callers):
+            caller = await world.open_caller("swap-desk")
+            for _ in range(each):
+                assert (await world.propose(caller)).status == 200
+
+    world.run(trade())
--- a/tests/scenarios/once.feature
+++ b/tests/scenarios/once.feature
@@ -36,7 +36,9 @@
     And the resubmissions end
     Then no proposal ran twice
     And no proposal that ran was always refused as not run
-    And at least 60 percent of the proposals were answered
+    When the store is back
+    And 8 seconds pass
+    Then 5 callers can send 3 proposals each
 
   Scenario: The runner and a second agent die together
     Given a site with 5 swap-desk servers and 2 entries
--- a/tests/scenarios/test_flows.py
+++ b/tests/scenarios/test_flows.py
@@ -167,14 +167,3 @@
     median = delays[len(delays) // 2]
     print(f"noticed after: median {median:.2f} s, worst {delays[-1]:.2f} s")
     assert delays[-1] - 2 * KEEP_ALIVE_SECONDS < seconds
-
-
-@then(parsers.parse("{callers:d} callers can send {each:d} proposals each"))
-def _(world, callers, each):
-    async def trade():
-        for _ in range(callers):
-            caller = await world.open_caller("swap-desk")
-            for _ in range(each):
-                assert (await world.propose(caller)).status == 200
-
-    world.run(trade())
--- a/tests/scenarios/test_once.py
+++ b/tests/scenarios/test_once.py
@@ -201,11 +201,7 @@
             assert runs[key] == 0, key
 
 
-@then(parsers.parse("at least {percent:d} percent of the proposals were answered"))
-def _(world, percent):
-    total = len(submissions(world))
-    answered = sum(
-        any(a.status == 200 for a in answers) for answers in submissions(world).values()
-    )
-    print(f"{answered} of {total} proposals answered")
-    assert answered * 100 >= total * percent
+@when("the store is back")
+def _(world):
+    world.site.start_store()
+    world.run(world.site.configure())
