--- a/packages/cactushall-core/cactushall_core/outcomes.py
+++ b/packages/cactushall-core/cactushall_core/outcomes.py
@@ -23,7 +23,6 @@
 
     QUEUE_FULL = "queue-full"
     DEADLINE = "deadline"
-    DRAINING = "draining"
     SHED = "shed"
     CONNECT_FAILED = "connect-failed"
     CANCELLED = "cancelled"
--- a/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
@@ -309,6 +309,7 @@
         opened = self._register(quic, envelope.caller, None)
         self._flows_by_cid[header.destination_cid] = opened
         self._counters.add(counters.Counter.FLOWS_OPENED)
+        log.debug(events.Event.FLOW_OPENED, caller=str(envelope.caller))
         opened.receive(envelope.payload, envelope.caller)
         if not has_room:
             self._counters.add(counters.Counter.FLOWS_REFUSED)
@@ -357,6 +358,7 @@
             if self._flows_by_cid.get(cid) is closed:
                 del self._flows_by_cid[cid]
         self._counters.add(counters.Counter.FLOWS_CLOSED)
+        log.debug(events.Event.FLOW_CLOSED, caller=str(closed.caller))
 
     # Datagrams.
 
--- a/packages/cactushall-daemon/cactushall_daemon/agent/requests.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/requests.py
@@ -305,6 +305,8 @@
             log.exception(events.Event.REQUEST_FAILED, service=self._service)
         finally:
             self._counters.add(_RESULT_COUNTERS[result])
+            if result is exchange.Result.UNKNOWN:
+                log.warning(events.Event.REQUEST_UNKNOWN, service=self._service)
             self._note_result(request, result)
             self._forget(request)
             is_answered = result is exchange.Result.ANSWERED
--- a/tests/scenarios/flows.feature
+++ b/tests/scenarios/flows.feature
@@ -71,3 +71,10 @@
     And 4 seconds pass
     Then only the feeds of desk-0 are broken
     And 6 callers can send 1 proposals each
+
+  Scenario: A connection that goes silent is noticed while others go on
+    Given a site with 2 swap-desk servers, 1 entries and an idle timeout of 2 seconds
+    And 6 feeds of swap-desk
+    When the network forgets 2 of the callers
+    Then the agents have closed 2 flows within 5 seconds
+    And the feeds of the other callers go on
--- a/tests/scenarios/test_flows.py
+++ b/tests/scenarios/test_flows.py
@@ -167,3 +167,50 @@
     median = delays[len(delays) // 2]
     print(f"noticed after: median {median:.2f} s, worst {delays[-1]:.2f} s")
     assert delays[-1] - 2 * KEEP_ALIVE_SECONDS < seconds
+
+
+@given(
+    parsers.parse(
+        "a site with {servers:d} swap-desk servers, {entries:d} entries and an idle "
+        "timeout of {seconds:g} seconds"
+    )
+)
+def _(world, servers, entries, seconds):
+    world.start(conftest.small_site(servers, entries, idle_timeout_seconds=seconds))
+
+
+async def count_flows(world):
+    """Return the flows of all swap-desk agents."""
+    names = [e.name for e in world.site.plan.endpoints if e.service == "swap-desk"]
+    return sum([(await endpoint_status(world, name)).flows for name in names])
+
+
+@when(parsers.parse("the network forgets {count:d} of the callers"))
+def _(world, count):
+    async def forget():
+        for feed in world.feeds[:count]:
+            feed.caller._transport.abort()
+
+    world.results["before"] = world.run(count_flows(world))
+    world.run(forget())
+    world.results["forgotten"] = count
+
+
+@then(
+    parsers.parse("the agents have closed {count:d} flows within {seconds:g} seconds")
+)
+def _(world, count, seconds):
+    async def is_noticed() -> bool:
+        return await count_flows(world) == world.results["before"] - count
+
+    world.run(site_standin.poll(is_noticed, seconds))
+
+
+@then("the feeds of the other callers go on")
+def _(world):
+    for feed in world.feeds[world.results["forgotten"] :]:
+        seen = len(feed.events)
+        time.sleep(0.5)
+        assert len(feed.events) > seen
+        assert not feed.is_broken
+        assert feed.lost == feed.doubled == 0
