--- a/packages/cactushall-daemon/cactushall_daemon/agent/quic/connection.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/quic/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import functools
 import secrets
@@ -30,6 +31,9 @@
 _HANDSHAKE_EPOCHS = (tls.Epoch.INITIAL, tls.Epoch.ZERO_RTT, tls.Epoch.HANDSHAKE)
 _CLOSED_CRYPTO = crypto.CryptoPair()
 _CLOSED_STREAM = stream.QuicStream()
+_NO_DATAGRAMS: collections.deque[bytes] = collections.deque(maxlen=0)
+_CLOSED_SPACE = recovery.QuicPacketSpace()
+_CLOSED_SPACE.discarded = True
 REQUEST_STREAM_TYPE = 0
 
 CidFactory = collections.abc.Callable[[int], connection.QuicConnectionId]
@@ -121,10 +125,14 @@
         """Free memory that only the handshake needs; call once it is complete."""
         small = aioquic_buffer.Buffer(capacity=IDLE_CRYPTO_BUFFER_BYTES)
         self._crypto_buffers = {tls.Epoch.ONE_RTT: small}
+        for epoch in (tls.Epoch.INITIAL, tls.Epoch.HANDSHAKE):
+            self._spaces[epoch] = _CLOSED_SPACE
+        self._loss.spaces = list(self._spaces.values())
         for epoch in _HANDSHAKE_EPOCHS:
             self._cryptos[epoch] = _CLOSED_CRYPTO
             self._crypto_streams[epoch] = _CLOSED_STREAM
         self._cryptos_initial.clear()
+        self._datagrams_pending = _NO_DATAGRAMS
         self.tls.handshake_extensions = []
         self.tls.received_extensions = []
         self.tls.key_schedule = None
