--- a/bench/crest.py
+++ b/bench/crest.py
@@ -135,20 +135,17 @@
     queued = [QueueRun(seed).run() for seed in range(SEEDS)]
     offered = capacity * CREST_FACTOR
 
-    def mean(values: list[float]) -> float:
-        return statistics.mean(values)
-
     results.report(
         "crest",
         [
             results.Figure(
                 "baseline: answered in time of capacity",
-                mean([o.answered_in_time / capacity for o in plain]),
+                statistics.mean([o.answered_in_time / capacity for o in plain]),
                 "share",
             ),
             results.Figure(
                 "queue: answered in time of capacity, mean",
-                mean([o.answered_in_time / capacity for o in queued]),
+                statistics.mean([o.answered_in_time / capacity for o in queued]),
                 "share",
                 TARGET_SHARE,
                 True,
@@ -162,17 +159,17 @@
             ),
             results.Figure(
                 "queue: answered late",
-                mean([o.answered_late / capacity for o in queued]),
+                statistics.mean([o.answered_late / capacity for o in queued]),
                 "share",
             ),
             results.Figure(
                 "queue: refused at once, of offered",
-                mean([o.refused_at_once / offered for o in queued]),
+                statistics.mean([o.refused_at_once / offered for o in queued]),
                 "share",
             ),
             results.Figure(
                 "queue: refused only later, of offered",
-                mean([o.refused_later / offered for o in queued]),
+                statistics.mean([o.refused_later / offered for o in queued]),
                 "share",
                 0.0,
             ),
--- a/packages/cactushall-core/cactushall_core/steering.py
+++ b/packages/cactushall-core/cactushall_core/steering.py
@@ -124,11 +124,6 @@
             if table is not None:
                 _apply_endpoint(table, record, endpoint)
 
-    def target_count(self, service: identifiers.ServiceName) -> int:
-        """Return how many backend servers of a service may get new flows."""
-        table = self._services.get(service)
-        return len(table.eligible) if table else 0
-
     def steer(
         self,
         service: identifiers.ServiceName,
--- a/packages/cactushall-daemon/cactushall_daemon/agent/once.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/once.py
@@ -168,13 +168,10 @@
         """Answer a peer that asks for the outcome of a key."""
         key = messages.KeyDigest(request.key)
         member = identifiers.MemberId(request.member)
-        if key not in self._runs:
-            if self._ledger.pass_on(key, member, self._loop.time()):
-                never = control_pb2.AnswerResponse.NEVER_RAN
-                return control_pb2.AnswerResponse(result=never)
-            return control_pb2.AnswerResponse()
-        deadline = self._loop.time() + request.timeout_ms / 1000
-        found = await self._wait_here(key, deadline)
+        found: Admission = NotRun()
+        if key in self._runs:
+            deadline = self._loop.time() + request.timeout_ms / 1000
+            found = await self._wait_here(key, deadline)
         if isinstance(found, Replay):
             return _to_message(found.answer)
         if isinstance(found, NotRun) and self._ledger.pass_on(
--- a/packages/cactushall-daemon/cactushall_daemon/counters.py
+++ b/packages/cactushall-daemon/cactushall_daemon/counters.py
@@ -65,10 +65,6 @@
         """Set a counter that is kept elsewhere."""
         self._cells[counter].value = value
 
-    def get(self, counter: Counter) -> int:
-        """Return a counter's value."""
-        return self._cells[counter].value
-
     def items(self) -> list[tuple[Counter, int]]:
         """Return all counters that are not 0."""
         return [(c, cell.value) for c, cell in self._cells.items() if cell.value]
