Requests that their server has ended are no longer counted; first configuration is asked for sooner

The requests were packets that a restarted agent had passed on for trial; their server answered with a reset or an end, and only an end from the caller was counted as one. Ruled out: the time a request takes (5 to 15 ms as measured by the agents), servers not ready (all were by 36.8 s). Change: an end from the server ends the request; a request that waits 1 s and 20 times the usual service time is taken as lost (was 5 s).

A refusal says whether there was no server or no room; an agent's answers log the load.

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -13,6 +13,7 @@
     """Why a flow is refused or a packet dropped."""
 
     NO_ROUTE = "no-route"
+    NO_SERVER = "no-server"
     NO_CAPACITY = "no-capacity"
     HELD_BY_NOBODY = "held-by-nobody"
     SERVER_LOST_FLOW = "server-lost-flow"
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -20,7 +20,8 @@
 CLOSED_SECONDS = 5.0
 TRIAL_SECONDS = 1.0
 OPENING_SECONDS = 0.1
-REQUEST_SECONDS = 5.0
+REQUEST_SECONDS = 1.0
+REQUEST_SERVICE_TIMES = 20.0
 SWEEP_SECONDS = 1.0
 MAX_FLOWS = 20_000
 FIRST_NUMBER = 1
@@ -155,9 +156,10 @@
         if flow is None:
             return [actions.Return(packet.flow, packet.datagram)]
         flow.seen_at = now
+        self._meter.note_from_server(flow.progress, packet, now)
         if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
             flow.is_closing = True
-        self._meter.note_from_server(flow.progress, packet, now)
+            self._meter.note_closed(flow.progress)
         decided = self._note_answer(packet, flow)
         decided.append(actions.Return(packet.flow, packet.datagram))
         return decided
@@ -322,8 +324,11 @@
         self._is_memory_whole = True
 
     def _expire_requests(self, now: float) -> None:
+        """Count no request any longer whose answer must have been missed."""
+        usual = REQUEST_SERVICE_TIMES * self._meter.service_seconds
+        patience = max(REQUEST_SECONDS, usual)
         for flow in self._flows.values():
-            if now - flow.progress.started_at > REQUEST_SECONDS:
+            if now - flow.progress.started_at > patience:
                 self._meter.note_closed(flow.progress)
 
     def _retention(self, flow: Flow) -> float:
--- a/packages/cactushall-core/cactushall_core/flows/openings.py
+++ b/packages/cactushall-core/cactushall_core/flows/openings.py
@@ -148,7 +148,7 @@
         """Send an opening packet on, if possible to an agent that has not had it."""
         flow_id = flow.packet.flow
         if not table.is_known:
-            return self._wait(flow, now, OPENING_SECONDS)
+            return self._wait(flow, now, OPENING_SECONDS, actions.Reason.NO_SERVER)
         route = table.find(flow_id)
         if route is None:
             return self._refuse(flow_id, actions.Reason.NO_ROUTE)
@@ -156,12 +156,12 @@
         willing = [a for a in takers if a.packet_address not in flow.declined]
         if not willing:
             patience = 0.0 if is_settled else OPENING_SECONDS
-            return self._wait(flow, now, patience)
+            return self._wait(flow, now, patience, actions.Reason.NO_SERVER)
         untried = [a for a in willing if a.packet_address not in flow.tried]
         objective = route.objective_seconds
         agent = choice.choose(untried or willing, self._zone, objective, self._rng, now)
         if agent is None:
-            return self._wait(flow, now, ROOM_SECONDS)
+            return self._wait(flow, now, ROOM_SECONDS, actions.Reason.NO_CAPACITY)
         return [self._send(flow, agent, now)]
 
     def _send(
@@ -175,13 +175,17 @@
         return actions.Forward(flow.agent, flow.packet.datagram)
 
     def _wait(
-        self, flow: Opening, now: float, patience_seconds: float
+        self,
+        flow: Opening,
+        now: float,
+        patience_seconds: float,
+        reason: actions.Reason,
     ) -> list[actions.Action]:
         """Keep a flow until an agent has room for it, else refuse it."""
         flow_id = flow.packet.flow
         flow.agent = None
         if now - flow.opened_at >= patience_seconds:
-            return self._refuse(flow_id, actions.Reason.NO_CAPACITY)
+            return self._refuse(flow_id, reason)
         self._waiting.setdefault(flow_id, flow)
         return []
 
--- a/packages/cactushall-daemon/cactushall_daemon/following.py
+++ b/packages/cactushall-daemon/cactushall_daemon/following.py
@@ -4,16 +4,15 @@
 
 import asyncio
 import collections.abc
+import random
 import typing
 
-from cactushall_core import adoption, exceptions, identifiers, store
+from cactushall_core import adoption, exceptions, identifiers, polling, store
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, logs, tasks
 
 log = logs.get_logger(__name__)
 
-WATCH_RETRY_SECONDS = 1.0
-
 Fetch = collections.abc.Callable[[records.Member], collections.abc.Awaitable[bytes]]
 ConfigurationT = typing.TypeVar("ConfigurationT", bound=adoption.Versioned)
 
@@ -28,6 +27,7 @@
         adopter: adoption.Adopter[ConfigurationT],
         on_adopted: collections.abc.Callable[[ConfigurationT], None],
         fetch: Fetch,
+        count_members: collections.abc.Callable[[], int],
         background: tasks.Tasks,
         tallies: counters.Counters,
     ) -> None:
@@ -39,6 +39,7 @@
             adopter: Holds the configuration in force.
             on_adopted: Called when a configuration is adopted.
             fetch: Gets the encoded configuration from a member.
+            count_members: Returns how many members the fleet has.
             background: Runs fetches.
             tallies: Takes counts.
         """
@@ -47,6 +48,9 @@
         self._adopter = adopter
         self._on_adopted = on_adopted
         self._fetch = fetch
+        self._count_members = count_members
+        self._rng = random.Random()
+        self._failures = 0
         self._background = background
         self._fetching = identifiers.Revision(0)
         self._counters = tallies
@@ -68,8 +72,9 @@
             try:
                 await self._follow()
             except exceptions.StoreUnavailableError as error:
+                self._failures += 1
                 self.note_store(error)
-            await asyncio.sleep(WATCH_RETRY_SECONDS)
+            await asyncio.sleep(self._retry_seconds())
 
     def note_revision(
         self, member: records.Member, revision: identifiers.Revision
@@ -80,6 +85,14 @@
         self._fetching = revision
         self._background.spawn(self._fetch_from(member))
 
+    def _retry_seconds(self) -> float:
+        return polling.retry_seconds(
+            max(1, self._failures),
+            self._count_members(),
+            self._rng,
+            is_urgent=not self.current.revision,
+        )
+
     async def _fetch_from(self, member: records.Member) -> None:
         try:
             self.offer(await self._fetch(member), member.name)
@@ -122,6 +135,7 @@
 
     async def _follow(self) -> None:
         snapshot = await self._store.get_prefix(self._key)
+        self._failures = 0
         self.note_store(None)
         for entry in snapshot.entries:
             if entry.key == self._key:
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -92,6 +92,7 @@
             adoption.service_adopter(),
             self._adopt,
             lambda member: self._client.configuration(member.control_address),
+            lambda: self._gossip.membership.table.present_count,
             self._tasks,
             self._counters,
         )
--- a/packages/cactushall-daemon/cactushall_daemon/packets/carrier.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/carrier.py
@@ -90,14 +90,21 @@
             log.debug(events.Event.SEND_FAILED, address=str(address), why=str(error))
 
 
+def _describe(load: messages.Load) -> dict[str, float]:
+    return {
+        "flows": load.flows,
+        "requests": load.requests,
+        "service_ms": round(load.service_seconds * 1000, 1),
+    }
+
+
 def _log_message(action: actions.Tell) -> None:
     message = action.message
     if isinstance(message, messages.Accepted):
         log.info(
             events.Event.FLOW_ACCEPTED,
             flow=str(message.flow),
-            flows=message.load.flows,
-            requests=message.load.requests,
+            **_describe(message.load),
         )
     elif isinstance(message, messages.Declined):
         log.info(
@@ -105,6 +112,7 @@
             flow=str(message.flow),
             why=message.refusal.value,
             revision=message.revision,
+            **_describe(message.load),
         )
     elif isinstance(message, messages.Held | messages.NotHeld):
         log.info(
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -102,6 +102,7 @@
             adoption.Adopter(configuration.decode, routes.EMPTY),
             self._adopt,
             _fetch_configuration,
+            lambda: self._gossip.membership.table.present_count,
             self._tasks,
             self._counters,
         )
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -235,6 +235,34 @@
     assert flows.load.requests == 0
 
 
+@pytest.mark.parametrize("flag", [packets.Flags.FIN, packets.Flags.RST])
+def test_a_request_on_a_flow_that_its_backend_server_ends_is_not_counted(
+    restarted, flag
+):
+    restarted.receive(builders.packet(length=5), builders.ENTRY, 1.1)
+    assert restarted.load.requests == 1
+    restarted.receive_from_server(builders.packet(flag), 1.2)
+    assert restarted.load.requests == 0
+
+
+def test_a_request_that_waits_longer_than_any_other_is_not_counted(flows):
+    open_flow(flows)
+    flows.receive(builders.packet(length=5), builders.ENTRY, 1.1)
+    flows.tick(1.1 + agent.REQUEST_SECONDS)
+    assert flows.load.requests == 1
+    flows.tick(1.1 + agent.REQUEST_SECONDS + agent.SWEEP_SECONDS)
+    assert flows.load.requests == 0
+
+
+def test_a_request_that_takes_as_long_as_all_others_stays_counted(flows):
+    open_flow(flows)
+    flows.receive(builders.packet(length=5), builders.ENTRY, 1.0)
+    flows.receive_from_server(builders.packet(length=5), 4.0)
+    flows.receive(builders.packet(sequence=2000, length=5), builders.ENTRY, 5.0)
+    flows.tick(5.0 + 3.0)
+    assert flows.load.requests == 1
+
+
 def test_service_time_leaves_out_the_wait_behind_others(flows):
     for number in range(4):
         flow = builders.FLOW._replace(caller_port=number)
