Agents hold new flows until their first configuration; entries of other writers are logged

Change: an agent keeps up to 1,000 opening packets for up to 1.4 s and fetches the configuration from the entry that sent the first of them.

Store entries that cannot be read were logged below the level that is written, or not at all; they are counted and logged with key and reason (event 1203).

--- a/bench/packets.py
+++ b/bench/packets.py
@@ -136,7 +136,7 @@
     """Return microseconds for each way of a packet, bytes a flow."""
     server = servers.Server(SERVICE, 1.2)
     flows = agent.AgentFlows(server, 0.0)
-    flows.adopt(make_table())
+    flows.adopt(make_table(), 0.0)
     flows.hear(servers.Announcement("s", 1, 1, SERVICE, FLOWS, False), NOW)
     first, later = openings(), requests()
     accepting = answers(packet_peers.SYN | packet_peers.ACK, b"")
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -23,7 +23,9 @@
 REQUEST_SECONDS = 1.0
 REQUEST_SERVICE_TIMES = 20.0
 SWEEP_SECONDS = 1.0
+EARLY_SECONDS = 1.4
 MAX_FLOWS = 20_000
+MAX_EARLY = 1000
 FIRST_NUMBER = 1
 
 
@@ -66,6 +68,20 @@
     is_closing: bool = False
 
 
+class Early(msgspec.Struct, frozen=True):
+    """An opening packet that waits for the agent's first configuration.
+
+    Attributes:
+        packet: The packet.
+        entry: Peer address of the entry that sent it.
+        came_at: When it came.
+    """
+
+    packet: packets.Packet
+    entry: addresses.Address
+    came_at: float
+
+
 class AgentFlows:
     """All flows of one backend server.
 
@@ -84,6 +100,7 @@
         self._flows: dict[packets.FlowId, Flow] = {}
         self._absent: dict[packets.FlowId, float] = {}
         self._openings: dict[packets.FlowId, float] = {}
+        self._early: dict[packets.FlowId, Early] = {}
         self._meter = requests.Meter()
         self._is_memory_whole = False
         self._next_sweep_at = now + SWEEP_SECONDS
@@ -108,9 +125,16 @@
         """Whether a configuration has been adopted."""
         return self._routes.is_known
 
-    def adopt(self, table: routes.RouteTable) -> None:
+    def adopt(self, table: routes.RouteTable, now: float) -> list[actions.Action]:
         """Use a newer revision of the routes from now on."""
         self._routes = table
+        waiting = list(self._early.values())
+        self._early.clear()
+        decided: list[actions.Action] = []
+        for early in waiting:
+            if now - early.came_at <= EARLY_SECONDS:
+                decided += self._open(early.packet, early.entry, now)
+        return decided
 
     def receive(
         self, packet: packets.Packet, entry: addresses.Address, now: float
@@ -191,6 +215,7 @@
         for flow_id in expired:
             self._forget(flow_id)
         self._expire_requests(now)
+        self._expire_early(now)
         oldest = now - self._routes.idle_timeout_seconds
         self._absent = {f: at for f, at in self._absent.items() if at > oldest}
 
@@ -203,6 +228,9 @@
         is_open = flow is not None and flow.state is State.HELD
         if flow is not None and is_open and not _is_other_opening(flow, packet):
             return [self._confirm(packet.flow, flow, entry)]
+        if not self._routes.is_known and len(self._early) < MAX_EARLY:
+            self._early[packet.flow] = Early(packet, entry, now)
+            return []
         refusal = self._refusal(packet)
         if refusal is not None:
             return [self._decline(packet.flow, entry, refusal)]
@@ -323,6 +351,12 @@
         self._absent.clear()
         self._is_memory_whole = True
 
+    def _expire_early(self, now: float) -> None:
+        """Let opening packets go whose callers have given up."""
+        for flow_id, early in list(self._early.items()):
+            if now - early.came_at > EARLY_SECONDS:
+                del self._early[flow_id]
+
     def _expire_requests(self, now: float) -> None:
         """Count no request any longer whose answer must have been missed."""
         usual = REQUEST_SERVICE_TIMES * self._meter.service_seconds
--- a/packages/cactushall-daemon/cactushall_daemon/contacts.py
+++ b/packages/cactushall-daemon/cactushall_daemon/contacts.py
@@ -9,7 +9,7 @@
 
 from cactushall_core import addresses, exceptions, store
 from cactushall_core.membership import records
-from cactushall_daemon import events, logs
+from cactushall_daemon import events, logs, unreadable
 from cactushall_rpc import paths
 
 log = logs.get_logger(__name__)
@@ -27,9 +27,15 @@
     lease: store.LeaseId
 
 
-async def read(client: store.Store) -> list[addresses.Address]:
+async def read(
+    client: store.Store, on_unreadable: unreadable.Noter
+) -> list[addresses.Address]:
     """Return the addresses of all contact points.
 
+    Args:
+        client: The store.
+        on_unreadable: Told the key of each value that is no address, and why.
+
     Raises:
         StoreUnavailableError: The store gave no answer.
     """
@@ -38,8 +44,8 @@
     for entry in snapshot.entries:
         try:
             found.append(addresses.parse(entry.value.decode()))
-        except ValueError:
-            continue
+        except ValueError as error:
+            on_unreadable(entry.key.decode(), str(error))
     return found
 
 
--- a/packages/cactushall-daemon/cactushall_daemon/counters.py
+++ b/packages/cactushall-daemon/cactushall_daemon/counters.py
@@ -23,6 +23,7 @@
     GOSSIP_REJECTED = "gossip_datagrams_rejected"
     GOSSIP_BYTES_SENT = "gossip_bytes_sent"
     STORE_CALLS = "store_calls"
+    STORE_ENTRIES_REFUSED = "store_entries_refused"
     FLOWS_OPENED = "flows_opened"
     FLOWS_CLOSED = "flows_closed"
     FLOWS_HANDED_ON = "flows_handed_on"
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -24,6 +24,7 @@
     CONTACT_LOST = (1106, "no longer a contact point")
     STORE_UNAVAILABLE = (1201, "store is not available")
     STORE_AVAILABLE = (1202, "store is available again")
+    STORE_ENTRY_REFUSED = (1203, "store entry cannot be read")
     CONFIGURATION_ADOPTED = (1301, "service configuration adopted")
     CONFIGURATION_REFUSED = (1302, "service configuration refused")
     CONFIGURATION_FETCH_FAILED = (1303, "service configuration not fetched from peer")
--- a/packages/cactushall-daemon/cactushall_daemon/following.py
+++ b/packages/cactushall-daemon/cactushall_daemon/following.py
@@ -85,6 +85,11 @@
         self._fetching = revision
         self._background.spawn(self._fetch_from(member))
 
+    def want_from(self, member: records.Member) -> None:
+        """Fetch the configuration from a member that has one, none being in force."""
+        if not self.current.revision:
+            self.note_revision(member, identifiers.Revision(1))
+
     def _retry_seconds(self) -> float:
         return polling.retry_seconds(
             max(1, self._failures),
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -21,6 +21,7 @@
     logs,
     sockets,
     tasks,
+    unreadable,
 )
 from cactushall_daemon.config import schema
 from cactushall_rpc import control as control_client
@@ -188,7 +189,7 @@
     async def _contact_addresses(self) -> list[addresses.Address]:
         found = list(self._settings.contacts)
         try:
-            found += await contacts.read(self._store)
+            found += await contacts.read(self._store, unreadable.noter(self._counters))
         except exceptions.StoreUnavailableError as error:
             self._follower.note_store(error)
         own = self._gossip.membership.member.control_address
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -111,6 +111,8 @@
         if packet is None:
             return
         entry = addresses.Address(*source)
+        if packet.is_opening and not self._flows.has_routes:
+            self._node.ask_for_configuration(entry)
         self._carry_out(self._flows.receive(packet, entry, self._loop.time()))
 
     def _receive_from_server(self, datagram: bytes, _source: tuple[str, int]) -> None:
@@ -228,7 +230,7 @@
 
     def _on_routes(self, adopted: routes.RouteTable) -> None:
         is_first = not self._flows.has_routes
-        self._flows.adopt(adopted)
+        self._carry_out(self._flows.adopt(adopted, self._loop.time()))
         if is_first:
             self._node.spawn(self._check_health())
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -21,6 +21,7 @@
     logs,
     sockets,
     tasks,
+    unreadable,
 )
 from cactushall_daemon.config import packet_schema
 from cactushall_platform import configuration, store
@@ -91,7 +92,8 @@
         self._on_message = on_message
         self._counters = counters.Counters()
         self._seeds = settings.seeds
-        self._store = store.KeyValueStore(settings.store)
+        self._note_unreadable = unreadable.noter(self._counters)
+        self._store = store.KeyValueStore(settings.store, self._note_unreadable)
         self._authenticator = messages.make_authenticator(tuple(settings.keys))
         self._tasks = tasks.Tasks()
         self._socket: socket.socket | None = None
@@ -228,7 +230,7 @@
 
     async def _stored_contacts(self) -> list[addresses.Address]:
         try:
-            return await contacts.read(self._store)
+            return await contacts.read(self._store, self._note_unreadable)
         except exceptions.StoreUnavailableError as error:
             self._follower.note_store(error)
             return []
@@ -244,6 +246,13 @@
 
     # Configuration.
 
+    def ask_for_configuration(self, peer: addresses.Address) -> None:
+        """Fetch the configuration from a member that must have one."""
+        for record in self._gossip.membership.table:
+            if record.member.control_address == peer and record.is_present:
+                self._follower.want_from(record.member)
+                return
+
     def _adopt(self, adopted: routes.RouteTable) -> None:
         self._gossip.membership.set_revision(adopted.revision)
         self._on_routes(adopted)
