--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -183,7 +183,6 @@
         self._meter.note_from_server(flow.progress, packet, now)
         if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
             flow.is_closing = True
-            self._meter.note_closed(flow.progress)
         decided = self._note_answer(packet, flow)
         decided.append(actions.Return(packet.flow, packet.datagram))
         return decided
--- a/packages/cactushall-core/cactushall_core/flows/choice.py
+++ b/packages/cactushall-core/cactushall_core/flows/choice.py
@@ -34,8 +34,9 @@
     slowness = 1.0
     if service_seconds > 0 and load.service_seconds > 0:
         slowness = load.service_seconds / service_seconds
-    expected = agent.expected(now)
-    waiting = load.requests + expected + FLOW_WEIGHT * (load.flows + expected)
+    requests = max(0.0, load.requests + agent.expected(now))
+    flows = load.flows + agent.unanswered_count(now)
+    waiting = requests + FLOW_WEIGHT * flows
     far = FAR_PENALTY if agent.member.zone != zone else 0.0
     return waiting / max(1, load.slots) * slowness + far
 
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -5,10 +5,11 @@
 import msgspec
 
 from cactushall_core import addresses, identifiers
-from cactushall_core.flows import messages, packets
+from cactushall_core.flows import admission, messages, packets
 from cactushall_core.membership import records
 
-FULL_SECONDS = 0.1
+LONGEST_SPARING_SECONDS = 0.1
+SHORTEST_SPARING_SECONDS = 0.01
 ANSWER_SECONDS = 0.15
 
 NO_LOAD = messages.Load(flows=0, requests=0, slots=1, service_seconds=0.0)
@@ -23,6 +24,7 @@
         changed_at: When the status last changed.
         heard_at: When it last sent a message.
         load: Its load as last told.
+        told_at: When it was told.
         unanswered: Flows sent there and when, until it answers.
         full_until: It has refused a flow and is spared until then.
     """
@@ -32,6 +34,7 @@
     changed_at: float
     heard_at: float = float("-inf")
     load: messages.Load = NO_LOAD
+    told_at: float = float("-inf")
     unanswered: dict[packets.FlowId, float] = msgspec.field(default_factory=dict)
     full_until: float = float("-inf")
 
@@ -50,7 +53,7 @@
         """Whether it is believed to run."""
         return self.status <= records.Status.SUSPECT
 
-    def expected(self, now: float) -> int:
+    def unanswered_count(self, now: float) -> int:
         """Return how many flows were sent there that it may not have counted yet."""
         for flow_id, sent_at in list(self.unanswered.items()):
             if now - sent_at < ANSWER_SECONDS:
@@ -58,6 +61,21 @@
             del self.unanswered[flow_id]
         return len(self.unanswered)
 
+    def expected(self, now: float) -> float:
+        """Return by how much its requests differ by now from what it last told."""
+        answered = admission.answered_since(self.load, now - self.told_at)
+        return self.unanswered_count(now) - answered
+
+    def note_load(self, load: messages.Load, now: float) -> None:
+        """Take in how busy its backend server is."""
+        self.load = load
+        self.told_at = now
+
+    def note_full(self, now: float) -> None:
+        """Spare it until its backend server may have answered a request."""
+        sparing = max(self.load.service_seconds, SHORTEST_SPARING_SECONDS)
+        self.full_until = now + min(sparing, LONGEST_SPARING_SECONDS)
+
     def takes(self, service: identifiers.ServiceName) -> bool:
         """Tell whether it says that it takes new flows of a service."""
         return self.status is records.Status.ALIVE and any(
@@ -133,10 +151,6 @@
         """Return all agents that have said that they belong to a service."""
         return list(self._by_service.get(service, {}).values())
 
-    def note_full(self, agent: Agent, now: float) -> None:
-        """Spare an agent whose backend server has refused a flow."""
-        agent.full_until = now + FULL_SECONDS
-
     def _add(self, agent: Agent, now: float) -> None:
         self._agents[agent.packet_address] = agent
         self._by_peer[agent.peer_address] = agent
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -133,7 +133,7 @@
             return self._note_not_held(agent, message.flow, now)
         if isinstance(message, messages.Question):
             return []
-        agent.load = message.load
+        agent.note_load(message.load, now)
         if isinstance(message, messages.Declined):
             is_settled = self._is_settled(now)
             return self._openings.decline(
--- a/packages/cactushall-core/cactushall_core/flows/openings.py
+++ b/packages/cactushall-core/cactushall_core/flows/openings.py
@@ -113,7 +113,7 @@
         """Handle an agent's refusal of a flow."""
         agent.unanswered.pop(message.flow, None)
         if message.refusal is messages.Refusal.FULL:
-            self._agents.note_full(agent, now)
+            agent.note_full(now)
         flow = self._flows.get(message.flow)
         if flow is None:
             return []
--- a/packages/cactushall-core/cactushall_core/flows/requests.py
+++ b/packages/cactushall-core/cactushall_core/flows/requests.py
@@ -36,6 +36,7 @@
         """Start with no request."""
         self._waiting = 0
         self._service_seconds = 0.0
+        self._samples = 0
         self._answered_at: collections.deque[float] = collections.deque([0.0], 1)
 
     @property
@@ -79,18 +80,27 @@
     def note_from_server(
         self, progress: Progress, packet: packets.Packet, now: float
     ) -> None:
-        """Note a backend server's packet that goes to the caller."""
-        if packet.length == 0 or not progress.is_waiting:
+        """Note a backend server's packet that goes to the caller.
+
+        Data is an answer, and so is the end of the flow, which may overtake it.
+        """
+        if not progress.is_waiting:
             return
-        began_at = max(progress.started_at, self._answered_at[0])
-        change = now - began_at - self._service_seconds
-        share = SMOOTHING if self._service_seconds > 0 else 1.0
-        self._service_seconds += share * change
-        self._answered_at.append(now)
-        self.note_closed(progress)
+        if packet.flags & packets.Flags.RST:
+            self.note_closed(progress)
+        elif packet.length > 0 or packet.flags & packets.Flags.FIN:
+            self._note_answer(progress, now)
 
     def note_closed(self, progress: Progress) -> None:
         """Note that a flow's request waits no longer."""
         if progress.is_waiting:
             progress.started_at = -1.0
             self._waiting -= 1
+
+    def _note_answer(self, progress: Progress, now: float) -> None:
+        began_at = max(progress.started_at, self._answered_at[0])
+        change = now - began_at - self._service_seconds
+        self._samples += 1
+        self._service_seconds += max(SMOOTHING, 1 / self._samples) * change
+        self._answered_at.append(now)
+        self.note_closed(progress)
