--- a/packages/cactushall-core/cactushall_core/flows/admission.py
+++ b/packages/cactushall-core/cactushall_core/flows/admission.py
@@ -12,9 +12,9 @@
 
 # One request runs, one waits, and one is on its way.
 MIN_REQUESTS_PER_SLOT = 2.0
-MIN_REQUESTS_ON_THE_WAY = 1.0
+MIN_REQUESTS_ON_THE_WAY = 0.0
 MAX_REQUESTS_PER_SLOT = 6.0
-OBJECTIVE_SHARE = 0.8
+OBJECTIVE_SHARE = 0.35
 
 
 def has_room(load: messages.Load, expected: float, objective_seconds: float) -> bool:
--- a/packages/cactushall-core/cactushall_core/flows/openings.py
+++ b/packages/cactushall-core/cactushall_core/flows/openings.py
@@ -11,7 +11,8 @@
 
 OPENING_SECONDS = 1.4
 RESEND_SECONDS = 0.15
-ROOM_SECONDS = 0.2
+ROOM_SECONDS = 0.1
+WAITING_PER_AGENT = 0.5
 
 
 class Opening(msgspec.Struct):
@@ -161,7 +162,9 @@
         objective = route.objective_seconds
         agent = choice.choose(untried or willing, self._zone, objective, self._rng, now)
         if agent is None:
-            return self._wait(flow, now, ROOM_SECONDS, actions.Reason.NO_CAPACITY)
+            is_crowded = len(self._waiting) >= WAITING_PER_AGENT * len(willing)
+            patience = 0.0 if is_crowded else ROOM_SECONDS
+            return self._wait(flow, now, patience, actions.Reason.NO_CAPACITY)
         return [self._send(flow, agent, now)]
 
     def _send(
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -9,7 +9,15 @@
 from msgspec import structs
 
 from cactushall_core import addresses, exceptions, identifiers
-from cactushall_core.flows import actions, agent, messages, packets, routes, servers
+from cactushall_core.flows import (
+    actions,
+    agent,
+    messages,
+    packets,
+    reports,
+    routes,
+    servers,
+)
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, logs, sockets
 from cactushall_daemon.config import packet_schema
@@ -21,8 +29,6 @@
 log = logs.get_logger(__name__)
 
 TICK_SECONDS = 0.05
-REPORT_SECONDS = 0.25
-BUSY_REPORT_SECONDS = 0.05
 HEALTH_TIMEOUT_SECONDS = 0.5
 HEALTH_RETRY_SECONDS = 0.3
 HEALTH_ATTEMPTS = 4
@@ -39,9 +45,7 @@
         self._loop = asyncio.get_running_loop()
         now = self._loop.time()
         self._entries: dict[addresses.Address, addresses.Address] = {}
-        self._reported: messages.Load | None = None
-        self._reported_at = now
-        self._next_report_at = now
+        self._reporter = reports.Reporter(now)
         self._packet_socket: socket.socket | None = None
         self._server_socket: socket.socket | None = None
         self._servers: list[asyncio.Server] = []
@@ -100,8 +104,7 @@
         if self._server.tick(now):
             log.warning(events.Event.SERVER_SILENT, service=self._server.service)
             self._announce_server()
-        if now >= self._next_report_at or self._is_room_news(now):
-            self._report_load(now)
+        self._report_load(now)
         self._loop.call_later(TICK_SECONDS, self._tick)
 
     # Packets.
@@ -234,21 +237,10 @@
         if is_first:
             self._node.spawn(self._check_health())
 
-    def _is_room_news(self, now: float) -> bool:
-        """Tell whether entries may be waiting to hear of room here."""
-        if self._reported is None or now < self._reported_at + BUSY_REPORT_SECONDS:
-            return False
-        load = self._flows.load
-        was_busy = self._reported.requests > load.slots
-        return was_busy and load.requests < self._reported.requests
-
     def _report_load(self, now: float) -> None:
-        self._next_report_at = now + REPORT_SECONDS
         load = self._flows.load
-        if load == self._reported:
+        if not self._reporter.is_due(load, now):
             return
-        self._reported = load
-        self._reported_at = now
         for entry in self._entries:
             self._node.tell(entry, messages.LoadReport(load))
 
--- /dev/null
+++ b/tests/standins/load_site.py
@@ -0,0 +1,533 @@
+"""A site in memory under a load: callers that retry, entries, agents, slow servers.
+
+It plays the decisions of the core without a network and counts what callers get.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import math
+import random
+import typing
+
+from cactushall_core import addresses, identifiers
+from cactushall_core.flows import (
+    actions,
+    agent,
+    entry,
+    messages,
+    packets,
+    reports,
+    servers,
+)
+from tests.core.flows import builders
+
+TICK_SECONDS = 0.05
+COPY_SECONDS = (0.2, 0.6)
+OPENING_SECONDS = 1.4
+CALLER_SECONDS = 0.003
+IN_ZONE_SECONDS = 0.0002
+CROSS_ZONE_SECONDS = 0.005
+LEARN_SECONDS = 0.05
+SERVER_QUEUE = 8
+ZONES = 3
+WINDOW_SECONDS = 2.0
+
+
+def steady(rate):
+    """Return an even rate of requests a second."""
+    return lambda _now: rate
+
+
+def wave(mean, swing, period):
+    """Return a rate that swings around its mean by a share of it."""
+    return lambda now: mean * (1 + swing * math.sin(2 * math.pi * now / period))
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """What is played.
+
+    Attributes:
+        seconds: Length.
+        rate: Requests a second at a time.
+        work_seconds: Mean time of a request in a slot.
+        tail_share: Share of requests that take `tail_factor` times as long.
+        slots: Requests that a server runs at once.
+        server_count: How many there are.
+        slow: How many times slower a server is, by its number.
+        aim_seconds: Time in which an answer is wanted.
+        deadline_seconds: Time after which a caller gives up.
+        late_worth: Worth of a late answer; one in time is worth 1.
+        fresh_share: Share of requests on a flow of their own.
+        users: Callers with a long flow each.
+        outage: From when to when all processes are away.
+        cold_seconds: How long servers are slow after the outage.
+        cold_factor: How many times slower they are then.
+    """
+
+    seconds: float
+    rate: typing.Callable[[float], float]
+    work_seconds: float = 0.013
+    tail_share: float = 0.03
+    tail_factor: float = 7.0
+    slots: int = 1
+    server_count: int = 8
+    slow: typing.Mapping[int, float] = dataclasses.field(default_factory=dict)
+    aim_seconds: float = 0.12
+    deadline_seconds: float = 1.0
+    late_worth: float = 0.5
+    fresh_share: float = 0.3
+    users: int = 300
+    entry_count: int = 5
+    retries: int = 2
+    outage: tuple[float, float] | None = None
+    cold_seconds: float = 2.0
+    cold_factor: float = 1.6
+
+
+@dataclasses.dataclass
+class Result:
+    """What the callers of some requests got."""
+
+    asked: int = 0
+    in_aim: int = 0
+    late: int = 0
+
+    @property
+    def failed(self):
+        return self.asked - self.in_aim - self.late
+
+    def worth(self, late_worth):
+        """Return the share of all worth that was earned."""
+        return (self.in_aim + late_worth * self.late) / max(1, self.asked)
+
+
+@dataclasses.dataclass(eq=False)
+class Request:
+    """One request of a caller, over all its tries."""
+
+    born: float
+    user: int | None
+    tries: int = 0
+    is_over: bool = False
+
+
+@dataclasses.dataclass(eq=False)
+class Flow:
+    """A flow as its caller sees it."""
+
+    id: packets.FlowId
+    zone: int
+    request: Request | None
+    opened_at: float
+    is_long: bool
+    acknowledged: int | None = None
+    sequence: int = builders.CALLER_START + 1
+    is_over: bool = False
+
+
+class Datagram:
+    """The bytes of a packet, which stand for it on the network."""
+
+    packet: packets.Packet
+
+
+def with_datagram(packet):
+    """Return a packet whose datagram leads back to it."""
+    datagram = Datagram()
+    datagram.packet = packet._replace(datagram=datagram)
+    return datagram.packet
+
+
+class Server:
+    """A backend server: slots, and a queue in the order of arrival."""
+
+    def __init__(self, site, number):
+        self._site = site
+        self.number = number
+        self.flows = {}
+        self._queue = collections.deque()
+        self._running = 0
+        self.cold_until = float("-inf")
+
+    def restart(self, now):
+        """Lose everything and be slow for a while."""
+        self.flows = {}
+        self._queue.clear()
+        self._running = 0
+        self.cold_until = now + self._site.plan.cold_seconds
+
+    def take(self, packet):
+        """Take a caller's packet."""
+        site = self._site
+        if packet.is_opening:
+            self.flows[packet.flow] = self.flows
+            start = builders.SERVER_START + self.number * 100_000
+            site.from_server(self.number, builders.answered(packet.flow, start))
+        elif packet.flow not in self.flows:
+            site.from_server(self.number, builders.bounced(packet))
+        elif packet.length and len(self._queue) >= SERVER_QUEUE:
+            self._answer(packet.flow, is_shed=True)
+        elif packet.length:
+            self._queue.append((packet.flow, self.flows))
+            self._run()
+
+    def _run(self):
+        plan = self._site.plan
+        while self._queue and self._running < plan.slots:
+            flow_id, memory = self._queue.popleft()
+            self._running += 1
+            seconds = self._site.work_seconds(self)
+            self._site.later(seconds, lambda f=flow_id, m=memory: self._done(f, m))
+
+    def _done(self, flow_id, memory):
+        if memory is not self.flows:
+            return
+        self._running -= 1
+        self._answer(flow_id, is_shed=False)
+        self._run()
+
+    def _answer(self, flow_id, *, is_shed):
+        kind = 503 if is_shed else 200
+        answer = builders.packet(sequence=kind, length=10, flow=flow_id)
+        self._site.from_server(self.number, answer)
+
+
+class LoadSite:
+    """The whole site."""
+
+    def __init__(self, plan, seed):
+        """Prepare a site with nothing running yet."""
+        self.plan = plan
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self._events = []
+        self._order = itertools.count()
+        self._ports = itertools.count(1000)
+        self._table = builders.route_table(objective=plan.aim_seconds)
+        self._flows = {}
+        self._user_flows = {}
+        self._busy_users = set()
+        self.results = collections.defaultdict(Result)
+        self.declined = 0
+        self._starts = itertools.count(1)
+        self._servers = {n: Server(self, n) for n in range(1, plan.server_count + 1)}
+        self._agents = {}
+        self._records = {}
+        self._reporters = {}
+        self._entries = {}
+        self._start_all()
+
+    def run(self):
+        """Play it and return what callers got, by window and over all."""
+        self.later(0.0, self._ask)
+        if self.plan.outage:
+            begin, end = self.plan.outage
+            self.later(begin, self._stop_all)
+            self.later(end, self._restart_all)
+        while self._events:
+            at, _, work = heapq.heappop(self._events)
+            if at > self.plan.seconds + self.plan.deadline_seconds:
+                break
+            self.now = at
+            work()
+        total = Result()
+        for result in self.results.values():
+            total.asked += result.asked
+            total.in_aim += result.in_aim
+            total.late += result.late
+        return total
+
+    def later(self, seconds, work):
+        """Do something after some time."""
+        heapq.heappush(self._events, (self.now + seconds, next(self._order), work))
+
+    # Processes.
+
+    def _start_all(self):
+        for number in self._servers:
+            self._start_agent(number)
+        for index in range(self.plan.entry_count):
+            self._start_entry(index)
+
+    def _stop_all(self):
+        self._agents.clear()
+        self._entries.clear()
+
+    def _restart_all(self):
+        for server in self._servers.values():
+            server.restart(self.now)
+        for number in self._servers:
+            delay = self.rng.uniform(0.0, 0.3)
+            self.later(delay, lambda n=number: self._start_agent(n))
+        for index in range(self.plan.entry_count):
+            delay = self.rng.uniform(0.0, 0.3)
+            self.later(delay, lambda i=index: self._start_entry(i))
+
+    def _start_agent(self, number):
+        server = servers.Server(builders.SERVICE, 1.2)
+        made = agent.AgentFlows(server, self.now)
+        self._agents[number] = made
+        self._reporters[number] = reports.Reporter(self.now)
+        start = next(self._starts)
+        said = servers.Announcement(
+            f"s{number}", start, 1, builders.SERVICE, self.plan.slots, False
+        )
+        made.hear(said, self.now)
+        made.adopt(self._table, self.now)
+        record = self._record(number, start)
+        for one in self._entries.values():
+            self.later(LEARN_SECONDS, lambda o=one: self._learn(o, record))
+        self._tick_agent(number, made)
+        self._records[number] = record
+
+    def _record(self, number, start):
+        zone = identifiers.ZoneName(str(number % ZONES))
+        return builders.agent_record(number, start=start, zone=zone)
+
+    def _start_entry(self, index):
+        zone = identifiers.ZoneName(str(index % ZONES))
+        made = entry.EntryFlows(zone, random.Random(index), self.now)
+        self._entries[index] = made
+        made.adopt(self._table, self.now)
+        for record in self._records.values():
+            self.later(LEARN_SECONDS, lambda r=record: self._learn(made, r))
+        self._tick_entry(index, made)
+
+    def _learn(self, one, record):
+        for index, known in self._entries.items():
+            if known is one:
+                self._carry_out_entry(index, one.learn(record, self.now))
+
+    def _tick_entry(self, index, made):
+        if self._entries.get(index) is made:
+            self._carry_out_entry(index, made.tick(self.now))
+            self.later(TICK_SECONDS, lambda: self._tick_entry(index, made))
+
+    def _tick_agent(self, number, made):
+        if self._agents.get(number) is not made:
+            return
+        made.tick(self.now)
+        if self._reporters[number].is_due(made.load, self.now):
+            for index in self._entries:
+                address = addresses.Address(f"10.0.0.{index}", 7735)
+                report = messages.LoadReport(made.load)
+                self._tell(number, actions.Tell(address, report))
+        self.later(TICK_SECONDS, lambda: self._tick_agent(number, made))
+
+    def work_seconds(self, server):
+        """Return how long a server works on its next request."""
+        plan = self.plan
+        mean = plan.work_seconds
+        seconds = mean * math.exp(self.rng.gauss(-0.125, 0.5))
+        if self.rng.random() < plan.tail_share:
+            seconds *= plan.tail_factor
+        if self.now < server.cold_until:
+            seconds *= plan.cold_factor
+        return seconds * plan.slow.get(server.number, 1.0)
+
+    # Callers.
+
+    def _ask(self):
+        if self.now >= self.plan.seconds:
+            return
+        self.later(self.rng.expovariate(self.plan.rate(self.now)), self._ask)
+        user = None
+        if self.rng.random() >= self.plan.fresh_share:
+            idle = [n for n in range(self.plan.users) if n not in self._busy_users]
+            if not idle:
+                return
+            user = self.rng.choice(idle)
+            self._busy_users.add(user)
+        request = Request(self.now, user)
+        self._window(request).asked += 1
+        self.later(self.plan.deadline_seconds, lambda: self._end(request))
+        self._try(request)
+
+    def _window(self, request):
+        return self.results[int(request.born / WINDOW_SECONDS)]
+
+    def _end(self, request):
+        if request.is_over:
+            return
+        request.is_over = True
+        if request.user is not None:
+            self._busy_users.discard(request.user)
+            flow = self._user_flows.pop(request.user, None)
+            if flow is not None:
+                self._close(flow)
+
+    def _close(self, flow):
+        if flow.is_over:
+            return
+        flow.is_over = True
+        flags = packets.Flags.FIN | packets.Flags.ACK
+        if flow.acknowledged is not None:
+            self._send(flow, flags, flow.sequence, flow.acknowledged, 0)
+
+    def _try(self, request):
+        if request.is_over:
+            return
+        if request.tries > self.plan.retries:
+            self._end(request)
+            return
+        request.tries += 1
+        flow = self._user_flows.get(request.user) if request.user is not None else None
+        if flow is not None and not flow.is_over:
+            flow.request = request
+            self._send_request(flow)
+            return
+        flow_id = builders.FLOW._replace(caller_port=next(self._ports))
+        zone = self.rng.randrange(ZONES)
+        is_long = request.user is not None
+        flow = Flow(flow_id, zone, request, self.now, is_long)
+        self._flows[flow_id] = flow
+        if is_long:
+            self._user_flows[request.user] = flow
+        self._send_opening(flow, 0)
+        for copy, seconds in enumerate(COPY_SECONDS, 1):
+            self.later(seconds, lambda c=copy: self._send_opening(flow, c))
+        self.later(OPENING_SECONDS, lambda: self._give_up(flow))
+
+    def _give_up(self, flow):
+        if flow.acknowledged is None and not flow.is_over:
+            self._fail(flow)
+
+    def _fail(self, flow):
+        flow.is_over = True
+        request, flow.request = flow.request, None
+        if request is not None:
+            self._try(request)
+
+    def _send_opening(self, flow, copy):
+        if flow.acknowledged is None and not flow.is_over:
+            self._send(flow, packets.Flags.SYN, builders.CALLER_START, copy, 0)
+
+    def _send_request(self, flow):
+        flags = packets.Flags.ACK
+        self._send(flow, flags, flow.sequence, flow.acknowledged, 10)
+        flow.sequence += 10
+
+    def _send(self, flow, flags, sequence, acknowledged, length):
+        packet = builders.packet(flags, sequence, acknowledged, length, flow.id)
+        packet = with_datagram(packet)
+        ready = sorted(i for i in self._entries if i % ZONES == flow.zone)
+        ready = ready or sorted(self._entries)
+        if ready:
+            index = ready[flow.id.caller_port % len(ready)]
+            self.later(CALLER_SECONDS, lambda: self._at_entry(index, packet))
+
+    def _at_entry(self, index, packet):
+        one = self._entries.get(index)
+        if one is not None:
+            self._carry_out_entry(index, one.receive(packet, self.now))
+
+    def _at_caller(self, packet):
+        flow = self._flows.get(packet.flow)
+        if flow is None or flow.is_over:
+            return
+        if packet.flags & packets.Flags.SYN:
+            if flow.acknowledged is None:
+                flow.acknowledged = packet.sequence + 1
+                self._send_request(flow)
+        elif packet.length and flow.request is not None:
+            self._take_answer(flow, is_shed=packet.sequence == 503)
+
+    def _take_answer(self, flow, *, is_shed):
+        request, flow.request = flow.request, None
+        if not flow.is_long:
+            self._close(flow)
+        if request.is_over:
+            return
+        if is_shed:
+            self._try(request)
+            return
+        request.is_over = True
+        if request.user is not None:
+            self._busy_users.discard(request.user)
+        result = self._window(request)
+        if self.now - request.born <= self.plan.aim_seconds:
+            result.in_aim += 1
+        else:
+            result.late += 1
+
+    # Network.
+
+    def _carry_out_entry(self, index, decided):
+        own = addresses.Address(f"10.0.0.{index}", 7735)
+        for action in decided:
+            if isinstance(action, actions.Reset):
+                self.later(CALLER_SECONDS, lambda a=action: self._at_reset(a))
+            elif isinstance(action, actions.Forward):
+                host = action.address.host
+                packet = action.datagram.packet
+                self._to_agent(index, own, host, packet, asks=False)
+            elif isinstance(action, actions.Tell):
+                host = action.address.host
+                packet = action.message.datagram.packet
+                self._to_agent(index, own, host, packet, asks=True)
+
+    def _at_reset(self, action):
+        flow = self._flows.get(action.flow)
+        if flow is not None and not flow.is_over:
+            self._fail(flow)
+
+    def _to_agent(self, index, own, host, packet, *, asks):
+        number = int(host.rpartition(".")[2])
+
+        def arrive():
+            made = self._agents.get(number)
+            if made is not None:
+                take = made.answer if asks else made.receive
+                self._carry_out_agent(number, take(packet, own, self.now))
+
+        self.later(self._between(index, number), arrive)
+
+    def _between(self, index, number):
+        is_near = index % ZONES == number % ZONES
+        return IN_ZONE_SECONDS if is_near else CROSS_ZONE_SECONDS
+
+    def _carry_out_agent(self, number, decided):
+        for action in decided:
+            if isinstance(action, actions.Deliver):
+                self._servers[number].take(action.datagram.packet)
+            elif isinstance(action, actions.Return):
+                packet = action.datagram.packet
+                delay = CALLER_SECONDS + IN_ZONE_SECONDS
+                self.later(delay, lambda p=packet: self._at_caller(p))
+            elif isinstance(action, actions.Reset):
+                self.later(CALLER_SECONDS, lambda a=action: self._at_reset(a))
+            elif isinstance(action, actions.Tell):
+                self._tell(number, action)
+
+    def _tell(self, number, action):
+        if isinstance(action.message, messages.Declined):
+            self.declined += 1
+        index = int(action.address.host.rpartition(".")[2])
+        peer = builders.agent_record(number).member.control_address
+
+        def arrive():
+            one = self._entries.get(index)
+            if one is not None:
+                heard = one.hear(peer, action.message, self.now)
+                self._carry_out_entry(index, heard)
+
+        self.later(self._between(index, number), arrive)
+
+    def from_server(self, number, packet):
+        """Hand a backend server's packet to its agent."""
+        made = self._agents.get(number)
+        if made is not None:
+            decided = made.receive_from_server(with_datagram(packet), self.now)
+            self._carry_out_agent(number, decided)
+
+
+def worst_windows(site, count=2):
+    """Return what callers got in the worst windows, by worth."""
+    late = site.plan.late_worth
+    whole = [r for r in site.results.values() if r.asked]
+    return sorted(whole, key=lambda r: r.worth(late))[:count]
