A member asks for all members once it knows one; metrics, explain, grounds of decisions in logs

Change: a member that has not exchanged tables asks three of those that it hears of for all they know. Two tests in memory failed first.

Logs: a placement says copy, tries, wait and the load with its age on which it rests, a refusal how many agents there were, a reset how many members denied the flow; each line names its node. cactushall explain joins the lines of a flow over many files. Metrics in the Prometheus format on the address in the settings; the libraries load with the first call, not at the start. Openings and searches read routes and agents from one place instead of four arguments.

--- a/packages/cactushall-client/cactushall_client/__main__.py
+++ b/packages/cactushall-client/cactushall_client/__main__.py
@@ -11,6 +11,7 @@
 from cactushall_client import exit_codes, output
 from cactushall_client.commands import apply as apply_command
 from cactushall_client.commands import check as check_command
+from cactushall_client.commands import explain as explain_command
 from cactushall_client.commands import members as members_command
 from cactushall_client.commands import repair_epoch as repair_epoch_command
 from cactushall_client.commands import status as status_command
@@ -124,6 +125,16 @@
     check_command.main(path)
 
 
+@cli.command()
+@click.argument("flow")
+@click.argument(
+    "paths", nargs=-1, required=True, type=click.Path(path_type=pathlib.Path)
+)
+def explain(flow: str, paths: tuple[pathlib.Path, ...]) -> None:
+    """Show what all processes decided about a flow, from their logs."""
+    _report_errors(explain_command.main, flow, paths)
+
+
 @cli.command()
 @click.argument("path", type=click.Path(path_type=pathlib.Path))
 @click.option("--store", type=AddressType(), required=True, help=STORE_HELP)
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -180,11 +180,14 @@
         if flow is None:
             return [actions.Return(packet.flow, packet.datagram)]
         flow.seen_at = now
-        self._meter.note_from_server(flow.progress, packet, now)
+        seconds = self._meter.note_from_server(flow.progress, packet, now)
         if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
             flow.is_closing = True
         decided = self._note_answer(packet, flow)
         decided.append(actions.Return(packet.flow, packet.datagram))
+        if seconds is not None:
+            answered = actions.Latency.REQUEST_ANSWERED
+            decided.append(actions.Measured(answered, seconds))
         return decided
 
     def hear(self, announcement: servers.Announcement, now: float) -> servers.Outcome:
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -18,14 +18,12 @@
     packets,
     routes,
     searches,
+    surroundings,
 )
 from cactushall_core.membership import records
 
 SEQUENCE_WINDOW_BYTES = 76_800
 CLOSED_SECONDS = 5.0
-YOUNG_SECONDS = 0.6
-STABLE_SECONDS = 0.3
-STALE_SECONDS = 0.1
 FORGET_AGENT_SECONDS = 60.0
 SWEEP_SECONDS = 1.0
 MAX_FLOWS = 100_000
@@ -68,12 +66,9 @@
             rng: Source of random choices.
             now: Present time in seconds.
         """
-        self._settling_since = now
-        self._stale_until = float("-inf")
-        self._agents = directory.Directory()
-        self._routes = routes.EMPTY
-        self._openings = openings.Openings(self._agents, zone, rng)
-        self._searches = searches.Searches(self._agents)
+        self._known = surroundings.Surroundings(now)
+        self._openings = openings.Openings(self._known, zone, rng)
+        self._searches = searches.Searches(self._known)
         self._held: dict[packets.FlowId, Held] = {}
         self._next_sweep_at = now + SWEEP_SECONDS
 
@@ -84,24 +79,23 @@
 
     def adopt(self, table: routes.RouteTable, now: float) -> list[actions.Action]:
         """Use a newer revision of the routes from now on."""
-        self._routes = table
+        self._known.adopt(table)
         return self.tick(now)
 
     def learn(self, record: records.Record, now: float) -> list[actions.Action]:
         """Take in what membership believes of a member."""
-        self._agents.learn(record, now)
+        self._known.agents.learn(record, now)
         return self.tick(now)
 
     def note_pause(self, now: float) -> None:
         """Note that this process stood still until now, and its beliefs are old."""
-        self._settling_since = now
-        self._stale_until = now + STALE_SECONDS
+        self._known.note_pause(now)
 
     def receive(self, packet: packets.Packet, now: float) -> list[actions.Action]:
         """Handle a caller's packet."""
-        if packet.is_opening and now < self._stale_until:
+        if packet.is_opening and self._known.is_stale(now):
             return [actions.Drop(packet.flow, actions.Reason.STALE)]
-        if self._routes.is_known and self._routes.find(packet.flow) is None:
+        if self._known.table.is_known and not self._known.table.find(packet.flow):
             return self._refuse_without_route(packet)
         if packet.is_opening:
             return self._open(packet, now)
@@ -113,7 +107,7 @@
         if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
             held.is_closing = True
         _settle_holder(held, packet)
-        agent = self._agents.at(held.agent)
+        agent = self._known.agents.at(held.agent)
         if agent is None or searches.has_gone(agent, now):
             del self._held[packet.flow]
             return self._look_for(packet, now)
@@ -123,7 +117,7 @@
         self, sender: addresses.Address, message: messages.Message, now: float
     ) -> list[actions.Action]:
         """Handle an agent's message."""
-        agent = self._agents.sender(sender)
+        agent = self._known.agents.sender(sender)
         if agent is None:
             return []
         agent.heard_at = now
@@ -135,19 +129,16 @@
             return []
         agent.note_load(message.load, now)
         if isinstance(message, messages.Declined):
-            is_settled = self._is_settled(now)
-            return self._openings.decline(
-                agent, message, self._routes, now, is_settled=is_settled
-            )
+            return self._openings.decline(agent, message, now)
+        decided: list[actions.Action] = []
         if isinstance(message, messages.Accepted):
-            self._note_accepted(agent, message, now)
-        return self._place_waiting(now)
+            decided += self._note_accepted(agent, message, now)
+        return decided + self._openings.place_waiting(now)
 
     def tick(self, now: float) -> list[actions.Action]:
         """Decide what could not be decided when the packets came."""
-        decided = self._place_waiting(now)
-        if self._searches and self._is_settled(now):
-            decided += self._searches.decide(self._routes, now)
+        decided = self._openings.place_waiting(now)
+        decided += self._searches.decide(now)
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_SECONDS
             self._sweep(now)
@@ -162,13 +153,11 @@
             return [actions.Forward(held.agent, packet.datagram)]
         self._forget(packet.flow, keeps_opening=True)
         self._make_room()
-        return self._openings.receive(
-            packet, self._routes, now, is_settled=self._is_settled(now)
-        )
+        return self._openings.receive(packet, now)
 
     def _note_accepted(
         self, agent: directory.Agent, message: messages.Accepted, now: float
-    ) -> None:
+    ) -> list[actions.Action]:
         agent.unanswered.pop(message.flow, None)
         address = agent.packet_address
         opening = self._openings.get(message.flow)
@@ -177,10 +166,12 @@
             accepted = {address: message.sequence}
             sequence = opening.packet.sequence
             self._held[message.flow] = Held(address, sequence, now, accepted)
-            return
+            seconds = now - opening.opened_at
+            return [actions.Measured(actions.Latency.FLOW_OPENED, seconds)]
         held = self._held.get(message.flow)
         if held is not None and held.accepted is not None:
             held.accepted[address] = message.sequence
+        return []
 
     def _hold_opening(self, flow_id: packets.FlowId, now: float) -> Held | None:
         """Hold a flow whose caller has an answer that the entry was not told of."""
@@ -192,18 +183,14 @@
         self._held[flow_id] = held
         return held
 
-    def _place_waiting(self, now: float) -> list[actions.Action]:
-        is_settled = self._is_settled(now)
-        return self._openings.place_waiting(self._routes, now, is_settled=is_settled)
-
     # Flows whose holder is not remembered.
 
     def _look_for(self, packet: packets.Packet, now: float) -> list[actions.Action]:
         if packet.flags & packets.Flags.RST:
             return [actions.Drop(packet.flow, actions.Reason.STRAY)]
         self._make_room()
-        decided = self._searches.receive(packet, self._routes, now)
-        return decided + self._decide(packet.flow, now)
+        decided = self._searches.receive(packet, now)
+        return decided + self._searches.decide_one(packet.flow, now)
 
     def _note_held(
         self, agent: directory.Agent, flow_id: packets.FlowId, now: float
@@ -230,18 +217,7 @@
             del self._held[flow_id]
             self._searches.begin(flow_id, held.acknowledged, now)
         self._searches.deny(flow_id, agent.member.id)
-        return self._decide(flow_id, now)
-
-    def _decide(self, flow_id: packets.FlowId, now: float) -> list[actions.Action]:
-        if not self._is_settled(now):
-            return []
-        return self._searches.decide_one(flow_id, self._routes, now)
-
-    def _is_settled(self, now: float) -> bool:
-        """Tell whether this entry has had time to meet all agents."""
-        is_old = now - self._settling_since >= YOUNG_SECONDS
-        is_stable = now - self._agents.changed_at >= STABLE_SECONDS
-        return is_old and is_stable and self._routes.is_known
+        return self._searches.decide_one(flow_id, now)
 
     # Ends and memory.
 
@@ -270,7 +246,7 @@
             self._searches.remove_oldest()
 
     def _sweep(self, now: float) -> None:
-        idle = self._routes.idle_timeout_seconds + CLOSED_SECONDS
+        idle = self._known.table.idle_timeout_seconds + CLOSED_SECONDS
         expired = [
             flow_id
             for flow_id, held in self._held.items()
@@ -280,7 +256,7 @@
             del self._held[flow_id]
         self._openings.expire(now)
         self._searches.expire(now - idle)
-        self._agents.forget(now - FORGET_AGENT_SECONDS)
+        self._known.agents.forget(now - FORGET_AGENT_SECONDS)
 
 
 def _settle_holder(held: Held, packet: packets.Packet) -> None:
--- a/packages/cactushall-core/cactushall_core/flows/openings.py
+++ b/packages/cactushall-core/cactushall_core/flows/openings.py
@@ -7,7 +7,14 @@
 import msgspec
 
 from cactushall_core import addresses, identifiers
-from cactushall_core.flows import actions, choice, directory, messages, packets, routes
+from cactushall_core.flows import (
+    actions,
+    choice,
+    directory,
+    messages,
+    packets,
+    surroundings,
+)
 
 OPENING_SECONDS = 1.4
 RESEND_SECONDS = 0.15
@@ -42,18 +49,18 @@
 
     def __init__(
         self,
-        agents: directory.Directory,
+        known: surroundings.Surroundings,
         zone: identifiers.ZoneName,
         rng: random.Random,
     ) -> None:
         """Know no flow yet.
 
         Args:
-            agents: What is known of the agents.
+            known: Routes and agents.
             zone: Availability zone of most callers.
             rng: Breaks ties.
         """
-        self._agents = agents
+        self._known = known
         self._zone = zone
         self._rng = rng
         self._flows: dict[packets.FlowId, Opening] = {}
@@ -76,22 +83,8 @@
         """Forget the flow that has been opened first."""
         self.remove(next(iter(self._flows)))
 
-    def receive(
-        self,
-        packet: packets.Packet,
-        table: routes.RouteTable,
-        now: float,
-        *,
-        is_settled: bool,
-    ) -> list[actions.Action]:
-        """Handle an opening packet or a repetition of it.
-
-        Args:
-            packet: The packet.
-            table: The routes in force.
-            now: Present time in seconds.
-            is_settled: Whether all agents are known.
-        """
+    def receive(self, packet: packets.Packet, now: float) -> list[actions.Action]:
+        """Handle an opening packet or a repetition of it."""
         flow = self._flows.get(packet.flow)
         if flow is None or flow.packet.sequence != packet.sequence:
             flow = Opening(packet, now)
@@ -101,16 +94,10 @@
             return []
         if flow.agent is not None and now - flow.sent_at < RESEND_SECONDS:
             return [actions.Forward(flow.agent, packet.datagram)]
-        return self._place(flow, table, now, is_settled=is_settled)
+        return self._place(flow, now)
 
     def decline(
-        self,
-        agent: directory.Agent,
-        message: messages.Declined,
-        table: routes.RouteTable,
-        now: float,
-        *,
-        is_settled: bool,
+        self, agent: directory.Agent, message: messages.Declined, now: float
     ) -> list[actions.Action]:
         """Handle an agent's refusal of a flow."""
         agent.unanswered.pop(message.flow, None)
@@ -123,11 +110,9 @@
             flow.declined.add(agent.packet_address)
         if flow.agent != agent.packet_address:
             return []
-        return self._place(flow, table, now, is_settled=is_settled)
+        return self._place(flow, now)
 
-    def place_waiting(
-        self, table: routes.RouteTable, now: float, *, is_settled: bool
-    ) -> list[actions.Action]:
+    def place_waiting(self, now: float) -> list[actions.Action]:
         """Place flows that wait for room, the newest first.
 
         The callers of the oldest have the least time left for an answer.
@@ -135,7 +120,7 @@
         decided: list[actions.Action] = []
         for flow_id in reversed(list(self._waiting)):
             flow = self._waiting[flow_id]
-            decided += self._place(flow, table, now, is_settled=is_settled)
+            decided += self._place(flow, now)
         return decided
 
     def expire(self, now: float) -> None:
@@ -144,27 +129,25 @@
             if now - flow.opened_at > OPENING_SECONDS + RESEND_SECONDS:
                 self.remove(flow_id)
 
-    def _place(
-        self, flow: Opening, table: routes.RouteTable, now: float, *, is_settled: bool
-    ) -> list[actions.Action]:
+    def _place(self, flow: Opening, now: float) -> list[actions.Action]:
         """Send an opening packet on, if possible to an agent that has not had it."""
         flow_id = flow.packet.flow
-        if not table.is_known:
-            return self._wait(flow, now, OPENING_SECONDS, actions.Reason.NO_SERVER)
-        route = table.find(flow_id)
+        if not self._known.table.is_known:
+            return self._wait(flow, 0, now, OPENING_SECONDS)
+        route = self._known.table.find(flow_id)
         if route is None:
-            return self._refuse(flow_id, actions.Reason.NO_ROUTE)
-        takers = self._agents.takers(route.service_of(flow_id))
+            return self._refuse(flow, 0, now, actions.Reason.NO_ROUTE)
+        takers = self._known.agents.takers(route.service_of(flow_id))
         willing = [a for a in takers if a.packet_address not in flow.declined]
         if not willing:
-            patience = 0.0 if is_settled else OPENING_SECONDS
-            return self._wait(flow, now, patience, actions.Reason.NO_SERVER)
+            patience = 0.0 if self._known.is_settled(now) else OPENING_SECONDS
+            return self._wait(flow, 0, now, patience)
         untried = [a for a in willing if a.packet_address not in flow.tried]
         objective = route.objective_seconds
         agent = choice.choose(untried or willing, self._zone, objective, self._rng, now)
         if agent is None:
             patience = self._room_patience(len(willing))
-            return self._wait(flow, now, patience, actions.Reason.NO_CAPACITY)
+            return self._wait(flow, len(willing), now, patience)
         return [self._send(flow, agent, now)]
 
     def _room_patience(self, agent_count: int) -> float:
@@ -180,29 +163,38 @@
         self, flow: Opening, agent: directory.Agent, now: float
     ) -> actions.Forward:
         self._waiting.pop(flow.packet.flow, None)
+        placement = actions.Placement(
+            flow=flow.packet.flow,
+            copy=flow.packet.acknowledgement,
+            tries=len(flow.tried),
+            waited_seconds=now - flow.opened_at,
+            requests=agent.load.requests + agent.expected(now),
+            load_age_seconds=now - agent.told_at,
+        )
         agent.unanswered[flow.packet.flow] = now
         flow.agent = agent.packet_address
         flow.sent_at = now
         flow.tried.add(agent.packet_address)
-        return actions.Forward(flow.agent, flow.packet.datagram)
+        return actions.Forward(flow.agent, flow.packet.datagram, placement)
 
     def _wait(
-        self,
-        flow: Opening,
-        now: float,
-        patience_seconds: float,
-        reason: actions.Reason,
+        self, flow: Opening, agent_count: int, now: float, patience_seconds: float
     ) -> list[actions.Action]:
-        """Keep a flow until an agent has room for it, else refuse it."""
-        flow_id = flow.packet.flow
+        """Keep a flow until one of some agents has room for it, else refuse it."""
         flow.agent = None
-        if now - flow.opened_at >= patience_seconds:
-            return self._refuse(flow_id, reason)
-        self._waiting.setdefault(flow_id, flow)
-        return []
+        if now - flow.opened_at < patience_seconds:
+            self._waiting.setdefault(flow.packet.flow, flow)
+            return []
+        reason = actions.Reason.NO_CAPACITY
+        if agent_count == 0:
+            reason = actions.Reason.NO_SERVER
+        return self._refuse(flow, agent_count, now, reason)
 
     def _refuse(
-        self, flow_id: packets.FlowId, reason: actions.Reason
+        self, flow: Opening, agent_count: int, now: float, reason: actions.Reason
     ) -> list[actions.Action]:
+        flow_id = flow.packet.flow
         self.remove(flow_id)
-        return [actions.Reset(flow_id, 0, reason)]
+        waited = now - flow.opened_at
+        evidence = actions.Unplaced(agent_count, len(flow.tried), waited)
+        return [actions.Reset(flow_id, 0, reason, evidence)]
--- a/packages/cactushall-core/cactushall_core/flows/requests.py
+++ b/packages/cactushall-core/cactushall_core/flows/requests.py
@@ -79,17 +79,25 @@
 
     def note_from_server(
         self, progress: Progress, packet: packets.Packet, now: float
-    ) -> None:
+    ) -> float | None:
         """Note a backend server's packet that goes to the caller.
 
         Data is an answer, and so is the end of the flow, which may overtake it.
+
+        Returns:
+            How long the caller's request waited for this answer, None where it is
+            none.
         """
         if not progress.is_waiting:
-            return
+            return None
         if packet.flags & packets.Flags.RST:
             self.note_closed(progress)
-        elif packet.length > 0 or packet.flags & packets.Flags.FIN:
-            self._note_answer(progress, now)
+            return None
+        if packet.length == 0 and not packet.flags & packets.Flags.FIN:
+            return None
+        seconds = now - progress.started_at
+        self._note_answer(progress, now)
+        return seconds
 
     def note_closed(self, progress: Progress) -> None:
         """Note that a flow's request waits no longer."""
--- a/packages/cactushall-core/cactushall_core/flows/searches.py
+++ b/packages/cactushall-core/cactushall_core/flows/searches.py
@@ -9,7 +9,13 @@
 import msgspec
 
 from cactushall_core import identifiers
-from cactushall_core.flows import actions, directory, messages, packets, routes
+from cactushall_core.flows import (
+    actions,
+    directory,
+    messages,
+    packets,
+    surroundings,
+)
 from cactushall_core.membership import records
 
 QUESTION_SECONDS = 0.15
@@ -43,13 +49,13 @@
 class Searches:
     """All flows whose holder is being looked for."""
 
-    def __init__(self, agents: directory.Directory) -> None:
+    def __init__(self, known: surroundings.Surroundings) -> None:
         """Look for no flow yet.
 
         Args:
-            agents: What is known of the agents.
+            known: Routes and agents.
         """
-        self._agents = agents
+        self._known = known
         self._flows: dict[packets.FlowId, Search] = {}
 
     def __len__(self) -> int:
@@ -74,9 +80,7 @@
         """Look no longer for the flow that has been looked for longest."""
         del self._flows[next(iter(self._flows))]
 
-    def receive(
-        self, packet: packets.Packet, table: routes.RouteTable, now: float
-    ) -> list[actions.Action]:
+    def receive(self, packet: packets.Packet, now: float) -> list[actions.Action]:
         """Handle a packet of a flow: ask with it, or let it wait for an answer."""
         flow_id = packet.flow
         search = self._flows.get(flow_id) or self.begin(flow_id, 0, now)
@@ -86,7 +90,7 @@
         search.seen_at = now
         search.acknowledged = packet.acknowledgement
         if now - search.asked_at >= QUESTION_SECONDS:
-            return self._ask(packet, search, table, now)
+            return self._ask(packet, search, now)
         if len(search.buffered) >= MAX_BUFFERED:
             return [actions.Drop(flow_id, actions.Reason.BUFFER_FULL)]
         search.buffered.append(packet.datagram)
@@ -97,26 +101,24 @@
         if (search := self._flows.get(flow_id)) is not None:
             search.denied.add(member)
 
-    def decide(self, table: routes.RouteTable, now: float) -> list[actions.Action]:
+    def decide(self, now: float) -> list[actions.Action]:
         """Reset all flows that certainly nobody holds."""
         decided: list[actions.Action] = []
         for flow_id in list(self._flows):
-            decided += self.decide_one(flow_id, table, now)
+            decided += self.decide_one(flow_id, now)
         return decided
 
-    def decide_one(
-        self, flow_id: packets.FlowId, table: routes.RouteTable, now: float
-    ) -> list[actions.Action]:
-        """Reset a flow if it is certain that nobody holds it.
-
-        Only for an entry that has had time to meet all agents.
-        """
+    def decide_one(self, flow_id: packets.FlowId, now: float) -> list[actions.Action]:
+        """Reset a flow if it is certain that nobody holds it."""
         search = self._flows.get(flow_id)
-        if search is None or not self._is_held_by_nobody(flow_id, search, table, now):
+        if search is None or not self._known.is_settled(now):
+            return []
+        evidence = self._denial(flow_id, search, now)
+        if evidence is None:
             return []
         del self._flows[flow_id]
         reason = actions.Reason.HELD_BY_NOBODY
-        return [actions.Reset(flow_id, search.acknowledged, reason)]
+        return [actions.Reset(flow_id, search.acknowledged, reason, evidence)]
 
     def expire(self, before: float) -> None:
         """Forget flows whose callers have been silent since some time."""
@@ -125,56 +127,48 @@
                 del self._flows[flow_id]
 
     def _ask(
-        self,
-        packet: packets.Packet,
-        search: Search,
-        table: routes.RouteTable,
-        now: float,
+        self, packet: packets.Packet, search: Search, now: float
     ) -> list[actions.Action]:
         search.began_at = min(search.began_at, now)
         search.asked_at = now
         question = messages.Question(packet.datagram)
         return [
             actions.Tell(agent.peer_address, question)
-            for agent in self._possible_holders(packet.flow, table)[:MAX_ASKED]
+            for agent in self._possible_holders(packet.flow)[:MAX_ASKED]
             if agent.member.id not in search.denied
         ]
 
-    def _possible_holders(
-        self, flow_id: packets.FlowId, table: routes.RouteTable
-    ) -> list[directory.Agent]:
+    def _possible_holders(self, flow_id: packets.FlowId) -> list[directory.Agent]:
         """Return the agents that may hold a flow, those that have gone included.
 
         A route may have led to another service when the flow was opened, so all
         agents are asked where they are few.
         """
-        known = self._agents.agents
-        route = table.find(flow_id)
-        if len(known) <= MAX_ASKED or route is None:
-            return known
+        agents = self._known.agents
+        route = self._known.table.find(flow_id)
+        if len(agents.agents) <= MAX_ASKED or route is None:
+            return agents.agents
         return [
-            agent
-            for share in route.shares
-            for agent in self._agents.members(share.service)
+            agent for share in route.shares for agent in agents.members(share.service)
         ]
 
-    def _is_held_by_nobody(
-        self,
-        flow_id: packets.FlowId,
-        search: Search,
-        table: routes.RouteTable,
-        now: float,
-    ) -> bool:
-        """Tell whether each possible holder has denied the flow or is gone.
-
-        Who is gone has been asked all the same and could have answered: an agent may
-        be believed dead wrongly.
+    def _denial(
+        self, flow_id: packets.FlowId, search: Search, now: float
+    ) -> actions.Denied | None:
+        """Return why it is certain that nobody holds a flow, None where it is not.
+
+        Each possible holder has denied it or is gone. Who is gone has been asked all
+        the same and could have answered: an agent may be believed dead wrongly.
         """
-        could_answer = now - search.began_at >= QUESTION_SECONDS
-        return all(
-            agent.member.id in search.denied or (could_answer and has_gone(agent, now))
-            for agent in self._possible_holders(flow_id, table)
-        )
+        asked_seconds = now - search.began_at
+        holders = self._possible_holders(flow_id)
+        open_ones = [a for a in holders if a.member.id not in search.denied]
+        if not all(has_gone(agent, now) for agent in open_ones):
+            return None
+        if open_ones and asked_seconds < QUESTION_SECONDS:
+            return None
+        denied = len(holders) - len(open_ones)
+        return actions.Denied(denied, len(open_ones), asked_seconds)
 
 
 def has_gone(agent: directory.Agent, now: float) -> bool:
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -33,6 +33,7 @@
 GOSSIP_FANOUT = 2
 MAX_NEWS_RECORDS = 16
 MAX_BUCKETS_PER_DIGEST = 4
+JOINS_AFTER_CONTACT = 3
 
 
 class Send(msgspec.Struct, frozen=True):
@@ -109,6 +110,7 @@
         self._next_gossip_at = now
         self._next_digest_at = now + rng.random() * timing.digest_interval
         self._next_revival_at = now + timing.revival_interval
+        self._joins_left = JOINS_AFTER_CONTACT
         self._sent_bytes = 0
         self._table.put(self._own_record(), now)
 
@@ -163,6 +165,7 @@
         known to others already.
         """
         is_news = len(table_) <= MAX_NEWS_RECORDS
+        self._joins_left = 0
         actions: list[Action] = []
         for record in table_:
             actions += self._apply_record(record, now, is_news=is_news)
@@ -197,6 +200,7 @@
         if now >= self._next_gossip_at:
             self._next_gossip_at = now + self._timing.gossip_interval
             actions += self._gossip(now)
+            actions += self._join_after_contact()
         if now >= self._next_digest_at:
             self._next_digest_at = now + self._timing.digest_interval
             actions += self._send_digest()
@@ -367,6 +371,19 @@
         extra = (target, self._own_record())
         return [self._send(target.member.gossip_address, body, extra)]
 
+    def _join_after_contact(self) -> list[Action]:
+        """Ask others for all they know, once some are known.
+
+        Members find one that has started again before it finds them. It would know
+        only those, and for long, where its contact points and the store are away.
+        """
+        if not self._joins_left:
+            return []
+        targets = self._random_present(1)
+        if targets:
+            self._joins_left -= 1
+        return self.join(target.member.gossip_address for target in targets)
+
     # Dissemination.
 
     def _gossip(self, now: float) -> list[Action]:
--- a/packages/cactushall-daemon/cactushall_daemon/commands/run.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/run.py
@@ -69,7 +69,7 @@
     settings = load_settings(cls, path)
     if only_check:
         return
-    logs.configure(settings.log_level)
+    logs.configure(settings.log_level, settings.node)
     sys.exit(asyncio.run(_run(settings, path, make_process)))
 
 
@@ -92,9 +92,9 @@
     gc.freeze()
     gc.set_threshold(GARBAGE_THRESHOLD)
     gc.enable()
-    log.info(events.Event.STARTED, node=settings.node, zone=settings.zone)
+    log.info(events.Event.STARTED, zone=settings.zone)
     await stop_requested.wait()
-    log.info(events.Event.STOPPING, node=settings.node)
+    log.info(events.Event.STOPPING)
     stop_requested.clear()
     stopping = asyncio.create_task(process.stop())
     forced = asyncio.create_task(stop_requested.wait())
@@ -102,7 +102,7 @@
     if not stopping.done():
         return exit_codes.ExitCode.FORCED
     await stopping
-    log.info(events.Event.STOPPED, node=settings.node)
+    log.info(events.Event.STOPPED)
     return exit_codes.ExitCode.OK
 
 
--- a/packages/cactushall-daemon/cactushall_daemon/config/packet_schema.py
+++ b/packages/cactushall-daemon/cactushall_daemon/config/packet_schema.py
@@ -37,6 +37,7 @@
     packet_address = options.Option(options.address())
     readiness_address = options.Option(options.address())
     store = options.Option(options.address())
+    metrics = options.Option[addresses.Address | None](options.address(), None)
     seeds = options.Option(options.list_of(options.address()), NO_ADDRESSES)
     keys = options.Option(options.list_of(key(), minimum=1, maximum=keys.MAX_KEYS))
 
--- a/packages/cactushall-daemon/cactushall_daemon/logs.py
+++ b/packages/cactushall-daemon/cactushall_daemon/logs.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import os
 import select
@@ -22,11 +23,12 @@
 MAX_LINE_BYTES = select.PIPE_BUF
 
 
-def configure(level: str) -> None:
+def configure(level: str, node: str) -> None:
     """Set up logging for the process.
 
     Args:
         level: Name of the lowest level that is written.
+        node: Name of the node, for each line.
     """
     writer = LineWriter(sys.stdout.fileno())
     structlog.configure(
@@ -36,6 +38,7 @@
             VolumeLimit(time.monotonic),
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             _expand_event,
+            functools.partial(_add_node, node),
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
@@ -117,3 +120,10 @@
         event_dict["event"] = event.text
         event_dict["event_id"] = event.number
     return event_dict
+
+
+def _add_node(
+    node: str, _logger: typing.Any, _method: str, event_dict: typing.Any
+) -> typing.Any:
+    event_dict["node"] = node
+    return event_dict
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -61,6 +61,7 @@
             on_member_changed=self._on_member_changed,
             on_routes=self._on_routes,
             on_message=self._on_message,
+            gauges=self._gauges,
         )
 
     async def start(self) -> None:
@@ -98,6 +99,17 @@
         self._settings = settings
         self._node.reload(settings)
 
+    def _gauges(self) -> dict[str, float]:
+        load = self._flows.load
+        return {
+            "flows": load.flows,
+            "requests_waiting": load.requests,
+            "slots": load.slots,
+            "service_seconds": load.service_seconds,
+            "configuration_revision": self._node.route_table.revision,
+            "members_present": self._node.gossip.membership.table.present_count,
+        }
+
     def _tick(self) -> None:
         now = self._loop.time()
         self._flows.tick(now)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/carrier.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/carrier.py
@@ -5,10 +5,15 @@
 import collections.abc
 import functools
 import ipaddress
+import math
 import socket
+import typing
+
+import msgspec
+from msgspec import structs
 
 from cactushall_core import addresses
-from cactushall_core.flows import actions, messages
+from cactushall_core.flows import actions, messages, packets
 from cactushall_daemon import counters, events, logs
 from cactushall_daemon.packets import node as packet_node
 from cactushall_platform import packets as layout
@@ -56,6 +61,8 @@
             if isinstance(action, actions.Forward):
                 self._forwarded.value += 1
                 self._node.send(action.address, action.datagram)
+                if action.placement is not None:
+                    self._log_placement(action, action.placement)
             elif isinstance(action, actions.Return):
                 self._send_to_caller(action.flow.caller_host, action.datagram)
             elif isinstance(action, actions.Deliver):
@@ -63,6 +70,8 @@
             elif isinstance(action, actions.Tell):
                 _log_message(action)
                 self._node.tell(action.address, action.message)
+            elif isinstance(action, actions.Measured):
+                self._node.latencies.record(action.kind, action.seconds)
             elif isinstance(action, actions.Reset):
                 self._reset(action)
             else:
@@ -73,10 +82,25 @@
                     why=action.reason.value,
                 )
 
+    def _log_placement(
+        self, action: actions.Forward, placement: actions.Placement
+    ) -> None:
+        log.info(
+            events.Event.FLOW_PLACED,
+            agent=action.address.host,
+            revision=self._node.route_table.revision,
+            **_describe(placement),
+        )
+
     def _reset(self, action: actions.Reset) -> None:
         self._counters.add(counters.Counter.RESETS_SENT)
+        evidence = _describe(action.evidence) if action.evidence is not None else {}
         log.info(
-            events.Event.FLOW_RESET, flow=str(action.flow), why=action.reason.value
+            events.Event.FLOW_RESET,
+            flow=str(action.flow),
+            why=action.reason.value,
+            revision=self._node.route_table.revision,
+            **evidence,
         )
         datagram = layout.encode_reset(action.flow, action.sequence)
         self._send_to_caller(action.flow.caller_host, datagram)
@@ -90,12 +114,17 @@
             log.debug(events.Event.SEND_FAILED, address=str(address), why=str(error))
 
 
-def _describe(load: messages.Load) -> dict[str, float]:
-    return {
-        "flows": load.flows,
-        "requests": load.requests,
-        "service_ms": round(load.service_seconds * 1000, 1),
-    }
+def _describe(found: msgspec.Struct) -> dict[str, typing.Any]:
+    """Return the fields of a message or of a decision's grounds for a log line."""
+    return {key: _readable(value) for key, value in structs.asdict(found).items()}
+
+
+def _readable(value: typing.Any) -> typing.Any:
+    if isinstance(value, packets.FlowId):
+        return str(value)
+    if isinstance(value, float):
+        return round(value, 4) if math.isfinite(value) else None
+    return value
 
 
 def _log_message(action: actions.Tell) -> None:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -9,7 +9,7 @@
 import time
 
 from cactushall_core import addresses, identifiers, pauses
-from cactushall_core.flows import actions, entry, messages, packets, routes
+from cactushall_core.flows import actions, entry, messages, routes
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, logs, sockets
 from cactushall_daemon.config import packet_schema
@@ -52,6 +52,7 @@
             on_member_changed=self._on_member_changed,
             on_routes=self._on_routes,
             on_message=self._on_message,
+            gauges=self._gauges,
         )
         self._received = self._node.counters.cell(counters.Counter.RECEIVED)
 
@@ -96,6 +97,13 @@
         self._settings = settings
         self._node.reload(settings)
 
+    def _gauges(self) -> dict[str, float]:
+        return {
+            "flows": self._flows.flow_count,
+            "configuration_revision": self._node.route_table.revision,
+            "members_present": self._node.gossip.membership.table.present_count,
+        }
+
     def _notice_pause(self, now: float) -> None:
         if self._pauses.has_paused(now, time.clock_gettime(time.CLOCK_BOOTTIME)):
             log.warning(events.Event.PAUSED)
@@ -116,28 +124,12 @@
         now = self._loop.time()
         self._notice_pause(now)
         self._received_at = now
-        decided = self._flows.receive(packet, now)
-        if packet.is_opening:
-            self._log_placement(packet, decided)
-        self._carry_out(decided)
+        self._carry_out(self._flows.receive(packet, now))
 
     def _carry_out(self, decided: list[actions.Action]) -> None:
         if self._carrier is not None:
             self._carrier.carry_out(decided)
 
-    def _log_placement(
-        self, packet: packets.Packet, decided: list[actions.Action]
-    ) -> None:
-        for action in decided:
-            if isinstance(action, actions.Forward):
-                log.info(
-                    events.Event.FLOW_PLACED,
-                    flow=str(packet.flow),
-                    copy=packet.acknowledgement,
-                    agent=action.address.host,
-                    revision=self._node.route_table.revision,
-                )
-
     def _on_message(self, sender: addresses.Address, message: messages.Message) -> None:
         self._carry_out(self._flows.hear(sender, message, self._loop.time()))
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -18,7 +18,9 @@
     events,
     following,
     gossip,
+    latencies,
     logs,
+    metrics,
     sockets,
     tasks,
     unreadable,
@@ -78,6 +80,7 @@
         on_member_changed: gossip.MemberChanged,
         on_routes: RoutesAdopted,
         on_message: MessageReceiver,
+        gauges: metrics.Gauges,
     ) -> None:
         """Prepare; nothing is sent yet.
 
@@ -87,17 +90,21 @@
             on_member_changed: Called when what is believed of a member changes.
             on_routes: Called when newer routes are adopted.
             on_message: Called for each message about flows.
+            gauges: Returns present values for the metrics, by name.
         """
         self._on_routes = on_routes
         self._on_message = on_message
         self._counters = counters.Counters()
+        self._latencies = latencies.Latencies()
+        self._metrics = metrics.Metrics(self._counters, self._latencies, gauges)
+        self._metrics_address = settings.metrics
         self._seeds = settings.seeds
         self._note_unreadable = unreadable.noter(self._counters)
         self._store = store.KeyValueStore(settings.store, self._note_unreadable)
         self._authenticator = messages.make_authenticator(tuple(settings.keys))
         self._tasks = tasks.Tasks()
         self._socket: socket.socket | None = None
-        self._server: asyncio.Server | None = None
+        self._servers: list[asyncio.Server] = []
         self._follower = following.Follower(
             self._store,
             configuration.KEY,
@@ -122,6 +129,11 @@
         """The process's counters."""
         return self._counters
 
+    @property
+    def latencies(self) -> latencies.Latencies:
+        """The process's latencies."""
+        return self._latencies
+
     @property
     def gossip(self) -> gossip.GossipEndpoint:
         """The process's place in the membership protocol."""
@@ -144,7 +156,10 @@
         sockets.receive_batches(self._socket, self._receive)
         self.spawn(self._stay_joined())
         self.spawn(self._follower.run())
-        self._server = await serve(address, self._answer)
+        self._servers.append(await serve(address, self._answer))
+        if self._metrics_address is not None:
+            served = await serve(self._metrics_address, self._metrics.answer)
+            self._servers.append(served)
 
     def serve_as_contact(self) -> None:
         """Be found in the store by new processes."""
@@ -164,8 +179,8 @@
         self._tasks.cancel()
         self._gossip.stop()
         self._store.close()
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
         if self._socket is not None:
             sockets.close(self._socket)
             self._socket = None
--- a/packages/cactushall-rpc/cactushall_rpc/http.py
+++ b/packages/cactushall-rpc/cactushall_rpc/http.py
@@ -43,7 +43,9 @@
     content_type: str = JSON
 
 
-Handler = collections.abc.Callable[[Request], Response]
+Handler = collections.abc.Callable[
+    [Request], Response | collections.abc.Awaitable[Response]
+]
 
 
 async def serve(address: addresses.Address, handler: Handler) -> asyncio.Server:
@@ -80,7 +82,8 @@
             request = await _read_request(connection, reader)
         if request is None:
             return
-        response = handler(request)
+        answer = handler(request)
+        response = answer if isinstance(answer, Response) else await answer
         writer.write(_encode_response(connection, response))
         await writer.drain()
         if connection.our_state is h11.MUST_CLOSE:
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -60,8 +60,10 @@
     (delivered,) = open_flow(flows)
     assert isinstance(delivered, actions.Deliver)
     answer = builders.packet(length=100)
-    decided = flows.receive_from_server(answer, 1.1)
-    assert decided == [actions.Return(builders.FLOW, answer.datagram)]
+    returned, measured = flows.receive_from_server(answer, 1.1)
+    assert returned == actions.Return(builders.FLOW, answer.datagram)
+    assert measured.kind is actions.Latency.REQUEST_ANSWERED
+    assert measured.seconds == pytest.approx(0.1)
 
 
 def test_a_flow_of_another_service_is_never_delivered(flows):
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -17,6 +17,7 @@
     packets,
     routes,
     searches,
+    surroundings,
 )
 from cactushall_core.membership import records
 from tests.core.flows import builders
@@ -86,7 +87,8 @@
 def test_a_flow_without_route_is_reset_at_once(flows):
     unknown = builders.FLOW._replace(service_port=1)
     decided = flows.receive(builders.opening(flow=unknown), SETTLED)
-    assert decided == [actions.Reset(unknown, 0, actions.Reason.NO_ROUTE)]
+    (reset,) = decided
+    assert reset[:3] == (unknown, 0, actions.Reason.NO_ROUTE)
 
 
 def test_a_new_flow_waits_for_the_configuration():
@@ -139,7 +141,8 @@
         )
         (sent,) = flows.hear(peer_of(number), declined, SETTLED)
     assert len(set(seen)) == len(seen) == 3
-    assert sent == actions.Reset(builders.FLOW, 0, actions.Reason.NO_SERVER)
+    assert sent.reason is actions.Reason.NO_SERVER
+    assert sent.evidence == actions.Unplaced(agents=0, tries=3, waited_seconds=0.0)
 
 
 def test_an_agent_that_drains_gets_no_new_flow(flows):
@@ -176,7 +179,9 @@
     last, number = fill(flows)
     assert flows.receive(builders.opening(), SETTLED) == []
     accepted = messages.Accepted(last, 1, builders.IDLE_LOAD)
-    (sent,) = flows.hear(peer_of(number), accepted, SETTLED + 0.01)
+    measured, sent = flows.hear(peer_of(number), accepted, SETTLED + 0.01)
+    assert measured.kind is actions.Latency.FLOW_OPENED
+    assert measured.seconds == pytest.approx(0.01)
     assert sent.address == agent_of(builders.agent_record(number))
     assert sent.datagram == builders.opening().datagram
 
@@ -220,7 +225,11 @@
     flows.receive(builders.opening(), SETTLED)
     assert flows.tick(SETTLED + openings.ROOM_SECONDS / 2) == []
     (reset,) = flows.tick(SETTLED + openings.ROOM_SECONDS + 0.01)
-    assert reset == actions.Reset(builders.FLOW, 0, actions.Reason.NO_CAPACITY)
+    assert reset._replace(evidence=None) == actions.Reset(
+        builders.FLOW, 0, actions.Reason.NO_CAPACITY
+    )
+    assert reset.evidence.agents == 3
+    assert reset.evidence.waited_seconds >= openings.ROOM_SECONDS
 
 
 def test_abandoned_openings_take_no_room_for_long(flows):
@@ -289,7 +298,9 @@
     assert deny(flows, (1, 2), SETTLED) == []
     decided = deny(flows, (3,), SETTLED)
     reason = actions.Reason.HELD_BY_NOBODY
-    assert decided == [actions.Reset(builders.FLOW, builders.SERVER_START, reason)]
+    (reset,) = decided
+    assert reset[:3] == (builders.FLOW, builders.SERVER_START, reason)
+    assert reset.evidence.denied == 3
 
 
 def test_silence_is_no_denial(flows):
@@ -331,7 +342,7 @@
         young.learn(builders.agent_record(number), SETTLED)
     ask(young, SETTLED + 0.1)
     assert deny(young, (1, 2, 3), SETTLED + 0.1) == []
-    (reset,) = young.tick(SETTLED + entry.YOUNG_SECONDS + 0.01)
+    (reset,) = young.tick(SETTLED + surroundings.YOUNG_SECONDS + 0.01)
     assert reset.reason is actions.Reason.HELD_BY_NOBODY
 
 
@@ -428,7 +439,7 @@
     ask(flows, SETTLED + 0.01)
     assert deny(flows, (1, 2, 3), SETTLED + 0.02) == []
     (sent,) = flows.receive(
-        builders.opening(flow=builders.OTHER_FLOW), SETTLED + entry.STALE_SECONDS
+        builders.opening(flow=builders.OTHER_FLOW), SETTLED + surroundings.STALE_SECONDS
     )
     assert isinstance(sent, actions.Forward)
 
--- a/tests/core/flows/test_model.py
+++ b/tests/core/flows/test_model.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from cactushall_core.flows import agent, directory, entry, searches, servers
+from cactushall_core.flows import (
+    actions,
+    agent,
+    directory,
+    searches,
+    servers,
+    surroundings,
+)
 from tests.core.flows import model
 
 SEEDS = range(12)
@@ -29,14 +36,13 @@
 
 
 def silence_taken_for_denial(patch):
-    patch.setattr(
-        searches.Searches, "_is_held_by_nobody", lambda *_: True, raising=True
-    )
+    denied = actions.Denied(denied=0, gone=0, asked_seconds=0.0)
+    patch.setattr(searches.Searches, "_denial", lambda *_: denied)
 
 
 def young_entries_decide(patch):
-    patch.setattr(entry, "YOUNG_SECONDS", 0.0)
-    patch.setattr(entry, "STABLE_SECONDS", 0.0)
+    patch.setattr(surroundings, "YOUNG_SECONDS", 0.0)
+    patch.setattr(surroundings, "STABLE_SECONDS", 0.0)
 
 
 def memory_always_whole(patch):
@@ -60,7 +66,7 @@
 
 
 def nothing_is_reset(patch):
-    patch.setattr(searches.Searches, "_is_held_by_nobody", lambda *_: False)
+    patch.setattr(searches.Searches, "_denial", lambda *_: None)
 
 
 def lost_flows_are_not_denied(patch):
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -246,6 +246,44 @@
     assert len(joining.table) == 13
 
 
+def test_a_member_that_hears_of_one_other_asks_for_all():
+    made = make_network()
+    joining = made.add(50)
+    heard = made.node(3)
+    made.carry_out(heard, heard.tell([joining.member.gossip_address]))
+    made.run(0.5)
+    assert len(joining.table) == 13
+
+
+def test_a_member_asks_others_where_the_one_it_heard_of_has_gone():
+    made = make_network()
+    joining = made.add(50)
+    for number in (3, 4):
+        heard = made.node(number)
+        made.carry_out(heard, heard.tell([joining.member.gossip_address]))
+    made.step()
+    made.cut.add(made.node(3).member.gossip_address)
+    made.run(2.0)
+    assert len(joining.table) == 13
+
+
+def test_a_member_that_knows_all_asks_nobody():
+    made = make_network()
+    node = made.node(3)
+    sent = []
+    made.carry_out = lambda _, actions: sent.extend(actions)
+    for _ in range(60):
+        made.step()
+    bodies = [
+        messages.decode(messages.make_authenticator(builders.RING), a.datagram).body
+        for a in sent
+        if isinstance(a, state.Send)
+    ]
+    assert bodies
+    assert not any(isinstance(body, messages.Join) for body in bodies)
+    assert node.table.present_count == 12
+
+
 def test_a_member_does_not_join_by_itself():
     node = make_network().node(0)
     assert node.join([node.member.gossip_address]) == []
--- a/tests/daemon/test_startup.py
+++ b/tests/daemon/test_startup.py
@@ -13,6 +13,7 @@
     "google",
     "h2",
     "hdrh",
+    "prometheus_client",
     "ssl",
     "yaml",
     "cactushall_client",
