--- a/tests/scenarios/test_once.py
+++ b/tests/scenarios/test_once.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import dataclasses
+import datetime
 
 from pytest_bdd import parsers, scenarios, then, when
 
@@ -25,6 +26,9 @@
     status: int
     outcome: str
     body: bytes
+    ended_at: datetime.datetime = dataclasses.field(
+        default_factory=lambda: datetime.datetime.now(datetime.UTC)
+    )
 
     @property
     def is_not_run(self):
@@ -190,7 +194,8 @@
 def _(world):
     runs = all_runs(world)
     assert runs
-    assert {key: times for key, times in runs.items() if times > 1} == {}
+    twice = [key for key, times in runs.items() if times > 1]
+    assert {key: submissions(world)[key] for key in twice} == {}
 
 
 @then("no proposal that ran was always refused as not run")
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import dataclasses
+import datetime
 import hashlib
 import json
 import sys
@@ -65,6 +66,7 @@
     key = request.headers.get("idempotency-key", "")
     body = await request.read()
     state.runs[key] += 1
+    print(f"{datetime.datetime.now(datetime.UTC).time()} runs {key}", flush=True)
     state.timeouts_ms.append(int(request.headers.get("request-timeout-ms", "0")))
     seconds = float(request.query.get("seconds", state.service_seconds))
     await asyncio.sleep(seconds)
