A reset in answer to a trial is a denial and never reaches the caller

Ruled out: a reset of our own (none was logged), a reused port (the caller's first flow from it). Change: a reset for a flow that the server was only tried for counts as not held and is told to the entry.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -175,7 +175,7 @@
         """Handle a packet of the backend server."""
         self._server.note_answered()
         flow = self._flows.get(packet.flow)
-        if packet.is_bounced:
+        if packet.is_bounced or _is_denial(packet, flow):
             return self._note_bounced(packet, flow)
         if flow is None:
             return [actions.Return(packet.flow, packet.datagram)]
@@ -390,6 +390,15 @@
             self._meter.note_closed(flow.progress)
 
 
+def _is_denial(packet: packets.Packet, flow: Flow | None) -> bool:
+    """Tell whether a backend server resets a flow that it was only tried for.
+
+    It may be another's, so that its caller must not see the reset.
+    """
+    is_tried = flow is not None and flow.state is State.TRIED
+    return is_tried and bool(packet.flags & packets.Flags.RST)
+
+
 def _is_other_opening(flow: Flow, packet: packets.Packet) -> bool:
     """Tell whether a port is used again for a new flow."""
     if flow.state is State.TRIED:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -134,15 +134,19 @@
         packet = self._count_malformed(layout.decode_from_server(datagram))
         if packet is None:
             return
-        if packet.flags & packets.Flags.RST:
-            load = self._flows.load
-            log.info(
-                events.Event.FLOW_CUT,
-                flow=str(packet.flow),
-                flows=load.flows,
-                requests=load.requests,
-            )
-        self._carry_out(self._flows.receive_from_server(packet, self._loop.time()))
+        decided = self._flows.receive_from_server(packet, self._loop.time())
+        if packet.flags & packets.Flags.RST and _is_returned(decided):
+            self._log_cut(packet)
+        self._carry_out(decided)
+
+    def _log_cut(self, packet: packets.Packet) -> None:
+        load = self._flows.load
+        log.info(
+            events.Event.FLOW_CUT,
+            flow=str(packet.flow),
+            flows=load.flows,
+            requests=load.requests,
+        )
 
     def _count_malformed(self, packet: packets.Packet | None) -> packets.Packet | None:
         if packet is None:
@@ -260,3 +264,7 @@
         if request.path != calls.READINESS_PATH:
             return http_calls.Response(http.HTTPStatus.NOT_FOUND)
         return http_calls.Response()
+
+
+def _is_returned(decided: list[actions.Action]) -> bool:
+    return any(isinstance(action, actions.Return) for action in decided)
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -156,6 +156,18 @@
     assert again.message == messages.NotHeld(builders.FLOW)
 
 
+def test_a_reset_in_answer_to_a_trial_is_a_denial_and_never_reaches_the_caller(
+    restarted,
+):
+    """Another backend server may hold the flow that this one says has ended."""
+    restarted.answer(builders.packet(length=5), builders.ENTRY, 1.0)
+    decided = restarted.receive_from_server(builders.packet(packets.Flags.RST), 1.1)
+    assert decided == [actions.Tell(builders.ENTRY, messages.NotHeld(builders.FLOW))]
+    assert restarted.load.requests == 0
+    again = restarted.answer(builders.packet(), builders.ENTRY, 1.2)
+    assert again == [actions.Tell(builders.ENTRY, messages.NotHeld(builders.FLOW))]
+
+
 def test_the_holder_confirms_a_question(flows):
     open_flow(flows)
     delivered, told = flows.answer(builders.packet(), builders.ENTRY, 1.1)
