Read once more: what stood twice in the packet path is said once

No behaviour changes but one: datagrams that gossip or a QUIC agent could not send are logged at debug like all others (they were counted only). - Sending a datagram, counting and logging its failure stood in six places: sockets.send. - commands/agent.py and entry.py chose the transport each: commands/roles.py. - The packet node serves HTTP and closes it; both processes kept servers of their own. It also adds the metrics that both roles showed. - Both nodes read contact points past an absent store: contacts.read_if_available. - How long a caller repeats its opening packet stood as 1.4 s in two modules, and another time had the same name there; opening packets that wait expire in one place. - A request's begin in Meter, a message's encoding in the HTTP module, buckets by bisect, the list of agents built once for a question, an outcome of a goodbye that nobody read. - explain names the numbers of events; a test holds them against the catalogue. - Both models of a site use one stand-in for a packet's bytes; the global table is gone.

--- a/packages/cactushall-client/cactushall_client/commands/explain.py
+++ b/packages/cactushall-client/cactushall_client/commands/explain.py
@@ -12,6 +12,12 @@
 from cactushall_core import exceptions
 
 HIDDEN = {"event", "event_id", "timestamp", "node", "flow", "level", "module"}
+FLOW_RESET = 2101
+FLOW_PLACED = 2102
+FLOW_ACCEPTED = 2103
+FLOW_DECLINED = 2104
+FLOW_CUT = 2106
+# Starts, stops, members, store, configuration, backend servers.
 CHANGES = {1001, 1002, 1003, 1008, 1101, 1201, 1202, 1301, 1302, 2201, 2202}
 MAX_CHANGES = 12
 
@@ -71,15 +77,15 @@
     """Say where the trail ends."""
     last = about[-1]
     number = last.get("event_id")
-    if number == 2101:
+    if number == FLOW_RESET:
         return f"ended: {last.get('node')} reset it, {last.get('why')}"
-    if number == 2106:
+    if number == FLOW_CUT:
         return f"ended: its backend server beside {last.get('node')} reset it"
-    if number == 2102:
+    if number == FLOW_PLACED:
         return f"trail ends: {last.get('agent')} has not answered the opening packet"
-    if number == 2104:
+    if number == FLOW_DECLINED:
         return "trail ends: declined, and placed nowhere else"
-    if number == 2103:
+    if number == FLOW_ACCEPTED:
         return "open: a backend server has it; later packets are not logged"
     return "trail ends here"
 
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -19,11 +19,10 @@
 
 CLOSED_SECONDS = 5.0
 TRIAL_SECONDS = 1.0
-OPENING_SECONDS = 0.1
+FIRST_REQUEST_SECONDS = 0.1
 REQUEST_SECONDS = 1.0
 REQUEST_SERVICE_TIMES = 20.0
 SWEEP_SECONDS = 1.0
-EARLY_SECONDS = 1.4
 MAX_FLOWS = 20_000
 MAX_EARLY = 1000
 FIRST_NUMBER = 1
@@ -128,12 +127,11 @@
     def adopt(self, table: routes.RouteTable, now: float) -> list[actions.Action]:
         """Use a newer revision of the routes from now on."""
         self._routes = table
-        waiting = list(self._early.values())
-        self._early.clear()
+        self._expire_early(now)
+        waiting, self._early = self._early, {}
         decided: list[actions.Action] = []
-        for early in waiting:
-            if now - early.came_at <= EARLY_SECONDS:
-                decided += self._open(early.packet, early.entry, now)
+        for early in waiting.values():
+            decided += self._open(early.packet, early.entry, now)
         return decided
 
     def receive(
@@ -240,7 +238,7 @@
             self._forget(packet.flow)
             flow = Flow(State.OFFERED, entry, now, opening=packet.sequence)
             self._remember(packet.flow, flow)
-            self._meter.note_opening(flow.progress, now)
+            self._meter.note_begun(flow.progress, now)
             self._openings[packet.flow] = now
         flow.entry = entry
         flow.seen_at = now
@@ -338,7 +336,7 @@
     def _expire_openings(self, now: float) -> None:
         """Expect no request any longer of flows that were opened in vain."""
         for flow_id, opened_at in list(self._openings.items()):
-            if now - opened_at < OPENING_SECONDS:
+            if now - opened_at < FIRST_REQUEST_SECONDS:
                 return
             del self._openings[flow_id]
             flow = self._flows.get(flow_id)
@@ -356,7 +354,7 @@
     def _expire_early(self, now: float) -> None:
         """Let opening packets go whose callers have given up."""
         for flow_id, early in list(self._early.items()):
-            if now - early.came_at > EARLY_SECONDS:
+            if now - early.came_at > packets.OPENING_SECONDS:
                 del self._early[flow_id]
 
     def _expire_requests(self, now: float) -> None:
--- a/packages/cactushall-core/cactushall_core/flows/openings.py
+++ b/packages/cactushall-core/cactushall_core/flows/openings.py
@@ -16,7 +16,6 @@
     surroundings,
 )
 
-OPENING_SECONDS = 1.4
 RESEND_SECONDS = 0.15
 ROOM_SECONDS = 0.15
 WAITING_PER_AGENT = 0.5
@@ -126,21 +125,21 @@
     def expire(self, now: float) -> None:
         """Forget flows whose callers have given up."""
         for flow_id, flow in list(self._flows.items()):
-            if now - flow.opened_at > OPENING_SECONDS + RESEND_SECONDS:
+            if now - flow.opened_at > packets.OPENING_SECONDS + RESEND_SECONDS:
                 self.remove(flow_id)
 
     def _place(self, flow: Opening, now: float) -> list[actions.Action]:
         """Send an opening packet on, if possible to an agent that has not had it."""
         flow_id = flow.packet.flow
         if not self._known.table.is_known:
-            return self._wait(flow, 0, now, OPENING_SECONDS)
+            return self._wait(flow, 0, now, packets.OPENING_SECONDS)
         route = self._known.table.find(flow_id)
         if route is None:
             return self._refuse(flow, 0, now, actions.Reason.NO_ROUTE)
         takers = self._known.agents.takers(route.service_of(flow_id))
         willing = [a for a in takers if a.packet_address not in flow.declined]
         if not willing:
-            patience = 0.0 if self._known.is_settled(now) else OPENING_SECONDS
+            patience = 0.0 if self._known.is_settled(now) else packets.OPENING_SECONDS
             return self._wait(flow, 0, now, patience)
         untried = [a for a in willing if a.packet_address not in flow.tried]
         objective = route.objective_seconds
--- a/packages/cactushall-core/cactushall_core/flows/packets.py
+++ b/packages/cactushall-core/cactushall_core/flows/packets.py
@@ -7,6 +7,8 @@
 import typing
 
 SEQUENCE_MODULUS = 1 << 32
+# How long a caller repeats its opening packet.
+OPENING_SECONDS = 1.4
 
 
 class Flags(enum.IntFlag):
--- a/packages/cactushall-core/cactushall_core/flows/requests.py
+++ b/packages/cactushall-core/cactushall_core/flows/requests.py
@@ -54,8 +54,8 @@
         if slots != self._answered_at.maxlen:
             self._answered_at = collections.deque([0.0] * slots, slots)
 
-    def note_opening(self, progress: Progress, now: float) -> None:
-        """Note a new flow, whose first request is about to come."""
+    def note_begun(self, progress: Progress, now: float) -> None:
+        """Note that a request begins, the first one already with its new flow."""
         if not progress.is_waiting:
             progress.started_at = now
             self._waiting += 1
@@ -72,8 +72,7 @@
             return
         progress.next_sequence = end
         if not progress.is_waiting:
-            self._waiting += 1
-            progress.started_at = now
+            self.note_begun(progress, now)
         elif known is None:
             progress.started_at = now
 
--- a/packages/cactushall-core/cactushall_core/flows/searches.py
+++ b/packages/cactushall-core/cactushall_core/flows/searches.py
@@ -144,12 +144,13 @@
         A route may have led to another service when the flow was opened, so all
         agents are asked where they are few.
         """
-        agents = self._known.agents
+        known = self._known.agents
+        everyone = known.agents
         route = self._known.table.find(flow_id)
-        if len(agents.agents) <= MAX_ASKED or route is None:
-            return agents.agents
+        if len(everyone) <= MAX_ASKED or route is None:
+            return everyone
         return [
-            agent for share in route.shares for agent in agents.members(share.service)
+            agent for share in route.shares for agent in known.members(share.service)
         ]
 
     def _denial(
--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -27,7 +27,6 @@
 
     TAKEN = "taken"
     STALE = "stale"
-    FOREIGN = "foreign"
 
 
 class Announcement(msgspec.Struct, frozen=True):
@@ -103,13 +102,11 @@
         self._state = State.DRAINING if announcement.is_draining else State.READY
         return Outcome.TAKEN
 
-    def leave(self, server_id: str, now: float) -> Outcome:
-        """Note that it ends now."""
-        if self._latest is not None and self._latest.id != server_id:
-            return Outcome.FOREIGN
-        self._state = State.GONE
-        self._heard_at = now
-        return Outcome.TAKEN
+    def leave(self, server_id: str, now: float) -> None:
+        """Note that it ends now, unless it is another that says so."""
+        if self._latest is None or self._latest.id == server_id:
+            self._state = State.GONE
+            self._heard_at = now
 
     def note_healthy(self, now: float) -> None:
         """Note a good health check, of use until it announces itself."""
--- a/packages/cactushall-daemon/cactushall_daemon/agent/process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/process.py
@@ -185,12 +185,8 @@
         self._node.counters.add(counters.Counter.FOREIGN_ID)
 
     def _send(self, datagram: bytes, address: addresses.Address) -> None:
-        if self._socket is None:
-            return
-        try:
-            self._socket.sendto(datagram, address)
-        except OSError:
-            self._node.counters.add(counters.Counter.SEND_FAILED)
+        if self._socket is not None:
+            sockets.send(self._socket, datagram, address, self._node.counters)
 
     # What the node tells.
 
--- a/packages/cactushall-daemon/cactushall_daemon/commands/entry.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/entry.py
@@ -4,23 +4,15 @@
 
 import pathlib
 
-from cactushall_daemon import startup
-from cactushall_daemon.config import base, transport
+from cactushall_daemon.commands import roles
 
 
 def main(path: pathlib.Path, *, only_check: bool) -> None:
     """Run an entry, or only check its settings."""
-    if base.peek(path, transport.OPTION) == transport.Transport.PACKETS.value:
-        _run_packets(path, only_check=only_check)
-    else:
-        _run_quic(path, only_check=only_check)
-
-
-# Each transport imports only what it needs.
+    roles.run(path, _run_packets, _run_quic, only_check=only_check)
 
 
 def _run_packets(path: pathlib.Path, *, only_check: bool) -> None:
-    startup.leave_out_tls()
     from cactushall_daemon.commands import run
     from cactushall_daemon.config import packet_schema
     from cactushall_daemon.packets import entry_process
--- a/packages/cactushall-daemon/cactushall_daemon/contacts.py
+++ b/packages/cactushall-daemon/cactushall_daemon/contacts.py
@@ -19,6 +19,8 @@
 KEEP_ALIVE_SECONDS = 10.0
 RETRY_SECONDS = 2.0
 
+StoreNoter = collections.abc.Callable[[Exception | None], None]
+
 
 class Claim(msgspec.Struct, frozen=True):
     """A contact slot that this process holds."""
@@ -49,6 +51,23 @@
     return found
 
 
+async def read_if_available(
+    client: store.Store, on_unreadable: unreadable.Noter, note_store: StoreNoter
+) -> list[addresses.Address]:
+    """Return the addresses of all contact points, none where the store is away.
+
+    Args:
+        client: The store.
+        on_unreadable: Told the key of each value that is no address, and why.
+        note_store: Told where the store gave no answer.
+    """
+    try:
+        return await read(client, on_unreadable)
+    except exceptions.StoreUnavailableError as error:
+        note_store(error)
+        return []
+
+
 async def claim(
     client: store.Store, member: records.Member, address: addresses.Address
 ) -> Claim | None:
@@ -101,7 +120,7 @@
     client: store.Store,
     member: records.Member,
     address: addresses.Address,
-    note_store: collections.abc.Callable[[Exception | None], None],
+    note_store: StoreNoter,
     duties: collections.abc.Callable[
         [], list[collections.abc.Coroutine[None, None, None]]
     ],
--- a/packages/cactushall-daemon/cactushall_daemon/entry/receiver.py
+++ b/packages/cactushall-daemon/cactushall_daemon/entry/receiver.py
@@ -112,7 +112,7 @@
             if self._send_to_agent(out, decision.tunnel_address):
                 self._forwarded.value += 1
         elif isinstance(decision, steering.Reset):
-            if self._send(sock, decision.datagram, source):
+            if sockets.send(sock, decision.datagram, source, self._counters):
                 self._counters.add(counters.Counter.RESETS_SENT)
         else:
             self._counters.add(_DROP_COUNTERS[decision.reason])
@@ -124,19 +124,8 @@
         except ConnectionRefusedError:
             for refused in sockets.refused_addresses(self._out):
                 self._steering.note_refused(refused, self._time())
-            return self._send(self._out, datagram, address)
+            return sockets.send(self._out, datagram, address, self._counters)
         except OSError:
             self._counters.add(counters.Counter.SEND_FAILED)
             return False
         return True
-
-    def _send(
-        self, sock: socket.socket, datagram: bytes, address: tuple[str, int]
-    ) -> bool:
-        try:
-            sock.sendto(datagram, address)
-        except OSError as error:
-            self._counters.add(counters.Counter.SEND_FAILED)
-            log.debug(events.Event.SEND_FAILED, address=str(address), why=str(error))
-            return False
-        return True
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -128,12 +128,8 @@
                 self._on_revision_seen(action.member, action.revision)
 
     def _send(self, action: state.Send) -> None:
-        if self._socket is None:
-            return
-        try:
-            self._socket.sendto(action.datagram, action.address)
-        except OSError:
-            self._counters.add(counters.Counter.SEND_FAILED)
+        if self._socket is not None:
+            sockets.send(self._socket, action.datagram, action.address, self._counters)
 
 
 def _log_change(record: records.Record) -> None:
--- a/packages/cactushall-daemon/cactushall_daemon/latencies.py
+++ b/packages/cactushall-daemon/cactushall_daemon/latencies.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
+import itertools
 import typing
 
 from cactushall_core.flows import actions
@@ -57,11 +59,9 @@
         counts = [0] * (len(bounds) + 1)
         for item in sorted_in.get_recorded_iterator():
             seconds = item.value_iterated_to / MICROSECONDS
-            above = sum(seconds > bound for bound in bounds)
-            counts[above] += item.count_added_in_this_iter_step
-        for index in range(1, len(counts)):
-            counts[index] += counts[index - 1]
-        return counts
+            index = bisect.bisect_left(bounds, seconds)
+            counts[index] += item.count_added_in_this_iter_step
+        return list(itertools.accumulate(counts))
 
     def _sort_in(self) -> histogram.HdrHistogram:
         from hdrh import histogram
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -86,6 +86,7 @@
         self._client = control_client.Client(control_client.client_context(credentials))
         self._server_context = control_client.server_context(credentials)
         self._store = store.Store(tuple(settings.store))
+        self._note_unreadable = unreadable.noter(self._counters)
         self._tasks = tasks.Tasks()
         self._follower = following.Follower(
             self._store,
@@ -187,11 +188,10 @@
             await asyncio.sleep(JOIN_RETRY_SECONDS)
 
     async def _contact_addresses(self) -> list[addresses.Address]:
-        found = list(self._settings.contacts)
-        try:
-            found += await contacts.read(self._store, unreadable.noter(self._counters))
-        except exceptions.StoreUnavailableError as error:
-            self._follower.note_store(error)
+        stored = await contacts.read_if_available(
+            self._store, self._note_unreadable, self._follower.note_store
+        )
+        found = [*self._settings.contacts, *stored]
         own = self._gossip.membership.member.control_address
         return [address for address in found if address != own]
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -48,7 +48,6 @@
         self._reporter = reports.Reporter(now)
         self._packet_socket: socket.socket | None = None
         self._server_socket: socket.socket | None = None
-        self._servers: list[asyncio.Server] = []
         self._carrier: carrier.Carrier | None = None
         self._server = servers.Server(
             identifiers.ServiceName(settings.service),
@@ -78,18 +77,16 @@
         )
         sockets.receive_batches(self._server_socket, self._receive_from_server)
         announcements = self._settings.announcements
-        self._servers.append(await node.serve(announcements, self._answer_server))
+        await self._node.serve(announcements, self._answer_server)
         await self._node.start()
         sockets.receive_batches(self._packet_socket, self._receive)
         readiness = self._settings.readiness_address
-        self._servers.append(await node.serve(readiness, self._answer_readiness))
+        await self._node.serve(readiness, self._answer_readiness)
         self._tick()
 
     async def stop(self) -> None:
         """Leave the fleet and release all addresses."""
         self._node.stop()
-        for server in self._servers:
-            server.close()
         for sock in (self._packet_socket, self._server_socket):
             if sock is not None:
                 sockets.close(sock)
@@ -106,8 +103,6 @@
             "requests_waiting": load.requests,
             "slots": load.slots,
             "service_seconds": load.service_seconds,
-            "configuration_revision": self._node.route_table.revision,
-            "members_present": self._node.gossip.membership.table.present_count,
         }
 
     def _tick(self) -> None:
@@ -159,11 +154,8 @@
 
     def _deliver(self, datagram: bytes) -> None:
         assert self._server_socket is not None
-        try:
-            self._server_socket.sendto(datagram, self._settings.server)
-        except OSError as error:
-            self._node.counters.add(counters.Counter.SEND_FAILED)
-            log.debug(events.Event.SEND_FAILED, address="server", why=str(error))
+        server = self._settings.server
+        sockets.send(self._server_socket, datagram, server, self._node.counters)
 
     def _on_message(self, sender: addresses.Address, message: messages.Message) -> None:
         if not isinstance(message, messages.Question):
--- a/packages/cactushall-daemon/cactushall_daemon/packets/carrier.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/carrier.py
@@ -14,7 +14,7 @@
 
 from cactushall_core import addresses
 from cactushall_core.flows import actions, messages, packets
-from cactushall_daemon import counters, events, logs
+from cactushall_daemon import counters, events, logs, sockets
 from cactushall_daemon.packets import node as packet_node
 from cactushall_platform import packets as layout
 
@@ -107,11 +107,7 @@
 
     def _send_to_caller(self, host: int, datagram: bytes) -> None:
         address = addresses.Address(_host_text(host), self._port)
-        try:
-            self._socket.sendto(datagram, address)
-        except OSError as error:
-            self._counters.add(counters.Counter.SEND_FAILED)
-            log.debug(events.Event.SEND_FAILED, address=str(address), why=str(error))
+        sockets.send(self._socket, datagram, address, self._counters)
 
 
 def _describe(found: msgspec.Struct) -> dict[str, typing.Any]:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -41,7 +41,6 @@
             self._loop.time(), time.clock_gettime(time.CLOCK_BOOTTIME)
         )
         self._socket: socket.socket | None = None
-        self._server: asyncio.Server | None = None
         self._carrier: carrier.Carrier | None = None
         self._flows = entry.EntryFlows(
             identifiers.ZoneName(settings.zone), random.Random(), self._loop.time()
@@ -69,9 +68,8 @@
         )
         await self._node.start()
         sockets.receive_batches(self._socket, self._receive)
-        self._server = await node.serve(
-            self._settings.readiness_address, self._answer_readiness
-        )
+        readiness = self._settings.readiness_address
+        await self._node.serve(readiness, self._answer_readiness)
         self._node.serve_as_contact()
         self._tick()
 
@@ -87,8 +85,6 @@
                 break
             await asyncio.sleep(STOP_POLL_SECONDS)
         self._node.stop()
-        if self._server is not None:
-            self._server.close()
         if self._socket is not None:
             sockets.close(self._socket)
 
@@ -98,11 +94,7 @@
         self._node.reload(settings)
 
     def _gauges(self) -> dict[str, float]:
-        return {
-            "flows": self._flows.flow_count,
-            "configuration_revision": self._node.route_table.revision,
-            "members_present": self._node.gossip.membership.table.present_count,
-        }
+        return {"flows": self._flows.flow_count}
 
     def _notice_pause(self, now: float) -> None:
         if self._pauses.has_paused(now, time.clock_gettime(time.CLOCK_BOOTTIME)):
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -90,13 +90,14 @@
             on_member_changed: Called when what is believed of a member changes.
             on_routes: Called when newer routes are adopted.
             on_message: Called for each message about flows.
-            gauges: Returns present values for the metrics, by name.
+            gauges: Returns the role's own present values for the metrics, by name.
         """
         self._on_routes = on_routes
         self._on_message = on_message
         self._counters = counters.Counters()
         self._latencies = latencies.Latencies()
-        self._metrics = metrics.Metrics(self._counters, self._latencies, gauges)
+        self._own_gauges = gauges
+        self._metrics = metrics.Metrics(self._counters, self._latencies, self._gauges)
         self._metrics_address = settings.metrics
         self._seeds = settings.seeds
         self._note_unreadable = unreadable.noter(self._counters)
@@ -156,10 +157,22 @@
         sockets.receive_batches(self._socket, self._receive)
         self.spawn(self._stay_joined())
         self.spawn(self._follower.run())
-        self._servers.append(await serve(address, self._answer))
+        await self.serve(address, self._answer)
         if self._metrics_address is not None:
-            served = await serve(self._metrics_address, self._metrics.answer)
-            self._servers.append(served)
+            await self.serve(self._metrics_address, self._metrics.answer)
+
+    async def serve(
+        self, address: addresses.Address, handler: http_calls.Handler
+    ) -> None:
+        """Serve HTTP calls at an address until the process stops.
+
+        Raises:
+            BindError: The address cannot be bound.
+        """
+        try:
+            self._servers.append(await http_calls.serve(address, handler))
+        except OSError as error:
+            raise sockets.BindError(f"cannot bind TCP {address}: {error}") from error
 
     def serve_as_contact(self) -> None:
         """Be found in the store by new processes."""
@@ -199,13 +212,8 @@
 
     def send(self, address: addresses.Address, datagram: bytes) -> None:
         """Send a datagram from the address at which messages are received."""
-        if self._socket is None:
-            return
-        try:
-            self._socket.sendto(datagram, address)
-        except OSError as error:
-            self._counters.add(counters.Counter.SEND_FAILED)
-            log.debug(events.Event.SEND_FAILED, address=str(address), why=str(error))
+        if self._socket is not None:
+            sockets.send(self._socket, datagram, address, self._counters)
 
     def _receive(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
@@ -244,11 +252,9 @@
         return [addresses.Address(seed.host, port) for seed in self._seeds]
 
     async def _stored_contacts(self) -> list[addresses.Address]:
-        try:
-            return await contacts.read(self._store, self._note_unreadable)
-        except exceptions.StoreUnavailableError as error:
-            self._follower.note_store(error)
-            return []
+        return await contacts.read_if_available(
+            self._store, self._note_unreadable, self._follower.note_store
+        )
 
     async def _refresh_contacts(self) -> None:
         """Meet the other contact points, so that no two islands form."""
@@ -259,6 +265,14 @@
             found = await self._stored_contacts()
             self._gossip.join(address for address in found if address not in known)
 
+    # Metrics.
+
+    def _gauges(self) -> dict[str, float]:
+        return self._own_gauges() | {
+            "configuration_revision": self.route_table.revision,
+            "members_present": self._gossip.membership.table.present_count,
+        }
+
     # Configuration.
 
     def ask_for_configuration(self, peer: addresses.Address) -> None:
@@ -284,17 +298,3 @@
         address, CONFIGURATION_PATH, FETCH_TIMEOUT_SECONDS
     )
     return answer.body
-
-
-async def serve(
-    address: addresses.Address, handler: http_calls.Handler
-) -> asyncio.Server:
-    """Serve HTTP calls at an address.
-
-    Raises:
-        BindError: The address cannot be bound.
-    """
-    try:
-        return await http_calls.serve(address, handler)
-    except OSError as error:
-        raise sockets.BindError(f"cannot bind TCP {address}: {error}") from error
--- a/packages/cactushall-daemon/cactushall_daemon/sockets.py
+++ b/packages/cactushall-daemon/cactushall_daemon/sockets.py
@@ -10,7 +10,7 @@
 import struct
 
 from cactushall_core import addresses, exceptions
-from cactushall_daemon import events, logs
+from cactushall_daemon import counters, events, logs
 
 log = logs.get_logger(__name__)
 
@@ -82,6 +82,26 @@
     asyncio.get_running_loop().add_reader(sock.fileno(), drain)
 
 
+def send(
+    sock: socket.socket,
+    datagram: bytes,
+    address: tuple[str, int],
+    tallies: counters.Counters,
+) -> bool:
+    """Send a datagram; a failure is counted and logged.
+
+    Returns:
+        Whether it was sent.
+    """
+    try:
+        sock.sendto(datagram, address)
+    except OSError as error:
+        tallies.add(counters.Counter.SEND_FAILED)
+        log.debug(events.Event.SEND_FAILED, address=str(address), why=str(error))
+        return False
+    return True
+
+
 def report_errors(sock: socket.socket) -> None:
     """Let a UDP socket collect the errors that the network reports."""
     sock.setsockopt(socket.IPPROTO_IP, _IP_RECVERR, 1)
--- a/packages/cactushall-rpc/cactushall_rpc/http.py
+++ b/packages/cactushall-rpc/cactushall_rpc/http.py
@@ -109,9 +109,16 @@
         ("content-type", response.content_type),
     ]
     head = h11.Response(status_code=response.status, headers=headers)
+    return _encode(connection, head, response.body)
+
+
+def _encode(
+    connection: h11.Connection, head: h11.Request | h11.Response, body: bytes
+) -> bytes:
+    """Return a whole message as it goes over the connection."""
     parts = [connection.send(head)]
-    if response.body:
-        parts.append(connection.send(h11.Data(data=response.body)))
+    if body:
+        parts.append(connection.send(h11.Data(data=body)))
     parts.append(connection.send(h11.EndOfMessage()))
     return b"".join(part for part in parts if part)
 
@@ -187,11 +194,7 @@
         if body:
             headers.append(("content-type", JSON))
         head = h11.Request(method=method, target=target, headers=headers)
-        parts = [state.send(head)]
-        if body:
-            parts.append(state.send(h11.Data(data=body)))
-        parts.append(state.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+        return _encode(state, head, body)
 
 
 async def call_once(
--- a/tests/client/test_explain.py
+++ b/tests/client/test_explain.py
@@ -8,6 +8,8 @@
 import pytest
 
 from cactushall_client import __main__, exit_codes
+from cactushall_client.commands import explain as explain_command
+from cactushall_daemon import events
 
 FLOW = "100.64.0.7:1040>198.18.0.1:443"
 
@@ -84,3 +86,11 @@
     found = runner.invoke(__main__.cli, ["explain", FLOW, "nowhere.log"])
     assert found.exit_code == exit_codes.ExitCode.FAILURE
     assert "cannot read nowhere.log" in found.output
+
+
+def test_its_numbers_are_those_of_the_catalogue():
+    numbers = {event.name: event.number for event in events.Event}
+    named = {k: v for k, v in vars(explain_command).items() if k.startswith("FLOW_")}
+    assert named
+    assert named.items() <= numbers.items()
+    assert set(numbers.values()) >= explain_command.CHANGES
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -29,6 +29,19 @@
     )
 
 
+class Datagram:
+    """The bytes of a packet, which stand for it on the network."""
+
+    packet: packets.Packet
+
+
+def on_network(original):
+    """Return a packet whose datagram leads back to it."""
+    datagram = Datagram()
+    datagram.packet = original._replace(datagram=datagram)
+    return datagram.packet
+
+
 def opening(copy=0, flow=FLOW, sequence=CALLER_START):
     return packet(packets.Flags.SYN, sequence, copy, flow=flow)
 
--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -236,13 +236,13 @@
             if flow.copies == 3:
                 flow.is_over = True
                 return
-            packet = remember(builders.opening(flow.copies, flow.id))
+            packet = builders.on_network(builders.opening(flow.copies, flow.id))
             flow.copies += 1
             if self.rng.random() < LATE_SHARE:
                 late = self.rng.randrange(ENTRIES)
                 self.later(LATE_SECONDS, lambda: self.at_entry(late, packet))
         else:
-            packet = remember(
+            packet = builders.on_network(
                 builders.packet(
                     packets.Flags.ACK, flow.sequence, flow.acknowledged, 10, flow.id
                 )
@@ -305,7 +305,7 @@
     def to_agent(self, own, host_address, datagram, *, asks):
         """Send a packet or a question to an agent."""
         host = self.hosts[int(host_address.rpartition(".")[2]) - 1]
-        packet = decode(datagram)
+        packet = datagram.packet
 
         def arrive():
             if host.agent is not None:
@@ -318,9 +318,9 @@
         """Carry out an agent's actions."""
         for action in decided:
             if isinstance(action, actions.Deliver):
-                self.deliver(host, decode(action.datagram))
+                self.deliver(host, action.datagram.packet)
             elif isinstance(action, actions.Return):
-                packet = decode(action.datagram)
+                packet = action.datagram.packet
                 flow_id = action.flow
                 self.later(
                     DELAY_SECONDS, lambda f=flow_id, p=packet: self.at_caller(f, p)
@@ -370,7 +370,7 @@
 
     def from_server(self, host, packet):
         """Hand a backend server's packet to its agent."""
-        packet = remember(packet)
+        packet = builders.on_network(packet)
         if host.agent is not None:
             self.carry_out_agent(host, host.agent.receive_from_server(packet, self.now))
 
@@ -386,18 +386,3 @@
         """Do something after a random time."""
         at = self.now + self.rng.uniform(*delays)
         heapq.heappush(self.events, (at, next(self.order), work))
-
-
-_sent = {}
-
-
-def remember(packet):
-    """Keep a packet by its bytes, which stand for it on the network."""
-    key = repr(packet[:-1]).encode()
-    _sent[key] = packet._replace(datagram=key)
-    return _sent[key]
-
-
-def decode(datagram):
-    """Return the packet that some bytes stand for."""
-    return _sent[datagram]
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -120,7 +120,7 @@
     flows = agent.AgentFlows(server, 0.0)
     flows.hear(builders.announcement(), 0.0)
     flows.receive(builders.opening(), builders.ENTRY, 1.0)
-    assert flows.adopt(builders.route_table(), 1.1 + agent.EARLY_SECONDS) == []
+    assert flows.adopt(builders.route_table(), 1.1 + packets.OPENING_SECONDS) == []
 
 
 def test_a_bounded_number_of_new_flows_waits_for_the_configuration(server):
@@ -130,7 +130,7 @@
         assert flows.receive(builders.opening(flow=flow), builders.ENTRY, 1.0) == []
     decided = flows.receive(builders.opening(), builders.ENTRY, 1.0)
     assert refusal_of(decided) is messages.Refusal.NOT_READY
-    flows.tick(1.1 + agent.EARLY_SECONDS)
+    flows.tick(1.1 + packets.OPENING_SECONDS)
     assert flows.receive(builders.opening(), builders.ENTRY, 2.5) == []
 
 
@@ -265,9 +265,9 @@
 
 def test_flows_opened_in_vain_are_not_counted_for_long(flows):
     flows.receive(builders.opening(), builders.ENTRY, 1.0)
-    flows.tick(1.0 + agent.OPENING_SECONDS / 2)
+    flows.tick(1.0 + agent.FIRST_REQUEST_SECONDS / 2)
     assert flows.load.requests == 1
-    flows.tick(1.0 + agent.OPENING_SECONDS)
+    flows.tick(1.0 + agent.FIRST_REQUEST_SECONDS)
     assert flows.load.requests == 0
 
 
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -102,7 +102,7 @@
 def test_a_new_flow_that_waited_too_long_is_refused():
     flows = entry.EntryFlows(builders.ZONE, random.Random(1), 0.0)
     flows.receive(builders.opening(), 0.1)
-    (reset,) = flows.tick(0.2 + openings.OPENING_SECONDS)
+    (reset,) = flows.tick(0.2 + packets.OPENING_SECONDS)
     assert reset.reason is actions.Reason.NO_SERVER
 
 
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -27,7 +27,6 @@
 
 TICK_SECONDS = 0.05
 COPY_SECONDS = (0.2, 0.6)
-OPENING_SECONDS = 1.4
 CALLER_SECONDS = 0.003
 IN_ZONE_SECONDS = 0.0002
 CROSS_ZONE_SECONDS = 0.005
@@ -130,19 +129,6 @@
     is_over: bool = False
 
 
-class Datagram:
-    """The bytes of a packet, which stand for it on the network."""
-
-    packet: packets.Packet
-
-
-def with_datagram(packet):
-    """Return a packet whose datagram leads back to it."""
-    datagram = Datagram()
-    datagram.packet = packet._replace(datagram=datagram)
-    return datagram.packet
-
-
 class Server:
     """A backend server: slots, and a queue in the order of arrival."""
 
@@ -391,7 +377,7 @@
         self._send_opening(flow, 0)
         for copy, seconds in enumerate(COPY_SECONDS, 1):
             self.later(seconds, lambda c=copy: self._send_opening(flow, c))
-        self.later(OPENING_SECONDS, lambda: self._give_up(flow))
+        self.later(packets.OPENING_SECONDS, lambda: self._give_up(flow))
 
     def _give_up(self, flow):
         if flow.acknowledged is None and not flow.is_over:
@@ -414,7 +400,7 @@
 
     def _send(self, flow, flags, sequence, acknowledged, length):
         packet = builders.packet(flags, sequence, acknowledged, length, flow.id)
-        packet = with_datagram(packet)
+        packet = builders.on_network(packet)
         ready = sorted(i for i in self._entries if i % ZONES == flow.zone)
         ready = ready or sorted(self._entries)
         if ready:
@@ -522,7 +508,7 @@
         """Hand a backend server's packet to its agent."""
         made = self._agents.get(number)
         if made is not None:
-            decided = made.receive_from_server(with_datagram(packet), self.now)
+            decided = made.receive_from_server(builders.on_network(packet), self.now)
             self._carry_out_agent(number, decided)
 
 
