A reset held-by-nobody tells which agents the entry knew

'flow reset' gave the number of denials and of agents gone, not how many agents the entry knew at all, so a decision from a part of the members looked like one from all of them. NoOwnerEvidence now also tells the agents known (present, gone), the possible owners, those that were asked and are silent, and the age of the newest change of an agent.

The mutant in test_model.py builds the evidence itself; it gets the new fields and checks what it checked before.

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -90,11 +90,21 @@
         denied: Number of members that have said that they do not own it.
         gone: Number of members that may have owned it and are gone.
         asked_seconds: Time since they were first asked.
+        known_present: Number of agents that the entry knows and believes to run.
+        known_gone: Number of agents that the entry knows and believes to be gone.
+        possible_owners: Number of known agents that may have owned it.
+        asked_silent: Number of possible owners that were asked and have not answered.
+        newest_change_seconds: Time since an agent last appeared or disappeared.
     """
 
     denied: int
     gone: int
     asked_seconds: float
+    known_present: int
+    known_gone: int
+    possible_owners: int
+    asked_silent: int
+    newest_change_seconds: float
 
 
 class Forward(typing.NamedTuple):
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import typing
+
 import msgspec
 
 from cactushall_core import addresses, identifiers
@@ -84,6 +86,18 @@
         )
 
 
+class AgentCounts(typing.NamedTuple):
+    """How many agents an entry knows.
+
+    Attributes:
+        present: Number of agents that are believed to run.
+        gone: Number of agents that are believed to be gone.
+    """
+
+    present: int
+    gone: int
+
+
 class AgentDirectory:
     """All agents, by packet address, peer address and service."""
 
@@ -106,6 +120,12 @@
         """All agents, including those that are gone."""
         return list(self._agents.values())
 
+    @property
+    def counts(self) -> AgentCounts:
+        """How many agents are known."""
+        present = sum(agent.is_present for agent in self._agents.values())
+        return AgentCounts(present, len(self._agents) - present)
+
     def update(self, record: records.Record, now: float) -> None:
         """Apply a membership update; updates about other roles are ignored."""
         member = record.member
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -34,6 +34,7 @@
         last_asked_at: When agents were last asked.
         last_packet_at: When the caller's latest packet arrived.
         acknowledged: The caller's latest acknowledgement number.
+        asked: Members that have been asked.
         not_owners: Members that have said that they do not own it.
         buffered: Packets that are held back until the owner is known.
     """
@@ -42,6 +43,7 @@
     last_asked_at: float
     last_packet_at: float
     acknowledged: int
+    asked: set[identifiers.MemberId] = msgspec.field(default_factory=set)
     not_owners: set[identifiers.MemberId] = msgspec.field(default_factory=set)
     buffered: list[bytes] = msgspec.field(default_factory=list)
 
@@ -135,12 +137,14 @@
     ) -> list[actions.Action]:
         lookup.first_asked_at = min(lookup.first_asked_at, now)
         lookup.last_asked_at = now
-        request = messages.LookupRequest(packet.datagram)
-        return [
-            actions.SendMessage(agent.peer_address, request)
+        asked = [
+            agent
             for agent in self._possible_owners(packet.flow)[:MAX_AGENTS_ASKED]
             if agent.member.id not in lookup.not_owners
         ]
+        lookup.asked.update(agent.member.id for agent in asked)
+        request = messages.LookupRequest(packet.datagram)
+        return [actions.SendMessage(agent.peer_address, request) for agent in asked]
 
     def _possible_owners(self, flow_id: packets.FlowId) -> list[directory.Agent]:
         """Return the agents that may own a flow, including those that are gone.
@@ -173,8 +177,17 @@
             return None
         if silent and asked_seconds < RETRY_INTERVAL_SECONDS:
             return None
-        denied = len(owners) - len(silent)
-        return actions.NoOwnerEvidence(denied, len(silent), asked_seconds)
+        known = self._view.agents.counts
+        return actions.NoOwnerEvidence(
+            denied=len(owners) - len(silent),
+            gone=len(silent),
+            asked_seconds=asked_seconds,
+            known_present=known.present,
+            known_gone=known.gone,
+            possible_owners=len(owners),
+            asked_silent=sum(agent.member.id in lookup.asked for agent in silent),
+            newest_change_seconds=now - self._view.agents.changed_at,
+        )
 
 
 def is_confirmed_gone(agent: directory.Agent, now: float) -> bool:
--- /dev/null
+++ b/tests/core/flows/test_lookups.py
@@ -0,0 +1,88 @@
+"""Tests of what a lookup reports about its evidence and its progress."""
+
+from __future__ import annotations
+
+import pytest
+
+from cactushall_core.flows import actions, cluster_view, lookups
+from cactushall_core.membership import records
+from tests.core.flows import builders
+
+SETTLED = 10.0
+DECIDED = SETTLED + 5.0
+
+
+@pytest.fixture
+def view():
+    """A settled view of a route and three agents."""
+    made = cluster_view.ClusterView(0.0)
+    made.update_routes(builders.route_table())
+    add_agents(made, range(1, 4))
+    return made
+
+
+@pytest.fixture
+def found(view):
+    """Lookups at an entry with that view."""
+    return lookups.Lookups(view)
+
+
+def add_agents(view, numbers, now=0.0, **details):
+    for number in numbers:
+        view.agents.update(builders.agent_record(number, **details), now)
+
+
+def deny(found, numbers):
+    for number in numbers:
+        member = builders.agent_record(number).member
+        found.record_not_owner(builders.FLOW, member.id)
+
+
+def evidence_of(decided):
+    (reset,) = decided
+    assert reset.reason is actions.Reason.NO_OWNER
+    return reset.evidence
+
+
+def test_evidence_tells_which_agents_were_known_and_denied(found):
+    found.handle_packet(builders.packet(), SETTLED)
+    deny(found, (1, 2, 3))
+    decided = found.reset_if_unowned(builders.FLOW, DECIDED)
+    assert evidence_of(decided) == actions.NoOwnerEvidence(
+        denied=3,
+        gone=0,
+        asked_seconds=DECIDED - SETTLED,
+        known_present=3,
+        known_gone=0,
+        possible_owners=3,
+        asked_silent=0,
+        newest_change_seconds=DECIDED,
+    )
+
+
+def test_evidence_tells_silent_agents_that_are_gone(found, view):
+    found.handle_packet(builders.packet(), SETTLED)
+    deny(found, (1, 2))
+    add_agents(view, [3], SETTLED + 1, status=records.Status.DEAD)
+    evidence = evidence_of(found.reset_if_unowned(builders.FLOW, DECIDED))
+    assert (evidence.denied, evidence.gone, evidence.asked_silent) == (2, 1, 1)
+    assert (evidence.known_present, evidence.known_gone) == (2, 1)
+    assert evidence.newest_change_seconds == DECIDED - SETTLED - 1
+
+
+def test_evidence_tells_gone_agents_that_were_never_asked(found, view):
+    found.handle_packet(builders.packet(), SETTLED)
+    deny(found, (1, 2, 3))
+    add_agents(view, [4], SETTLED + 1, status=records.Status.DEAD)
+    evidence = evidence_of(found.reset_if_unowned(builders.FLOW, DECIDED))
+    assert (evidence.gone, evidence.asked_silent) == (1, 0)
+
+
+def test_evidence_tells_known_agents_that_were_not_possible_owners(found, view):
+    others = range(4, 4 + lookups.MAX_AGENTS_ASKED)
+    add_agents(view, others, service=builders.OTHER_SERVICE)
+    found.handle_packet(builders.packet(), SETTLED)
+    deny(found, (1, 2, 3))
+    evidence = evidence_of(found.reset_if_unowned(builders.FLOW, DECIDED))
+    assert evidence.possible_owners == 3
+    assert evidence.known_present == 3 + lookups.MAX_AGENTS_ASKED
--- a/tests/core/flows/test_model.py
+++ b/tests/core/flows/test_model.py
@@ -36,7 +36,16 @@
 
 
 def silence_counts_as_denial(patch):
-    denied = actions.NoOwnerEvidence(denied=0, gone=0, asked_seconds=0.0)
+    denied = actions.NoOwnerEvidence(
+        denied=0,
+        gone=0,
+        asked_seconds=0.0,
+        known_present=0,
+        known_gone=0,
+        possible_owners=0,
+        asked_silent=0,
+        newest_change_seconds=0.0,
+    )
     patch.setattr(lookups.Lookups, "_no_owner_evidence", lambda *_: denied)
 
 
