The start of a lookup and the owner that it finds are logged

Nothing told when an entry had begun to look for a flow's owner, whom it had asked, or that it had found the owner. Events 2107 (asked, known) and 2108 (owner, seconds, asked) do; known above asked shows agents that were never asked. They are actions that the executor logs; 'execute' is split for them. 'cactushall explain' tells both as the outcome where they come last.

Two tests of the entry compare whole lists of actions. They now also require the new ones: the number asked at the start, and the owner found.

--- a/packages/cactushall-client/cactushall_client/commands/explain.py
+++ b/packages/cactushall-client/cactushall_client/commands/explain.py
@@ -20,6 +20,8 @@
 FLOW_ACCEPTED = 2103
 FLOW_DECLINED = 2104
 FLOW_RESET_BY_SERVER = 2106
+FLOW_LOOKUP_STARTED = 2107
+FLOW_OWNER_FOUND = 2108
 # Starts and stops of processes; changes of members, store, configuration and backend
 # servers.
 CONTEXT_EVENTS = {1001, 1002, 1003, 1008, 1101, 1201, 1202, 1301, 1302, 2201, 2202}
@@ -93,6 +95,11 @@
         return "log ends: declined, and not placed on another agent"
     if event_id == FLOW_ACCEPTED:
         return "open: accepted by a backend server; later packets are not logged"
+    if event_id == FLOW_LOOKUP_STARTED:
+        asked, known = last.get("asked"), last.get("known")
+        return f"log ends: owner not found yet, {asked} of {known} known agents asked"
+    if event_id == FLOW_OWNER_FOUND:
+        return f"open: held beside {last.get('owner')}; later packets are not logged"
     return "log ends"
 
 
--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -165,6 +165,36 @@
     reason: Reason
 
 
+class RecordLookupStarted(typing.NamedTuple):
+    """Record that agents were asked for the owner of a flow for the first time.
+
+    Attributes:
+        flow: The flow.
+        asked: Number of agents that were asked.
+        known: Number of agents that the entry knows, including those that are gone.
+    """
+
+    flow: packets.FlowId
+    asked: int
+    known: int
+
+
+class RecordOwnerFound(typing.NamedTuple):
+    """Record that the owner of a flow was found by a lookup.
+
+    Attributes:
+        flow: The flow.
+        owner: Packet address of the agent that owns it.
+        asked_seconds: Time since agents were first asked.
+        asked: Number of agents that were asked.
+    """
+
+    flow: packets.FlowId
+    owner: addresses.Address
+    asked_seconds: float
+    asked: int
+
+
 class RecordLatency(typing.NamedTuple):
     """Record a latency."""
 
@@ -172,12 +202,6 @@
     seconds: float
 
 
-Action = (
-    Forward
-    | DeliverToServer
-    | SendToCaller
-    | Reset
-    | SendMessage
-    | Drop
-    | RecordLatency
-)
+Record = RecordLookupStarted | RecordOwnerFound | RecordLatency
+
+Action = Forward | DeliverToServer | SendToCaller | Reset | SendMessage | Drop | Record
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -217,7 +217,17 @@
         if lookup is None:
             return []
         self._owned[flow_id] = OwnedFlow(address, None, now)
-        return [actions.Forward(address, datagram) for datagram in lookup.buffered]
+        decided: list[actions.Action] = [
+            actions.Forward(address, datagram) for datagram in lookup.buffered
+        ]
+        if lookup.was_asked:
+            asked_seconds = now - lookup.first_asked_at
+            decided.append(
+                actions.RecordOwnerFound(
+                    flow_id, address, asked_seconds, len(lookup.asked)
+                )
+            )
+        return decided
 
     def _handle_not_owned(
         self, agent: directory.Agent, flow_id: packets.FlowId, now: float
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -47,6 +47,11 @@
     not_owners: set[identifiers.MemberId] = msgspec.field(default_factory=set)
     buffered: list[bytes] = msgspec.field(default_factory=list)
 
+    @property
+    def was_asked(self) -> bool:
+        """Whether agents have been asked."""
+        return self.first_asked_at < float("inf")
+
 
 class Lookups:
     """All flows whose owner is being looked up."""
@@ -135,6 +140,7 @@
     def _ask(
         self, packet: packets.Packet, lookup: Lookup, now: float
     ) -> list[actions.Action]:
+        is_first = not lookup.was_asked
         lookup.first_asked_at = min(lookup.first_asked_at, now)
         lookup.last_asked_at = now
         asked = [
@@ -144,7 +150,13 @@
         ]
         lookup.asked.update(agent.member.id for agent in asked)
         request = messages.LookupRequest(packet.datagram)
-        return [actions.SendMessage(agent.peer_address, request) for agent in asked]
+        decided: list[actions.Action] = [
+            actions.SendMessage(agent.peer_address, request) for agent in asked
+        ]
+        if is_first:
+            known = len(self._view.agents.agents)
+            decided.append(actions.RecordLookupStarted(packet.flow, len(asked), known))
+        return decided
 
     def _possible_owners(self, flow_id: packets.FlowId) -> list[directory.Agent]:
         """Return the agents that may own a flow, including those that are gone.
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -39,6 +39,8 @@
     FLOW_DECLINED = (2104, "new flow declined")
     FLOW_LOOKUP_ANSWERED = (2105, "flow lookup answered")
     FLOW_RESET_BY_SERVER = (2106, "flow reset by its backend server")
+    FLOW_LOOKUP_STARTED = (2107, "flow lookup started")
+    FLOW_OWNER_FOUND = (2108, "flow owner found")
     FLOW_RESET = (2101, "flow reset")
     SERVER_CHANGED = (2201, "backend server changed its state")
     SERVER_UNRESPONSIVE = (2202, "backend server unresponsive")
--- a/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
@@ -59,10 +59,7 @@
         """Execute actions in order."""
         for action in decisions:
             if isinstance(action, actions.Forward):
-                self._forwarded_counter.value += 1
-                self._node.send_datagram(action.address, action.datagram)
-                if action.placement is not None:
-                    self._log_placement(action, action.placement)
+                self._forward(action)
             elif isinstance(action, actions.SendToCaller):
                 self._send_to_caller(action.flow.caller_host, action.datagram)
             elif isinstance(action, actions.DeliverToServer):
@@ -70,17 +67,18 @@
             elif isinstance(action, actions.SendMessage):
                 _log_message(action)
                 self._node.send_message(action.address, action.message)
-            elif isinstance(action, actions.RecordLatency):
-                self._node.latencies.record(action.kind, action.seconds)
             elif isinstance(action, actions.Reset):
                 self._reset(action)
+            elif isinstance(action, actions.Drop):
+                self._drop(action)
             else:
-                self._counters.add(counters.Counter.DROPPED)
-                log.info(
-                    events.Event.PACKET_DROPPED,
-                    flow=str(action.flow),
-                    why=action.reason.value,
-                )
+                self._record(action)
+
+    def _forward(self, action: actions.Forward) -> None:
+        self._forwarded_counter.value += 1
+        self._node.send_datagram(action.address, action.datagram)
+        if action.placement is not None:
+            self._log_placement(action, action.placement)
 
     def _log_placement(
         self, action: actions.Forward, placement: actions.Placement
@@ -107,6 +105,22 @@
         datagram = layout.encode_reset(action.flow, action.sequence)
         self._send_to_caller(action.flow.caller_host, datagram)
 
+    def _drop(self, action: actions.Drop) -> None:
+        self._counters.add(counters.Counter.DROPPED)
+        log.info(
+            events.Event.PACKET_DROPPED,
+            flow=str(action.flow),
+            why=action.reason.value,
+        )
+
+    def _record(self, action: actions.Record) -> None:
+        if isinstance(action, actions.RecordLatency):
+            self._node.latencies.record(action.kind, action.seconds)
+        elif isinstance(action, actions.RecordLookupStarted):
+            _log_lookup_started(action)
+        else:
+            _log_owner_found(action)
+
     def _send_to_caller(self, host: int, datagram: bytes) -> None:
         address = addresses.Address(_format_host(host), self._packet_port)
         sockets.send(self._packet_socket, datagram, address, self._counters)
@@ -125,6 +139,25 @@
     return value
 
 
+def _log_lookup_started(action: actions.RecordLookupStarted) -> None:
+    log.info(
+        events.Event.FLOW_LOOKUP_STARTED,
+        flow=str(action.flow),
+        asked=action.asked,
+        known=action.known,
+    )
+
+
+def _log_owner_found(action: actions.RecordOwnerFound) -> None:
+    log.info(
+        events.Event.FLOW_OWNER_FOUND,
+        flow=str(action.flow),
+        owner=action.owner.host,
+        asked_seconds=_format_value(action.asked_seconds),
+        asked=action.asked,
+    )
+
+
 def _log_message(action: actions.SendMessage) -> None:
     message = action.message
     if isinstance(message, messages.Accepted):
--- a/tests/client/test_explain.py
+++ b/tests/client/test_explain.py
@@ -84,6 +84,19 @@
     assert "log ends: 10.0.0.3 has not answered" in result.output
 
 
+def test_outcome_of_a_lookup_is_described(explain):
+    started = log_line(
+        1.0, "front-1", 2107, "flow lookup started", flow=FLOW, asked=64, known=70
+    )
+    found = log_line(
+        1.1, "front-1", 2108, "flow owner found", flow=FLOW, owner="10.0.0.2"
+    )
+    result = explain(FLOW, [started])
+    assert "log ends: owner not found yet, 64 of 70 known agents asked" in result.output
+    result = explain(FLOW, [started, found])
+    assert "open: held beside 10.0.0.2" in result.output
+
+
 def test_flow_without_log_lines_is_an_error(explain):
     result = explain("100.64.9.9", [log_line(1.0, "front-1", 1001, "process started")])
     assert result.exit_code == exit_codes.ExitCode.FAILURE
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -56,8 +56,12 @@
 
 def look_up(flows, now=SETTLED):
     """Send a packet of FLOW, whose owner is unknown; return the agents asked."""
-    told = flows.handle_packet(builders.packet(), now)
+    decided = flows.handle_packet(builders.packet(), now)
+    told = [action for action in decided if isinstance(action, actions.SendMessage)]
     assert all(isinstance(action.message, messages.LookupRequest) for action in told)
+    for action in decided[len(told) :]:
+        assert isinstance(action, actions.RecordLookupStarted)
+        assert action.asked == len(told)
     return {action.address for action in told}
 
 
@@ -304,7 +308,11 @@
         peer_address_of(2), messages.OwnershipConfirmed(builders.FLOW), SETTLED + 0.02
     )
     address = packet_address_of(builders.agent_record(2))
-    assert decided == [actions.Forward(address, later.datagram)]
+    seconds = pytest.approx(0.02)
+    assert decided == [
+        actions.Forward(address, later.datagram),
+        actions.RecordOwnerFound(builders.FLOW, address, seconds, 3),
+    ]
     (sent,) = flows.handle_packet(builders.packet(), SETTLED + 0.1)
     assert sent.address == address
 
--- a/tests/core/flows/test_lookups.py
+++ b/tests/core/flows/test_lookups.py
@@ -38,6 +38,10 @@
         found.record_not_owner(builders.FLOW, member.id)
 
 
+def starts_in(decided):
+    return [a for a in decided if isinstance(a, actions.RecordLookupStarted)]
+
+
 def evidence_of(decided):
     (reset,) = decided
     assert reset.reason is actions.Reason.NO_OWNER
@@ -86,3 +90,25 @@
     evidence = evidence_of(found.reset_if_unowned(builders.FLOW, DECIDED))
     assert evidence.possible_owners == 3
     assert evidence.known_present == 3 + lookups.MAX_AGENTS_ASKED
+
+
+def test_start_is_reported_once_after_the_agents_are_asked(found):
+    decided = found.handle_packet(builders.packet(), SETTLED)
+    assert [type(action) for action in decided[:-1]] == [actions.SendMessage] * 3
+    assert decided[-1] == actions.RecordLookupStarted(builders.FLOW, 3, 3)
+    later = SETTLED + lookups.RETRY_INTERVAL_SECONDS
+    assert starts_in(found.handle_packet(builders.packet(), later)) == []
+
+
+def test_start_is_reported_where_no_agent_is_known():
+    found = lookups.Lookups(cluster_view.ClusterView(0.0))
+    decided = found.handle_packet(builders.packet(), SETTLED)
+    assert decided == [actions.RecordLookupStarted(builders.FLOW, 0, 0)]
+
+
+def test_start_tells_agents_that_were_known_and_not_asked(found, view):
+    others = range(4, 4 + lookups.MAX_AGENTS_ASKED)
+    add_agents(view, others, service=builders.OTHER_SERVICE)
+    decided = found.handle_packet(builders.packet(), SETTLED)
+    known = 3 + lookups.MAX_AGENTS_ASKED
+    assert decided[-1] == actions.RecordLookupStarted(builders.FLOW, 3, known)
--- /dev/null
+++ b/tests/daemon/packets/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the processes of the packet transport."""
--- /dev/null
+++ b/tests/daemon/packets/test_executor.py
@@ -0,0 +1,108 @@
+"""Tests of what the executor of actions logs and counts."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+from structlog import testing
+
+from cactushall_core import addresses
+from cactushall_core.flows import actions
+from cactushall_daemon import counters, events
+from cactushall_daemon.packets import executor
+from tests.core.flows import builders
+
+AGENT = addresses.Address("10.0.1.1", 7735)
+
+
+class Node:
+    """Stands in for the node; sent messages are kept."""
+
+    def __init__(self):
+        self.counters = counters.Counters()
+        self.route_table = builders.route_table(revision=4)
+        self.sent = []
+
+    def send_message(self, address, message):
+        """Keep a message."""
+        self.sent.append((address, message))
+
+
+@pytest.fixture
+def node():
+    return Node()
+
+
+@pytest.fixture
+def execute(node):
+    """Return a function that executes one action and returns its log lines."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as callers:
+        made = executor.ActionExecutor(node, callers, 9, lambda _: None)
+
+        def run(action):
+            with testing.capture_logs() as lines:
+                made.execute([action])
+            return [without_origin(line) for line in lines]
+
+        yield run
+
+
+def without_origin(line):
+    """Return the fields of a log line that its event defines."""
+    return {k: v for k, v in line.items() if k not in ("log_level", "module")}
+
+
+def make_evidence(**changed):
+    fields = {
+        "denied": 2,
+        "gone": 1,
+        "asked_seconds": 0.5,
+        "known_present": 2,
+        "known_gone": 3,
+        "possible_owners": 3,
+        "asked_silent": 1,
+        "newest_change_seconds": 4.0,
+    }
+    return actions.NoOwnerEvidence(**fields | changed)
+
+
+def test_evidence_of_a_reset_is_logged(execute):
+    reason = actions.Reason.NO_OWNER
+    evidence = make_evidence(newest_change_seconds=float("inf"))
+    (line,) = execute(actions.Reset(builders.FLOW, 1, reason, evidence))
+    assert line == {
+        "event": events.Event.FLOW_RESET,
+        "flow": str(builders.FLOW),
+        "why": "held-by-nobody",
+        "revision": 4,
+        "denied": 2,
+        "gone": 1,
+        "asked_seconds": 0.5,
+        "known_present": 2,
+        "known_gone": 3,
+        "possible_owners": 3,
+        "asked_silent": 1,
+        "newest_change_seconds": None,
+    }
+
+
+def test_start_of_a_lookup_is_logged(execute, node):
+    (line,) = execute(actions.RecordLookupStarted(builders.FLOW, 64, 70))
+    assert line == {
+        "event": events.Event.FLOW_LOOKUP_STARTED,
+        "flow": str(builders.FLOW),
+        "asked": 64,
+        "known": 70,
+    }
+
+
+def test_owner_that_a_lookup_has_found_is_logged(execute):
+    (line,) = execute(actions.RecordOwnerFound(builders.FLOW, AGENT, 0.25, 3))
+    assert line == {
+        "event": events.Event.FLOW_OWNER_FOUND,
+        "flow": str(builders.FLOW),
+        "owner": AGENT.host,
+        "asked_seconds": 0.25,
+        "asked": 3,
+    }
