Denials of flows that were never tracked are counted, not logged

An agent's denial now has a basis (DenialBasis). It is logged, with 'why', where it rests on the backend server's answer or state, on the caller's choice, or on a flow that the agent has tracked and forgotten; one of a flow that it never tracked is counted (flow_lookups_denied). flow_lookups_held and flow_lookups_started count the rest. So the wrong denial of an owner stands out.

To tell the basis, an agent keeps the flows that it has forgotten for the idle timeout, at most MAX_FLOWS; nothing is decided from them.

Five assertions about denials now require the basis as well, and one of them the answer to the next lookup.

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -47,6 +47,23 @@
     REQUEST_ANSWERED = "request_answered"
 
 
+class DenialBasis(enum.Enum):
+    """What an agent's denial that it owns a flow is based on.
+
+    NEVER_TRACKED: The agent has seen all flows, and has not tracked this one.
+    FORGOTTEN: The agent has tracked the flow and forgotten it.
+    OTHER_CHOSEN: The caller took another backend server's answer.
+    SERVER_DENIED: The backend server has returned or reset a packet of the flow.
+    SERVER_GONE: The backend server is gone.
+    """
+
+    NEVER_TRACKED = "never-tracked"
+    FORGOTTEN = "forgotten"
+    OTHER_CHOSEN = "other-chosen"
+    SERVER_DENIED = "server-denied"
+    SERVER_GONE = "server-gone"
+
+
 class Placement(msgspec.Struct, frozen=True):
     """What the choice of an agent for an opening packet was based on.
 
@@ -152,10 +169,17 @@
 
 
 class SendMessage(typing.NamedTuple):
-    """Send a message to another node."""
+    """Send a message to another node.
+
+    Attributes:
+        address: The node's address for messages.
+        message: The message.
+        basis: What the message is based on, where it denies that a flow is owned.
+    """
 
     address: addresses.Address
     message: messages.Message
+    basis: DenialBasis | None = None
 
 
 class Drop(typing.NamedTuple):
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -102,6 +102,9 @@
         self._routes = routes.EMPTY
         self._flows: dict[packets.FlowId, Flow] = {}
         self._not_owned: dict[packets.FlowId, float] = {}
+        # Flows that are not tracked any more, with the times of their latest packets;
+        # they tell a denial's basis and decide nothing.
+        self._forgotten: dict[packets.FlowId, float] = {}
         self._awaiting_request: dict[packets.FlowId, float] = {}
         self._queue: dict[packets.FlowId, QueuedOpening] = {}
         self._meter = requests.RequestMeter()
@@ -161,7 +164,7 @@
             flow, packet
         ):
             self._forget(packet.flow)
-            return [actions.SendMessage(entry, messages.OwnershipDenied(packet.flow))]
+            return [_deny(packet.flow, entry, actions.DenialBasis.OTHER_CHOSEN)]
         if flow.state is State.OPENING_ANSWERED:
             flow.state = State.ESTABLISHED
         self._meter.handle_caller_packet(flow.progress, packet, now)
@@ -236,6 +239,7 @@
         self._expire_queue(now)
         oldest = now - self._routes.idle_timeout_seconds
         self._not_owned = {f: at for f, at in self._not_owned.items() if at > oldest}
+        self._forgotten = {f: at for f, at in self._forgotten.items() if at > oldest}
 
     # New flows.
 
@@ -331,15 +335,27 @@
         self, packet: packets.Packet, entry: addresses.Address, now: float
     ) -> list[actions.Action]:
         """Deliver a packet, once, to learn whether the backend server has its flow."""
-        is_known_not_owned = self._has_seen_all_flows or packet.flow in self._not_owned
-        if is_known_not_owned or self._server.state is servers.State.GONE:
-            return [actions.SendMessage(entry, messages.OwnershipDenied(packet.flow))]
+        basis = self._denial_basis(packet.flow)
+        if basis is not None:
+            return [_deny(packet.flow, entry, basis)]
         flow = Flow(State.PROBED, entry, now)
         flow.acknowledged = packet.acknowledgement
         self._remember(packet.flow, flow)
         self._meter.handle_caller_packet(flow.progress, packet, now)
         return [actions.DeliverToServer(packet.datagram)]
 
+    def _denial_basis(self, flow_id: packets.FlowId) -> actions.DenialBasis | None:
+        """Return why an untracked flow is certainly not owned, None if it may be."""
+        if flow_id in self._not_owned:
+            return actions.DenialBasis.SERVER_DENIED
+        if self._has_seen_all_flows:
+            is_forgotten = flow_id in self._forgotten
+            basis = actions.DenialBasis
+            return basis.FORGOTTEN if is_forgotten else basis.NEVER_TRACKED
+        if self._server.state is servers.State.GONE:
+            return actions.DenialBasis.SERVER_GONE
+        return None
+
     def _handle_bounced(
         self, packet: packets.Packet, flow: Flow | None
     ) -> list[actions.Action]:
@@ -355,7 +371,7 @@
         if flow.state is State.ESTABLISHED and not flow.is_closing:
             reason = actions.Reason.SERVER_LOST_FLOW
             return [actions.Reset(packet.flow, flow.acknowledged, reason)]
-        return [actions.SendMessage(flow.entry, messages.OwnershipDenied(packet.flow))]
+        return [_deny(packet.flow, flow.entry, actions.DenialBasis.SERVER_DENIED)]
 
     # Expiry and bounds.
 
@@ -371,9 +387,8 @@
 
     def _forget_all(self) -> None:
         """Forget all flows, because the backend server has restarted."""
-        for flow in self._flows.values():
-            self._meter.record_end(flow.progress)
-        self._flows.clear()
+        for flow_id in list(self._flows):
+            self._forget(flow_id)
         self._not_owned.clear()
         self._has_seen_all_flows = True
 
@@ -402,16 +417,32 @@
         if len(self._flows) >= MAX_FLOWS:
             self._forget(next(iter(self._flows)))
         self._flows[flow_id] = flow
+        self._forgotten.pop(flow_id, None)
 
     def _remember_not_owned(self, flow_id: packets.FlowId, now: float) -> None:
-        if len(self._not_owned) >= MAX_FLOWS:
-            del self._not_owned[next(iter(self._not_owned))]
-        self._not_owned[flow_id] = now
+        _put_bounded(self._not_owned, flow_id, now)
 
     def _forget(self, flow_id: packets.FlowId) -> None:
         flow = self._flows.pop(flow_id, None)
         if flow is not None:
             self._meter.record_end(flow.progress)
+            _put_bounded(self._forgotten, flow_id, flow.last_packet_at)
+
+
+def _put_bounded(
+    times: dict[packets.FlowId, float], flow_id: packets.FlowId, time: float
+) -> None:
+    """Add a flow to a dictionary, and remove the first where there are too many."""
+    if len(times) >= MAX_FLOWS:
+        del times[next(iter(times))]
+    times[flow_id] = time
+
+
+def _deny(
+    flow_id: packets.FlowId, entry: addresses.Address, basis: actions.DenialBasis
+) -> actions.SendMessage:
+    """Tell an entry that this agent does not own a flow."""
+    return actions.SendMessage(entry, messages.OwnershipDenied(flow_id), basis)
 
 
 def _is_probe_reset(packet: packets.Packet, flow: Flow | None) -> bool:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
@@ -21,6 +21,8 @@
 log = logs.get_logger(__name__)
 
 MAX_CACHED_HOSTS = 4096
+# Nearly all agents answer a lookup on this basis, so that it is only counted.
+UNLOGGED_BASES = (None, actions.DenialBasis.NEVER_TRACKED)
 
 SendToServer = collections.abc.Callable[[bytes], None]
 
@@ -65,8 +67,7 @@
             elif isinstance(action, actions.DeliverToServer):
                 self._send_to_server(action.datagram)
             elif isinstance(action, actions.SendMessage):
-                _log_message(action)
-                self._node.send_message(action.address, action.message)
+                self._send_message(action)
             elif isinstance(action, actions.Reset):
                 self._reset(action)
             elif isinstance(action, actions.Drop):
@@ -105,6 +106,19 @@
         datagram = layout.encode_reset(action.flow, action.sequence)
         self._send_to_caller(action.flow.caller_host, datagram)
 
+    def _send_message(self, action: actions.SendMessage) -> None:
+        message = action.message
+        if isinstance(message, messages.OwnershipConfirmed):
+            self._counters.add(counters.Counter.FLOW_LOOKUPS_HELD)
+            _log_confirmation(message.flow, action.address)
+        elif isinstance(message, messages.OwnershipDenied):
+            self._counters.add(counters.Counter.FLOW_LOOKUPS_DENIED)
+            if action.basis not in UNLOGGED_BASES:
+                _log_denial(message.flow, action.address, action.basis)
+        else:
+            _log_load_message(message)
+        self._node.send_message(action.address, message)
+
     def _drop(self, action: actions.Drop) -> None:
         self._counters.add(counters.Counter.DROPPED)
         log.info(
@@ -117,6 +131,7 @@
         if isinstance(action, actions.RecordLatency):
             self._node.latencies.record(action.kind, action.seconds)
         elif isinstance(action, actions.RecordLookupStarted):
+            self._counters.add(counters.Counter.FLOW_LOOKUPS_STARTED)
             _log_lookup_started(action)
         else:
             _log_owner_found(action)
@@ -158,8 +173,8 @@
     )
 
 
-def _log_message(action: actions.SendMessage) -> None:
-    message = action.message
+def _log_load_message(message: messages.Message) -> None:
+    """Log the answer to an opening packet, with the load that it tells."""
     if isinstance(message, messages.Accepted):
         log.info(
             events.Event.FLOW_ACCEPTED,
@@ -174,10 +189,24 @@
             revision=message.revision,
             **_log_fields(message.load),
         )
-    elif isinstance(message, messages.OwnershipConfirmed | messages.OwnershipDenied):
-        log.info(
-            events.Event.FLOW_LOOKUP_ANSWERED,
-            flow=str(message.flow),
-            is_held=isinstance(message, messages.OwnershipConfirmed),
-            asker=action.address.host,
-        )
+
+
+def _log_confirmation(flow_id: packets.FlowId, asker: addresses.Address) -> None:
+    log.info(
+        events.Event.FLOW_LOOKUP_ANSWERED,
+        flow=str(flow_id),
+        is_held=True,
+        asker=asker.host,
+    )
+
+
+def _log_denial(
+    flow_id: packets.FlowId, asker: addresses.Address, basis: actions.DenialBasis
+) -> None:
+    log.info(
+        events.Event.FLOW_LOOKUP_ANSWERED,
+        flow=str(flow_id),
+        is_held=False,
+        why=basis.value,
+        asker=asker.host,
+    )
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -41,6 +41,16 @@
     )
 
 
+def denial(basis):
+    """Return the action that denies FLOW on some basis."""
+    message = messages.OwnershipDenied(builders.FLOW)
+    return actions.SendMessage(builders.ENTRY, message, basis)
+
+
+def look_up(flows, now):
+    return flows.handle_lookup(builders.packet(), builders.ENTRY, now)
+
+
 def refusal_of(decided):
     (told,) = decided
     return told.message.refusal
@@ -153,9 +163,7 @@
 
 def test_agent_that_has_seen_all_flows_denies_unknown_ones_itself(flows):
     decided = flows.handle_lookup(builders.packet(), builders.ENTRY, 1.0)
-    assert decided == [
-        actions.SendMessage(builders.ENTRY, messages.OwnershipDenied(builders.FLOW))
-    ]
+    assert decided == [denial(actions.DenialBasis.NEVER_TRACKED)]
 
 
 def test_restarted_agent_probes_its_backend_server(restarted):
@@ -181,14 +189,10 @@
     """Another backend server may hold the flow that this one resets."""
     restarted.handle_lookup(builders.packet(length=5), builders.ENTRY, 1.0)
     decided = restarted.handle_server_packet(builders.packet(packets.Flags.RST), 1.1)
-    assert decided == [
-        actions.SendMessage(builders.ENTRY, messages.OwnershipDenied(builders.FLOW))
-    ]
+    assert decided == [denial(actions.DenialBasis.SERVER_DENIED)]
     assert restarted.load.requests == 0
     again = restarted.handle_lookup(builders.packet(), builders.ENTRY, 1.2)
-    assert again == [
-        actions.SendMessage(builders.ENTRY, messages.OwnershipDenied(builders.FLOW))
-    ]
+    assert again == [denial(actions.DenialBasis.SERVER_DENIED)]
 
 
 def test_owner_confirms_a_lookup(flows):
@@ -203,7 +207,8 @@
     flows.handle_server_packet(builders.opening_answer(), 1.0)
     foreign = builders.packet(acknowledgement=builders.SERVER_START + 50_000)
     (told,) = flows.handle_caller_packet(foreign, builders.ENTRY, 1.1)
-    assert told.message == messages.OwnershipDenied(builders.FLOW)
+    assert told == denial(actions.DenialBasis.OTHER_CHOSEN)
+    assert look_up(flows, 1.2) == [denial(actions.DenialBasis.FORGOTTEN)]
 
 
 def test_flow_that_its_backend_server_has_lost_is_reset_immediately(flows):
@@ -228,10 +233,45 @@
     open_flow(flows)
     flows.handle_announcement(builders.announcement(server_id="s2", started=200), 2.0)
     (told,) = flows.handle_caller_packet(builders.packet(), builders.ENTRY, 2.0)
-    assert told.message == messages.OwnershipDenied(builders.FLOW)
+    assert told == denial(actions.DenialBasis.FORGOTTEN)
     assert flows.load.flows == 0
 
 
+def test_denial_while_the_backend_server_is_gone_is_based_on_that(restarted, server):
+    server.handle_stopped("s1", 1.0)
+    assert look_up(restarted, 1.1) == [denial(actions.DenialBasis.SERVER_GONE)]
+
+
+def test_a_forgotten_flow_that_is_opened_again_is_tracked(flows):
+    open_flow(flows)
+    flows.handle_announcement(builders.announcement(server_id="s2", started=200), 2.0)
+    open_flow(flows, 2.1)
+    _, told = look_up(flows, 2.2)
+    assert told.message == messages.OwnershipConfirmed(builders.FLOW)
+
+
+def test_forgotten_flows_are_kept_for_the_idle_timeout(flows):
+    open_flow(flows)
+    flows.handle_announcement(builders.announcement(server_id="s2", started=200), 2.0)
+    flows.tick(10.0)
+    assert look_up(flows, 10.0) == [denial(actions.DenialBasis.FORGOTTEN)]
+    flows.tick(20.0)
+    assert look_up(flows, 20.0) == [denial(actions.DenialBasis.NEVER_TRACKED)]
+
+
+def test_memory_of_forgotten_flows_is_bounded(flows, monkeypatch):
+    monkeypatch.setattr(agent, "MAX_FLOWS", 2)
+    for port in range(40_001, 40_006):
+        flow = builders.FLOW._replace(caller_port=port)
+        opening = builders.opening_packet(flow=flow)
+        flows.handle_caller_packet(opening, builders.ENTRY, 1.0)
+    (told,) = look_up(flows, 1.1)
+    assert told.basis is actions.DenialBasis.NEVER_TRACKED
+    third = builders.packet(flow=builders.FLOW._replace(caller_port=40_003))
+    (told,) = flows.handle_lookup(third, builders.ENTRY, 1.1)
+    assert told.basis is actions.DenialBasis.FORGOTTEN
+
+
 def test_a_late_heartbeat_of_an_earlier_start_changes_nothing(flows):
     flows.handle_announcement(builders.announcement(server_id="s2", started=200), 1.0)
     old = builders.announcement(99, server_id="s1", started=100, is_draining=True)
--- a/tests/daemon/packets/test_executor.py
+++ b/tests/daemon/packets/test_executor.py
@@ -8,7 +8,7 @@
 from structlog import testing
 
 from cactushall_core import addresses
-from cactushall_core.flows import actions
+from cactushall_core.flows import actions, messages
 from cactushall_daemon import counters, events
 from cactushall_daemon.packets import executor
 from tests.core.flows import builders
@@ -53,6 +53,15 @@
     return {k: v for k, v in line.items() if k not in ("log_level", "module")}
 
 
+def counted(node):
+    return dict(node.counters.items())
+
+
+def make_denial(basis):
+    message = messages.OwnershipDenied(builders.FLOW)
+    return actions.SendMessage(builders.ENTRY, message, basis)
+
+
 def make_evidence(**changed):
     fields = {
         "denied": 2,
@@ -95,6 +104,7 @@
         "asked": 64,
         "known": 70,
     }
+    assert counted(node) == {counters.Counter.FLOW_LOOKUPS_STARTED: 1}
 
 
 def test_owner_that_a_lookup_has_found_is_logged(execute):
@@ -106,3 +116,43 @@
         "asked_seconds": 0.25,
         "asked": 3,
     }
+
+
+def test_denial_of_a_flow_that_was_never_tracked_is_counted_and_not_logged(
+    execute, node
+):
+    denial = make_denial(actions.DenialBasis.NEVER_TRACKED)
+    assert execute(denial) == []
+    assert counted(node) == {counters.Counter.FLOW_LOOKUPS_DENIED: 1}
+    assert node.sent == [(builders.ENTRY, denial.message)]
+
+
+@pytest.mark.parametrize(
+    "basis",
+    [b for b in actions.DenialBasis if b is not actions.DenialBasis.NEVER_TRACKED],
+)
+def test_denial_on_another_basis_is_logged_and_counted(execute, node, basis):
+    denial = make_denial(basis)
+    (line,) = execute(denial)
+    assert line == {
+        "event": events.Event.FLOW_LOOKUP_ANSWERED,
+        "flow": str(builders.FLOW),
+        "is_held": False,
+        "why": basis.value,
+        "asker": builders.ENTRY.host,
+    }
+    assert counted(node) == {counters.Counter.FLOW_LOOKUPS_DENIED: 1}
+    assert node.sent == [(builders.ENTRY, denial.message)]
+
+
+def test_confirmation_is_logged_and_counted(execute, node):
+    message = messages.OwnershipConfirmed(builders.FLOW)
+    (line,) = execute(actions.SendMessage(builders.ENTRY, message))
+    assert line == {
+        "event": events.Event.FLOW_LOOKUP_ANSWERED,
+        "flow": str(builders.FLOW),
+        "is_held": True,
+        "asker": builders.ENTRY.host,
+    }
+    assert counted(node) == {counters.Counter.FLOW_LOOKUPS_HELD: 1}
+    assert node.sent == [(builders.ENTRY, message)]
