An entry's metrics tell the agents it knows and its lookups

The metrics of an entry showed its flows only: neither that it knew fewer agents than the others nor that lookups stayed undecided. New gauges: agents_present, agents_gone, lookups and oldest_lookup_seconds.

--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -79,6 +79,20 @@
         """How many flows are tracked."""
         return len(self._pending) + len(self._owned) + len(self._lookups)
 
+    @property
+    def lookup_count(self) -> int:
+        """How many flows' owners are being looked up."""
+        return len(self._lookups)
+
+    @property
+    def agent_counts(self) -> directory.AgentCounts:
+        """How many agents are known."""
+        return self._view.agents.counts
+
+    def oldest_lookup_seconds(self, now: float) -> float:
+        """Return the age of the oldest lookup, 0 without lookups."""
+        return self._lookups.oldest_seconds(now)
+
     def update_routes(
         self, table: routes.RouteTable, now: float
     ) -> list[actions.Action]:
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -73,6 +73,15 @@
         """Return whether a flow is being looked up."""
         return flow_id in self._flows
 
+    def oldest_seconds(self, now: float) -> float:
+        """Return the time since agents were first asked in the oldest lookup.
+
+        Returns:
+            That time, 0 where no lookup has asked an agent.
+        """
+        oldest = min((x.first_asked_at for x in self._flows.values()), default=now)
+        return max(0.0, now - oldest)
+
     def start(self, flow_id: packets.FlowId, acknowledged: int, now: float) -> Lookup:
         """Add a lookup; agents are asked when the flow's next packet arrives."""
         lookup = Lookup(float("inf"), float("-inf"), now, acknowledged)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -94,7 +94,7 @@
         self._node.reload(settings)
 
     def _read_gauges(self) -> dict[str, float]:
-        return {"flows": self._flows.flow_count}
+        return read_gauges(self._flows, self._loop.time())
 
     def _check_for_pause(self, now: float) -> None:
         if self._pause_detector.has_paused(
@@ -143,5 +143,17 @@
         return http_calls.Response()
 
 
+def read_gauges(flows: entry.EntryFlows, now: float) -> dict[str, float]:
+    """Return the gauges that only an entry has, by name."""
+    agents = flows.agent_counts
+    return {
+        "flows": flows.flow_count,
+        "agents_present": agents.present,
+        "agents_gone": agents.gone,
+        "lookups": flows.lookup_count,
+        "oldest_lookup_seconds": flows.oldest_lookup_seconds(now),
+    }
+
+
 def _reject_delivery(_datagram: bytes) -> None:
     raise RuntimeError("an entry has no backend server")
--- a/tests/core/flows/test_lookups.py
+++ b/tests/core/flows/test_lookups.py
@@ -112,3 +112,14 @@
     decided = found.handle_packet(builders.packet(), SETTLED)
     known = 3 + lookups.MAX_AGENTS_ASKED
     assert decided[-1] == actions.RecordLookupStarted(builders.FLOW, 3, known)
+
+
+def test_age_of_the_oldest_lookup_is_counted_from_its_first_question(found):
+    assert found.oldest_seconds(SETTLED) == 0.0
+    found.start(builders.OTHER_FLOW, 0, SETTLED - 1)
+    assert found.oldest_seconds(SETTLED) == 0.0
+    found.handle_packet(builders.packet(), SETTLED)
+    found.handle_packet(builders.packet(flow=builders.OTHER_FLOW), SETTLED + 2)
+    assert found.oldest_seconds(SETTLED + 3) == 3.0
+    found.remove(builders.FLOW)
+    assert found.oldest_seconds(SETTLED + 3) == 1.0
