--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -348,10 +348,10 @@
         """Return why an untracked flow is certainly not owned, None if it may be."""
         if flow_id in self._not_owned:
             return actions.DenialBasis.SERVER_DENIED
+        if self._has_seen_all_flows and flow_id in self._forgotten:
+            return actions.DenialBasis.FORGOTTEN
         if self._has_seen_all_flows:
-            is_forgotten = flow_id in self._forgotten
-            basis = actions.DenialBasis
-            return basis.FORGOTTEN if is_forgotten else basis.NEVER_TRACKED
+            return actions.DenialBasis.NEVER_TRACKED
         if self._server.state is servers.State.GONE:
             return actions.DenialBasis.SERVER_GONE
         return None
