--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -47,6 +47,23 @@
     REQUEST_ANSWERED = "request_answered"
 
 
+class DenialBasis(enum.Enum):
+    """What an agent's denial that it owns a flow is based on.
+
+    NEVER_TRACKED: The agent has seen all flows, and has not tracked this one.
+    FORGOTTEN: The agent has tracked the flow and forgotten it.
+    OTHER_CHOSEN: The caller took another backend server's answer.
+    SERVER_DENIED: The backend server has returned or reset a packet of the flow.
+    SERVER_GONE: The backend server is gone.
+    """
+
+    NEVER_TRACKED = "never-tracked"
+    FORGOTTEN = "forgotten"
+    OTHER_CHOSEN = "other-chosen"
+    SERVER_DENIED = "server-denied"
+    SERVER_GONE = "server-gone"
+
+
 class Placement(msgspec.Struct, frozen=True):
     """What the choice of an agent for an opening packet was based on.
 
@@ -90,11 +107,21 @@
         denied: Number of members that have said that they do not own it.
         gone: Number of members that may have owned it and are gone.
         asked_seconds: Time since they were first asked.
+        known_present: Number of agents that the entry knows and believes to run.
+        known_gone: Number of agents that the entry knows and believes to be gone.
+        possible_owners: Number of known agents that may have owned it.
+        asked_silent: Number of possible owners that were asked and have not answered.
+        newest_change_seconds: Time since an agent last appeared or disappeared.
     """
 
     denied: int
     gone: int
     asked_seconds: float
+    known_present: int
+    known_gone: int
+    possible_owners: int
+    asked_silent: int
+    newest_change_seconds: float
 
 
 class Forward(typing.NamedTuple):
@@ -142,10 +169,17 @@
 
 
 class SendMessage(typing.NamedTuple):
-    """Send a message to another node."""
+    """Send a message to another node.
+
+    Attributes:
+        address: The node's address for messages.
+        message: The message.
+        basis: What the message is based on, where it denies that a flow is owned.
+    """
 
     address: addresses.Address
     message: messages.Message
+    basis: DenialBasis | None = None
 
 
 class Drop(typing.NamedTuple):
@@ -155,6 +189,36 @@
     reason: Reason
 
 
+class RecordLookupStarted(typing.NamedTuple):
+    """Record that agents were asked for the owner of a flow for the first time.
+
+    Attributes:
+        flow: The flow.
+        asked: Number of agents that were asked.
+        known: Number of agents that the entry knows, including those that are gone.
+    """
+
+    flow: packets.FlowId
+    asked: int
+    known: int
+
+
+class RecordOwnerFound(typing.NamedTuple):
+    """Record that the owner of a flow was found by a lookup.
+
+    Attributes:
+        flow: The flow.
+        owner: Packet address of the agent that owns it.
+        asked_seconds: Time since agents were first asked.
+        asked: Number of agents that were asked.
+    """
+
+    flow: packets.FlowId
+    owner: addresses.Address
+    asked_seconds: float
+    asked: int
+
+
 class RecordLatency(typing.NamedTuple):
     """Record a latency."""
 
@@ -162,12 +226,6 @@
     seconds: float
 
 
-Action = (
-    Forward
-    | DeliverToServer
-    | SendToCaller
-    | Reset
-    | SendMessage
-    | Drop
-    | RecordLatency
-)
+Record = RecordLookupStarted | RecordOwnerFound | RecordLatency
+
+Action = Forward | DeliverToServer | SendToCaller | Reset | SendMessage | Drop | Record
