--- a/bench/membership.py
+++ b/bench/membership.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import argparse
-import copy
 import gc
 import random
 import time
@@ -26,28 +25,6 @@
 MAX_CONFIGURATION_SECONDS = 4.0
 
 
-def clone(node: state.Membership, number: int) -> state.Membership:
-    """Return a copy of a node as another member that knows the same fleet.
-
-    Args:
-        node: The node to copy.
-        number: Number of the other member.
-    """
-    member = builders.make_agent(number).member
-    copied = copy.copy(node)
-    copied._member = member
-    copied._table = node.table.copy()
-    copied._broadcasts = copy.deepcopy(node._broadcasts)
-    copied._rng = random.Random(number)
-    copied._probes = {}
-    copied._suspected_at = {}
-    copied._probe_order = []
-    copied._next_probe_at = copied._rng.random() * node._timing.probe_interval
-    copied._next_gossip_at = copied._rng.random() * node._timing.gossip_interval
-    copied._next_digest_at = copied._rng.random() * node._timing.digest_interval
-    return copied
-
-
 def make_fleet(size: int) -> network.Network:
     """Return a fleet in which every member knows all others."""
     fleet = network.Network(1)
@@ -58,7 +35,8 @@
     )
     first_node.merge(table, 0.0)
     for number in range(1, size):
-        node = clone(first_node, number)
+        member = builders.make_agent(number).member
+        node = network.clone(first_node, member, number)
         fleet.nodes[node.member.gossip_address] = node
     return fleet
 
--- /dev/null
+++ b/tests/core/flows/fleet.py
@@ -0,0 +1,350 @@
+"""Simulates a fleet of entries and agents with its membership protocol.
+
+Every process runs the membership protocol, and entries learn of agents from it alone.
+Callers send packets of open flows; agents answer lookups after a short random delay.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+import zlib
+
+import msgspec
+
+from cactushall_core import addresses
+from cactushall_core.flows import actions, entry, messages, packets
+from cactushall_core.membership import records, state
+from cactushall_daemon.packets import node
+from tests.core import builders as member_builders
+from tests.core import network
+from tests.core.flows import builders
+
+STEP_SECONDS = 0.02
+NETWORK_DELAY_SECONDS = (0.001, 0.02)
+RETRANSMISSION_SECONDS = (0.2, 1.6)
+STARTUP_JOINS = 4
+JOIN_RETRY_SECONDS = 0.1
+JOINED_CHECK_SECONDS = 0.5
+FLEET_STARTED_AT = 1_000_000.0
+SERVICE = builders.SERVICE
+
+
+@dataclasses.dataclass(eq=False)
+class Process:
+    """A running entry or agent.
+
+    Attributes:
+        membership: Its view of the fleet.
+        flows: Its flows where it is an entry, None where it is an agent.
+        seeds: Gossip addresses through which it joins.
+        started_at: When it started.
+        joins_left: How often it still joins after its start.
+        next_join_at: When it joins next.
+    """
+
+    membership: state.Membership
+    flows: entry.EntryFlows | None
+    seeds: tuple[addresses.Address, ...]
+    started_at: float
+    joins_left: int = STARTUP_JOINS
+    next_join_at: float = 0.0
+
+    @property
+    def address(self):
+        """Gossip address of the process."""
+        return self.membership.member.gossip_address
+
+    @property
+    def host(self):
+        """IP address of the process's VM."""
+        return self.membership.member.host
+
+    def serves(self, service):
+        """Return whether the process is an agent of a service."""
+        endpoints = self.membership.member.endpoints
+        return any(endpoint.service == service for endpoint in endpoints)
+
+
+@dataclasses.dataclass(eq=False)
+class Caller:
+    """A caller that sends one packet of an open flow until it is answered.
+
+    Attributes:
+        flow: Id of the flow.
+        owner: The agent that owns the flow; None where no agent does.
+        entry: The entry that gets the packet; None for the one that routers choose.
+        first_sent_at: When the packet is first sent.
+        next_at: When it is sent next.
+        interval: Seconds until the retransmission after that.
+        delivered_at: When the owner first got the packet.
+        reset_at: When an entry reset the flow.
+        reset: The entry's decision to reset it.
+    """
+
+    flow: packets.FlowId
+    owner: Process | None
+    entry: Process | None
+    first_sent_at: float
+    next_at: float
+    interval: float = RETRANSMISSION_SECONDS[0]
+    delivered_at: float | None = None
+    reset_at: float | None = None
+    reset: actions.Reset | None = None
+
+    @property
+    def is_done(self):
+        """Whether the packet was delivered or its flow reset."""
+        return self.delivered_at is not None or self.reset_at is not None
+
+    @property
+    def seconds_to_delivery(self):
+        """Seconds until the owner got the packet, infinite where it did not."""
+        return _seconds_between(self.first_sent_at, self.delivered_at)
+
+    @property
+    def seconds_to_reset(self):
+        """Seconds until the flow was reset, infinite where it was not."""
+        return _seconds_between(self.first_sent_at, self.reset_at)
+
+
+def _seconds_between(start, end):
+    return float("inf") if end is None else end - start
+
+
+class Fleet(network.Network):
+    """Entries and agents, in simulated time; at the start all know each other."""
+
+    def __init__(self, agents, entries, seed, services=(SERVICE,)):
+        """Start with entries and agents that know all members.
+
+        Args:
+            agents: Number of agents.
+            entries: Number of entries.
+            seed: Seed of all random choices.
+            services: Services of the agents, in turn. The route leads to the first.
+        """
+        super().__init__(0, seed, node.TIMING, STEP_SECONDS)
+        self.routes = builders.route_table(services[0])
+        self.services = services
+        self.running = {}
+        self.callers = {}
+        self.numbers = itertools.count()
+        self.events = []
+        self.event_order = itertools.count()
+        members = [self.make_member(records.Role.ENTRY) for _ in range(entries)]
+        members += [self.make_member(records.Role.AGENT) for _ in range(agents)]
+        self._start_acquainted(members)
+
+    @property
+    def entries(self):
+        """All running entries."""
+        return [p for p in self.running.values() if p.flows is not None]
+
+    @property
+    def agents(self):
+        """All running agents."""
+        return [p for p in self.running.values() if p.flows is None]
+
+    # Processes.
+
+    def make_member(self, role, host=None):
+        """Describe a process that starts now, on a new VM or on a given host."""
+        number = next(self.numbers)
+        service = self.services[number % len(self.services)]
+        usual = member_builders.make_agent(number, service).member
+        started_at = FLEET_STARTED_AT + self.now
+        return msgspec.structs.replace(
+            usual,
+            id=records.make_member_id(started_at, self.rng.getrandbits(32)),
+            role=role,
+            host=host or usual.host,
+            endpoints=usual.endpoints if role is records.Role.AGENT else (),
+        )
+
+    def start_entry(self, seeds, host=None):
+        """Start an entry without state that joins through some gossip addresses."""
+        return self._start(self.make_member(records.Role.ENTRY, host), seeds)
+
+    def start_agent(self, seeds):
+        """Start an agent that joins through some gossip addresses."""
+        return self._start(self.make_member(records.Role.AGENT), seeds)
+
+    def restart_entry(self, process):
+        """Stop an entry, and start one without state at its address."""
+        self.stop(process)
+        return self.start_entry(process.seeds, process.host)
+
+    def stop(self, process):
+        """Let a process announce its departure and end."""
+        self.execute(process.membership, process.membership.leave(self.now))
+        self.kill(process)
+
+    def kill(self, process):
+        """End a process without notice."""
+        del self.running[process.host]
+        del self.nodes[process.address]
+
+    def run_join(self, process):
+        """Join as `cactushall_daemon.packets.node` does without contact points."""
+        if self.now < process.next_join_at:
+            return
+        is_alone = process.membership.table.present_count <= 1
+        if is_alone or process.joins_left > 0:
+            process.joins_left -= 1
+            joins = process.membership.join(process.seeds)
+            self.execute(process.membership, joins)
+            process.next_join_at = self.now + JOIN_RETRY_SECONDS
+        else:
+            process.next_join_at = self.now + JOINED_CHECK_SECONDS
+
+    def _start_acquainted(self, members):
+        table = tuple(records.Record(m, 0, records.Status.ALIVE) for m in members)
+        seeds = tuple(member.gossip_address for member in members[:3])
+        first = self.add_member(members[0], 0)
+        first.merge(table, self.now)
+        for index, member in enumerate(members):
+            known = network.clone(first, member, self.rng.random()) if index else first
+            self._begin_amid_probe_round(known, members)
+            self.nodes[member.gossip_address] = known
+            process = self._run_process(known, seeds)
+            process.joins_left = 0
+            for record in table if process.flows else ():
+                process.flows.update_member(record, self.now)
+
+    def _begin_amid_probe_round(self, known, members):
+        """Let a member be anywhere in its round, as in a fleet that has run long."""
+        others = [m.id for m in members if m.id != known.member.id]
+        known._probe_order = self.rng.sample(others, self.rng.randrange(len(others)))
+
+    def _start(self, member, seeds):
+        return self._run_process(
+            self.add_member(member, self.rng.random()), tuple(seeds)
+        )
+
+    def _run_process(self, membership, seeds):
+        flows = None
+        if membership.member.role is records.Role.ENTRY:
+            rng = random.Random(self.rng.random())
+            flows = entry.EntryFlows(membership.member.zone, rng, self.now)
+            flows.update_routes(self.routes, self.now)
+        process = Process(membership, flows, seeds, self.now)
+        self.running[process.host] = process
+        return process
+
+    # Callers.
+
+    def add_caller(self, owner, entry=None, after=0.0):
+        """Let a caller send a packet of an open flow after some seconds."""
+        flow = builders.FLOW._replace(caller_port=1024 + len(self.callers))
+        at = self.now + after
+        caller = Caller(flow, owner, entry, at, at)
+        self.callers[flow] = caller
+        return caller
+
+    def is_wrongly_reset(self, caller):
+        """Return whether a flow was reset although its owner runs."""
+        return caller.reset is not None and self._is_running(caller.owner)
+
+    def _is_running(self, process):
+        return process is not None and self.running.get(process.host) is process
+
+    def _send_if_due(self, caller):
+        if caller.is_done or self.now < caller.next_at:
+            return
+        caller.next_at = self.now + caller.interval
+        caller.interval = min(2 * caller.interval, RETRANSMISSION_SECONDS[1])
+        receiver = caller.entry or self._route(caller.flow)
+        packet = builders.with_linked_datagram(builders.packet(flow=caller.flow))
+        self._execute_flow_actions(
+            receiver, receiver.flows.handle_packet(packet, self.now)
+        )
+
+    def _route(self, flow):
+        """Return the running entry that routers choose for a flow."""
+
+        def weight(process):
+            return zlib.crc32(f"{process.host} {flow.caller_port}".encode())
+
+        return max(self.entries, key=weight)
+
+    # Time.
+
+    def run_until(self, is_over, seconds):
+        """Advance the time until a condition holds, at most by some seconds."""
+        end = self.now + seconds
+        while self.now < end and not is_over():
+            self.step()
+
+    def run_until_answered(self, seconds):
+        """Advance the time until all packets are delivered or their flows reset."""
+        self.run_until(lambda: all(c.is_done for c in self.callers.values()), seconds)
+
+    def step(self):
+        """Advance the time by one step."""
+        super().step()
+        while self.events and self.events[0][0] <= self.now:
+            heapq.heappop(self.events)[2]()
+        for process in list(self.running.values()):
+            self.run_join(process)
+        for process in self.entries:
+            self._execute_flow_actions(process, process.flows.tick(self.now))
+        for caller in list(self.callers.values()):
+            self._send_if_due(caller)
+
+    def _schedule(self, work):
+        at = self.now + self.rng.uniform(*NETWORK_DELAY_SECONDS)
+        heapq.heappush(self.events, (at, next(self.event_order), work))
+
+    # Actions.
+
+    def execute(self, node, actions):
+        """Carry out what a member decided, and tell its entry of changed members."""
+        super().execute(node, actions)
+        process = self.running.get(node.member.host)
+        if process is None or process.flows is None:
+            return
+        for action in actions:
+            if isinstance(action, state.MemberChanged):
+                decided = process.flows.update_member(action.record, self.now)
+                self._execute_flow_actions(process, decided)
+
+    def _execute_flow_actions(self, process, decided):
+        for action in decided:
+            if isinstance(action, actions.Reset):
+                self._reset(action)
+            elif isinstance(action, actions.Forward):
+                self._send_to_agent(process, action.address, action.datagram.packet)
+            elif isinstance(action, actions.SendMessage):
+                packet = action.message.datagram.packet
+                self._send_to_agent(process, action.address, packet)
+
+    def _reset(self, action):
+        caller = self.callers[action.flow]
+        if caller.reset is None:
+            caller.reset = action
+            caller.reset_at = self.now
+
+    def _send_to_agent(self, sender, address, packet):
+        self._schedule(lambda: self._answer(sender, address, packet))
+
+    def _answer(self, sender, address, packet):
+        """Answer an entry as the agent at an address, if one runs there."""
+        agent = self.running.get(address.host)
+        if agent is None or agent.flows is not None:
+            return
+        caller = self.callers[packet.flow]
+        answer = messages.OwnershipDenied(packet.flow)
+        if caller.owner is agent:
+            answer = messages.OwnershipConfirmed(packet.flow)
+            if caller.delivered_at is None:
+                caller.delivered_at = self.now
+        peer = agent.membership.member.control_address
+        self._schedule(lambda: self._deliver_answer(sender, peer, answer))
+
+    def _deliver_answer(self, process, peer, answer):
+        if self._is_running(process):
+            decided = process.flows.handle_message(peer, answer, self.now)
+            self._execute_flow_actions(process, decided)
--- /dev/null
+++ b/tests/core/flows/test_started_entry.py
@@ -0,0 +1,337 @@
+"""Tests of what callers of open flows see while an entry starts."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from tests.core.flows import builders, fleet
+
+ENTRIES = 6
+SEEDS = 3
+QUIET_SECONDS = 1.0
+FIRST_PACKET_SECONDS = (0.05, 5.0)
+MAX_ANSWER_SECONDS = 5.0
+OWNED_FLOWS = 30
+UNOWNED_FLOWS = 3
+ADDED_AGENTS = 6
+STARTED_ENTRIES = 3
+AGENT_CHANGE_SECONDS = 0.5
+AGENT_KNOWN_SECONDS = 2.0
+ENTRY_RESTART_SECONDS = 0.4
+PACKET_SECONDS = 0.1
+
+
+def with_cases(fixture, *cases):
+    """Run a test with a fixture of each case: a number of agents, and more."""
+    return pytest.mark.parametrize(
+        fixture, cases, indirect=True, ids=lambda case: "-".join(map(str, case))
+    )
+
+
+class Calls:
+    """Callers that send packets of open flows to some entries."""
+
+    def __init__(self, members, owners, entries, seed):
+        """Add callers of flows with owner, and of some without.
+
+        Args:
+            members: The fleet.
+            owners: Agents that may own a flow.
+            entries: The entries; each gets packets of as many flows.
+            seed: Seed of all random choices.
+        """
+        self.members = members
+        self.owned = []
+        self.unowned = []
+        rng = random.Random(seed)
+        for receiver in entries:
+            for owner in rng.sample(owners, OWNED_FLOWS):
+                after = rng.uniform(*FIRST_PACKET_SECONDS)
+                self.owned.append(members.add_caller(owner, receiver, after))
+            self.unowned += [
+                members.add_caller(None, receiver, FIRST_PACKET_SECONDS[0])
+                for _ in range(UNOWNED_FLOWS)
+            ]
+
+    def run(self):
+        """Run the fleet until all callers should have an answer, and a while longer."""
+        seconds = FIRST_PACKET_SECONDS[1] + MAX_ANSWER_SECONDS
+        self.members.run_until_answered(seconds)
+        self.members.run(QUIET_SECONDS)
+        return self
+
+
+def make_fleet(agents, seed):
+    """Return a fleet in which all know each other and nothing changes."""
+    members = fleet.Fleet(agents, ENTRIES, seed)
+    members.run(QUIET_SECONDS)
+    return members
+
+
+def seeds_of(members):
+    return [process.address for process in members.entries[:SEEDS]]
+
+
+def assert_no_wrong_reset(calls):
+    wrong = [c for c in calls.owned if calls.members.is_wrongly_reset(c)]
+    evidence = [caller.reset.evidence for caller in wrong[:3]]
+    assert not wrong, f"{len(wrong)} of {len(calls.owned)} reset: {evidence}"
+
+
+def assert_delivered(calls):
+    late = [c for c in calls.owned if c.seconds_to_delivery > MAX_ANSWER_SECONDS]
+    assert not late, f"{len(late)} of {len(calls.owned)} not delivered in time"
+
+
+def assert_unowned_reset(calls):
+    late = [c for c in calls.unowned if c.seconds_to_reset > MAX_ANSWER_SECONDS]
+    assert not late, f"{len(late)} of {len(calls.unowned)} not reset in time"
+
+
+# One entry starts in a fleet in which nothing else changes.
+
+
+@pytest.fixture(scope="module")
+def started(request):
+    """Calls to an entry that starts; all others know each other."""
+    agents, seed = request.param
+    members = make_fleet(agents, seed)
+    owners = members.agents
+    started = members.start_entry(seeds_of(members))
+    return Calls(members, owners, [started], seed).run()
+
+
+started_cases = with_cases("started", (64, 1), (64, 2), (300, 1), (300, 2))
+
+
+@started_cases
+def test_started_entry_resets_no_flow_of_an_agent_it_has_not_met(started):
+    assert_no_wrong_reset(started)
+
+
+@started_cases
+def test_started_entry_delivers_to_an_agent_it_has_not_met(started):
+    assert_delivered(started)
+
+
+@started_cases
+def test_started_entry_resets_a_flow_without_owner(started):
+    assert_unowned_reset(started)
+
+
+# Entries start while agents join through the same seeds.
+
+
+@pytest.fixture(scope="module")
+def started_beside_others(request):
+    """Calls to entries whose seeds have just answered many joins."""
+    agents, seed = request.param
+    members = make_fleet(agents, seed)
+    owners = members.agents
+    seeds = seeds_of(members)
+    for _ in range(ADDED_AGENTS):
+        members.start_agent(seeds)
+        members.run(AGENT_CHANGE_SECONDS)
+    started = [members.start_entry(seeds) for _ in range(STARTED_ENTRIES)]
+    return Calls(members, owners, started, seed).run()
+
+
+beside_others_cases = with_cases(
+    "started_beside_others", (50, 1), (50, 2), (64, 1), (64, 2), (300, 1)
+)
+
+
+@beside_others_cases
+def test_entry_started_beside_others_resets_no_flow(started_beside_others):
+    assert_no_wrong_reset(started_beside_others)
+
+
+@beside_others_cases
+def test_entry_started_beside_others_delivers(started_beside_others):
+    assert_delivered(started_beside_others)
+
+
+@beside_others_cases
+def test_entry_started_beside_others_resets_a_flow_without_owner(
+    started_beside_others,
+):
+    assert_unowned_reset(started_beside_others)
+
+
+# Seeds that have just started themselves.
+
+
+@pytest.fixture(scope="module")
+def started_with_new_seed(request):
+    """Calls to an entry whose only seed has just started."""
+    agents, seed = request.param
+    members = make_fleet(agents, seed)
+    owners = members.agents
+    new_seed = members.start_entry(seeds_of(members))
+    started = members.start_entry([new_seed.address])
+    return Calls(members, owners, [started], seed).run()
+
+
+@pytest.fixture(scope="module")
+def started_pair(request):
+    """Calls to two entries started at once, each among the other's seeds."""
+    agents, seed = request.param
+    members = make_fleet(agents, seed)
+    owners = members.agents
+    known = members.entries[0].address
+    first = members.start_entry([known])
+    second = members.start_entry([first.address, known])
+    first.seeds = (second.address, known)
+    return Calls(members, owners, [first, second], seed).run()
+
+
+new_seed_cases = with_cases("started_with_new_seed", (64, 1), (64, 2), (300, 1))
+pair_cases = with_cases("started_pair", (64, 1), (64, 2), (300, 1))
+
+
+@new_seed_cases
+def test_entry_whose_only_seed_has_just_started_resets_no_flow(started_with_new_seed):
+    assert_no_wrong_reset(started_with_new_seed)
+
+
+@new_seed_cases
+def test_entry_whose_only_seed_has_just_started_delivers(started_with_new_seed):
+    assert_delivered(started_with_new_seed)
+
+
+@new_seed_cases
+def test_entry_whose_only_seed_has_just_started_resets_a_flow_without_owner(
+    started_with_new_seed,
+):
+    assert_unowned_reset(started_with_new_seed)
+
+
+@pair_cases
+def test_two_entries_started_at_once_reset_no_flow(started_pair):
+    assert_no_wrong_reset(started_pair)
+
+
+@pair_cases
+def test_two_entries_started_at_once_deliver(started_pair):
+    assert_delivered(started_pair)
+
+
+@pair_cases
+def test_two_entries_started_at_once_reset_a_flow_without_owner(started_pair):
+    assert_unowned_reset(started_pair)
+
+
+# All entries restart one after the other while agents are added and leave.
+
+
+class RollingRestart:
+    """Calls to a fleet whose entries restart while its agents change."""
+
+    def __init__(self, agents, entries, seed):
+        """Start a fleet; `run` restarts its entries."""
+        self.members = fleet.Fleet(agents, entries, seed)
+        self.rng = random.Random(seed)
+        self.owner_since = dict.fromkeys(self.members.agents, 0.0)
+        self.owned = []
+        self.unowned = []
+
+    def run(self):
+        """Restart all entries, then run on until all callers should have an answer."""
+        self.members.run(QUIET_SECONDS)
+        for process in self.members.entries:
+            self.members.restart_entry(process)
+            self.run_changes(ENTRY_RESTART_SECONDS)
+        self.members.run_until_answered(MAX_ANSWER_SECONDS)
+        self.owned = [c for c in self.owned if c.owner in self.owner_since]
+        return self
+
+    def run_changes(self, seconds):
+        """Run the fleet while agents change and callers send packets."""
+        end = self.members.now + seconds
+        while self.members.now < end:
+            if self.rng.random() < self.members.step_seconds / AGENT_CHANGE_SECONDS:
+                self.change_agents()
+            if self.rng.random() < self.members.step_seconds / PACKET_SECONDS:
+                self.add_callers()
+            self.members.step()
+
+    def owners(self):
+        """Return the agents that have run long enough to own flows."""
+        now = self.members.now
+        return [agent for agent, since in self.owner_since.items() if since <= now]
+
+    def change_agents(self):
+        """Stop one agent and start another."""
+        leaving = self.rng.choice(self.owners())
+        del self.owner_since[leaving]
+        self.members.stop(leaving)
+        added = self.members.start_agent(seeds_of(self.members))
+        self.owner_since[added] = self.members.now + AGENT_KNOWN_SECONDS
+
+    def add_callers(self):
+        """Let callers of a flow with and of one without owner send a packet."""
+        owner = self.rng.choice(self.owners())
+        self.owned.append(self.members.add_caller(owner))
+        self.unowned.append(self.members.add_caller(None))
+
+
+@pytest.fixture(scope="module")
+def rolling_restart(request):
+    """Calls during a rolling restart."""
+    return RollingRestart(*request.param).run()
+
+
+rolling_cases = with_cases(
+    "rolling_restart", (15, 4, 1), (40, 12, 2), (50, 12, 4), (61, 20, 2)
+)
+
+
+@rolling_cases
+def test_rolling_restart_resets_no_flow(rolling_restart):
+    assert_no_wrong_reset(rolling_restart)
+
+
+@rolling_cases
+def test_rolling_restart_delivers(rolling_restart):
+    assert_delivered(rolling_restart)
+
+
+@rolling_cases
+def test_flows_without_owner_are_reset_after_a_rolling_restart(rolling_restart):
+    still_open = [c for c in rolling_restart.unowned if c.reset is None]
+    assert not still_open, f"{len(still_open)} of {len(rolling_restart.unowned)} open"
+
+
+# An entry has known all agents for a while; the route led to another service before.
+
+
+@pytest.fixture(scope="module")
+def settled(request):
+    """Calls to an entry that knows all agents, of one or two services."""
+    agents, service_count = request.param
+    services = (builders.SERVICE, builders.OTHER_SERVICE)[:service_count]
+    members = fleet.Fleet(agents, 1, 1, services)
+    members.run(QUIET_SECONDS)
+    former = services[-1]
+    owners = [a for a in members.agents if a.serves(former)]
+    return Calls(members, owners, members.entries, 1).run()
+
+
+settled_cases = with_cases("settled", (66, 1), (66, 2), (300, 1), (300, 2))
+
+
+@settled_cases
+def test_entry_with_many_agents_resets_no_flow(settled):
+    assert_no_wrong_reset(settled)
+
+
+@settled_cases
+def test_entry_with_many_agents_asks_the_owner(settled):
+    assert_delivered(settled)
+
+
+@settled_cases
+def test_entry_with_many_agents_resets_a_flow_without_owner(settled):
+    assert_unowned_reset(settled)
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import random
 
 from cactushall_core import identifiers
@@ -11,11 +12,34 @@
 STEP_SECONDS = 0.05
 
 
+def clone(node, member, seed):
+    """Return a copy of a node as another member that knows the same fleet.
+
+    Args:
+        node: The node to copy.
+        member: Description of the other member.
+        seed: Seed of its random choices.
+    """
+    copied = copy.copy(node)
+    copied._member = member
+    copied._table = node.table.copy()
+    copied._broadcasts = copy.deepcopy(node._broadcasts)
+    copied._rng = random.Random(seed)
+    copied._probes = {}
+    copied._suspected_at = {}
+    copied._probe_order = []
+    copied._next_probe_at = copied._rng.random() * node._timing.probe_interval
+    copied._next_gossip_at = copied._rng.random() * node._timing.gossip_interval
+    copied._next_digest_at = copied._rng.random() * node._timing.digest_interval
+    return copied
+
+
 class Network:
     """Members that exchange datagrams without loss, except those that are cut off."""
 
-    def __init__(self, count, seed=1, timing=None):
+    def __init__(self, count, seed=1, timing=None, step_seconds=STEP_SECONDS):
         self.now = 0.0
+        self.step_seconds = step_seconds
         self.rng = random.Random(seed)
         self.timing = timing or state.Timing()
         self.nodes = {}
@@ -27,9 +51,12 @@
 
     def add(self, number):
         """Add a member that knows only itself."""
-        member = builders.make_agent(number).member
+        return self.add_member(builders.make_agent(number).member, number)
+
+    def add_member(self, member, seed):
+        """Add a member with a description; it knows only itself."""
         node = state.Membership(
-            member, builders.RING, self.timing, random.Random(number), self.now
+            member, builders.RING, self.timing, random.Random(seed), self.now
         )
         self.nodes[member.gossip_address] = node
         return node
@@ -58,11 +85,11 @@
 
     def step(self):
         """Deliver all datagrams in flight, then let all members tick."""
-        self.now += STEP_SECONDS
+        self.now += self.step_seconds
         arriving, self.in_flight = self.in_flight, []
         for source, address, datagram in arriving:
             node = self.nodes.get(address)
-            if node is None or {source, address} & self.cut:
+            if node is None or source == address or {source, address} & self.cut:
                 continue
             self.execute(node, node.handle_datagram(source, datagram, self.now))
         for address, node in list(self.nodes.items()):
