--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -30,6 +30,13 @@
 JOINED_CHECK_SECONDS = 0.5
 FLEET_STARTED_AT = 1_000_000.0
 SERVICE = builders.SERVICE
+FIRST_PACKET_SECONDS = (0.05, 5.0)
+MAX_ANSWER_SECONDS = 5.0
+QUIET_SECONDS = 1.0
+OWNED_FLOWS = 30
+UNOWNED_FLOWS = 3
+ADDED_AGENTS = 6
+AGENT_START_SECONDS = 0.5
 
 
 @dataclasses.dataclass(eq=False)
@@ -94,6 +101,12 @@
     reset_at: float | None = None
     reset: actions.Reset | None = None
 
+    def send_again(self, at):
+        """Send another packet at some time, until that one is answered."""
+        self.delivered_at = None
+        self.first_sent_at = self.next_at = at
+        self.interval = RETRANSMISSION_SECONDS[0]
+
     @property
     def is_done(self):
         """Whether the packet was delivered or its flow reset."""
@@ -348,3 +361,43 @@
         if self._is_running(process):
             decided = process.flows.handle_message(peer, answer, self.now)
             self._execute_flow_actions(process, decided)
+
+
+class Calls:
+    """Callers that send packets of open flows to some entries."""
+
+    def __init__(self, members, owners, entries, seed):
+        """Add callers of flows with owner, and of some without.
+
+        Args:
+            members: The fleet.
+            owners: Agents that may own a flow.
+            entries: The entries; each gets packets of as many flows.
+            seed: Seed of all random choices.
+        """
+        self.members = members
+        self.owned = []
+        self.unowned = []
+        rng = random.Random(seed)
+        for receiver in entries:
+            for owner in rng.sample(owners, min(OWNED_FLOWS, len(owners))):
+                after = rng.uniform(*FIRST_PACKET_SECONDS)
+                self.owned.append(members.add_caller(owner, receiver, after))
+            self.unowned += [
+                members.add_caller(None, receiver, FIRST_PACKET_SECONDS[0])
+                for _ in range(UNOWNED_FLOWS)
+            ]
+
+    def run(self):
+        """Run the fleet until all callers should have an answer, and a while longer."""
+        seconds = FIRST_PACKET_SECONDS[1] + MAX_ANSWER_SECONDS
+        self.members.run_until_answered(seconds)
+        self.members.run(QUIET_SECONDS)
+        return self
+
+
+def add_agents(members, seeds):
+    """Let some agents join through the same seeds, one shortly after the other."""
+    for _ in range(ADDED_AGENTS):
+        members.start_agent(seeds)
+        members.run(AGENT_START_SECONDS)
--- a/tests/core/flows/test_started_entry.py
+++ b/tests/core/flows/test_started_entry.py
@@ -10,12 +10,6 @@
 
 ENTRIES = 6
 SEEDS = 3
-QUIET_SECONDS = 1.0
-FIRST_PACKET_SECONDS = (0.05, 5.0)
-MAX_ANSWER_SECONDS = 5.0
-OWNED_FLOWS = 30
-UNOWNED_FLOWS = 3
-ADDED_AGENTS = 6
 STARTED_ENTRIES = 3
 AGENT_CHANGE_SECONDS = 0.5
 AGENT_KNOWN_SECONDS = 2.0
@@ -30,43 +24,10 @@
     )
 
 
-class Calls:
-    """Callers that send packets of open flows to some entries."""
-
-    def __init__(self, members, owners, entries, seed):
-        """Add callers of flows with owner, and of some without.
-
-        Args:
-            members: The fleet.
-            owners: Agents that may own a flow.
-            entries: The entries; each gets packets of as many flows.
-            seed: Seed of all random choices.
-        """
-        self.members = members
-        self.owned = []
-        self.unowned = []
-        rng = random.Random(seed)
-        for receiver in entries:
-            for owner in rng.sample(owners, OWNED_FLOWS):
-                after = rng.uniform(*FIRST_PACKET_SECONDS)
-                self.owned.append(members.add_caller(owner, receiver, after))
-            self.unowned += [
-                members.add_caller(None, receiver, FIRST_PACKET_SECONDS[0])
-                for _ in range(UNOWNED_FLOWS)
-            ]
-
-    def run(self):
-        """Run the fleet until all callers should have an answer, and a while longer."""
-        seconds = FIRST_PACKET_SECONDS[1] + MAX_ANSWER_SECONDS
-        self.members.run_until_answered(seconds)
-        self.members.run(QUIET_SECONDS)
-        return self
-
-
 def make_fleet(agents, seed):
     """Return a fleet in which all know each other and nothing changes."""
     members = fleet.Fleet(agents, ENTRIES, seed)
-    members.run(QUIET_SECONDS)
+    members.run(fleet.QUIET_SECONDS)
     return members
 
 
@@ -81,12 +42,12 @@
 
 
 def assert_delivered(calls):
-    late = [c for c in calls.owned if c.seconds_to_delivery > MAX_ANSWER_SECONDS]
+    late = [c for c in calls.owned if c.seconds_to_delivery > fleet.MAX_ANSWER_SECONDS]
     assert not late, f"{len(late)} of {len(calls.owned)} not delivered in time"
 
 
 def assert_unowned_reset(calls):
-    late = [c for c in calls.unowned if c.seconds_to_reset > MAX_ANSWER_SECONDS]
+    late = [c for c in calls.unowned if c.seconds_to_reset > fleet.MAX_ANSWER_SECONDS]
     assert not late, f"{len(late)} of {len(calls.unowned)} not reset in time"
 
 
@@ -100,7 +61,7 @@
     members = make_fleet(agents, seed)
     owners = members.agents
     started = members.start_entry(seeds_of(members))
-    return Calls(members, owners, [started], seed).run()
+    return fleet.Calls(members, owners, [started], seed).run()
 
 
 started_cases = with_cases("started", (64, 1), (64, 2), (300, 1), (300, 2))
@@ -131,11 +92,9 @@
     members = make_fleet(agents, seed)
     owners = members.agents
     seeds = seeds_of(members)
-    for _ in range(ADDED_AGENTS):
-        members.start_agent(seeds)
-        members.run(AGENT_CHANGE_SECONDS)
+    fleet.add_agents(members, seeds)
     started = [members.start_entry(seeds) for _ in range(STARTED_ENTRIES)]
-    return Calls(members, owners, started, seed).run()
+    return fleet.Calls(members, owners, started, seed).run()
 
 
 beside_others_cases = with_cases(
@@ -171,7 +130,7 @@
     owners = members.agents
     new_seed = members.start_entry(seeds_of(members))
     started = members.start_entry([new_seed.address])
-    return Calls(members, owners, [started], seed).run()
+    return fleet.Calls(members, owners, [started], seed).run()
 
 
 @pytest.fixture(scope="module")
@@ -184,7 +143,7 @@
     first = members.start_entry([known])
     second = members.start_entry([first.address, known])
     first.seeds = (second.address, known)
-    return Calls(members, owners, [first, second], seed).run()
+    return fleet.Calls(members, owners, [first, second], seed).run()
 
 
 new_seed_cases = with_cases("started_with_new_seed", (64, 1), (64, 2), (300, 1))
@@ -239,11 +198,11 @@
 
     def run(self):
         """Restart all entries, then run on until all callers should have an answer."""
-        self.members.run(QUIET_SECONDS)
+        self.members.run(fleet.QUIET_SECONDS)
         for process in self.members.entries:
             self.members.restart_entry(process)
             self.run_changes(ENTRY_RESTART_SECONDS)
-        self.members.run_until_answered(MAX_ANSWER_SECONDS)
+        self.members.run_until_answered(fleet.MAX_ANSWER_SECONDS)
         self.owned = [c for c in self.owned if c.owner in self.owner_since]
         return self
 
@@ -313,10 +272,10 @@
     agents, service_count = request.param
     services = (builders.SERVICE, builders.OTHER_SERVICE)[:service_count]
     members = fleet.Fleet(agents, 1, 1, services)
-    members.run(QUIET_SECONDS)
+    members.run(fleet.QUIET_SECONDS)
     former = services[-1]
     owners = [a for a in members.agents if a.serves(former)]
-    return Calls(members, owners, members.entries, 1).run()
+    return fleet.Calls(members, owners, members.entries, 1).run()
 
 
 settled_cases = with_cases("settled", (66, 1), (66, 2), (300, 1), (300, 2))
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import copy
 import random
 
@@ -46,6 +47,8 @@
         self.cut = set()
         self.fetches = []
         self.in_flight = []
+        self.sent_bytes = collections.Counter()
+        self.received_bytes = collections.Counter()
         for number in range(count):
             self.add(number)
 
@@ -102,6 +105,8 @@
         for action in actions:
             if isinstance(action, state.Send):
                 self.in_flight.append((source, action.address, action.datagram))
+                self.sent_bytes[source] += len(action.datagram)
+                self.received_bytes[action.address] += len(action.datagram)
             elif isinstance(action, state.FetchConfiguration):
                 self.fetches.append((node, action))
 
