--- a/bench/certainty.py
+++ b/bench/certainty.py
@@ -59,7 +59,7 @@
         """Look at the entry after a step of the simulation."""
         if self._complete_at < math.inf:
             return
-        address = self._started.address
+        address = self._started.membership.member.gossip_address
         self._sent_bytes = self._members.sent_bytes[address]
         self._received_bytes = self._members.received_bytes[address]
         if self._knows_all():
--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -112,6 +112,9 @@
         possible_owners: Number of known agents that may have owned it.
         asked_silent: Number of possible owners that were asked and have not answered.
         newest_change_seconds: Time since an agent last appeared or disappeared.
+        table_basis: Why the entry's table of members counts as complete.
+        table_source: Host of the member whose answer completed it.
+        table_age_seconds: Time since then.
     """
 
     denied: int
@@ -122,6 +125,9 @@
     possible_owners: int
     asked_silent: int
     newest_change_seconds: float
+    table_basis: str
+    table_source: str
+    table_age_seconds: float
 
 
 class Forward(typing.NamedTuple):
--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -3,22 +3,26 @@
 from __future__ import annotations
 
 from cactushall_core.flows import directory, routes
+from cactushall_core.membership import completeness
 
-STARTUP_SETTLE_SECONDS = 0.6
-MEMBERSHIP_SETTLE_SECONDS = 0.3
 STALE_AFTER_PAUSE_SECONDS = 0.1
 
 
 class ClusterView:
-    """Routes and agents, and how long the view has been undisturbed."""
+    """Routes and agents, and the evidence that all agents are known."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         """Start without routes and agents."""
         self._agents = directory.AgentDirectory()
         self._route_table = routes.EMPTY
-        self._settling_since = now
+        self._evidence: completeness.Evidence | None = None
         self._stale_until = float("-inf")
 
+    @property
+    def evidence(self) -> completeness.Evidence | None:
+        """Why all agents are known, None where some may not be."""
+        return self._evidence
+
     @property
     def agents(self) -> directory.AgentDirectory:
         """All agents."""
@@ -34,16 +38,19 @@
         self._route_table = table
 
     def handle_pause(self, now: float) -> None:
-        """Record that this process was paused until now."""
-        self._settling_since = now
+        """Record that this process was paused until now, and has missed updates."""
+        self._evidence = None
         self._stale_until = now + STALE_AFTER_PAUSE_SECONDS
 
     def is_stale(self, now: float) -> bool:
         """Return whether packets that arrive now may have queued during a pause."""
         return now < self._stale_until
 
-    def is_settled(self, now: float) -> bool:
-        """Return whether there was time to discover all agents."""
-        has_started = now - self._settling_since >= STARTUP_SETTLE_SECONDS
-        is_stable = now - self._agents.changed_at >= MEMBERSHIP_SETTLE_SECONDS
-        return has_started and is_stable and self._route_table.is_known
+    def update_evidence(self, evidence: completeness.Evidence | None) -> None:
+        """Set why all agents are known, None where some may not be."""
+        self._evidence = evidence
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the routes and all agents are known."""
+        return self.evidence is not None and self._route_table.is_known
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -21,7 +21,7 @@
     pending_flows,
     routes,
 )
-from cactushall_core.membership import records
+from cactushall_core.membership import completeness, records
 
 SEQUENCE_WINDOW_BYTES = 76_800
 CLOSED_RETENTION_SECONDS = 5.0
@@ -68,7 +68,7 @@
             rng: Source of random choices.
             now: Current time in seconds.
         """
-        self._view = cluster_view.ClusterView(now)
+        self._view = cluster_view.ClusterView()
         self._pending = pending_flows.PendingFlows(self._view, zone, rng)
         self._lookups = lookups.Lookups(self._view)
         self._owned: dict[packets.FlowId, OwnedFlow] = {}
@@ -105,6 +105,13 @@
         self._view.agents.update(record, now)
         return self.tick(now)
 
+    def update_completeness(
+        self, evidence: completeness.Evidence | None, now: float
+    ) -> list[actions.Action]:
+        """Set why all agents are known, None where some may not be."""
+        self._view.update_evidence(evidence)
+        return self.tick(now)
+
     def handle_pause(self, now: float) -> None:
         """Record that this process was paused until now, so that its view is old."""
         self._view.handle_pause(now)
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -16,7 +16,7 @@
     messages,
     packets,
 )
-from cactushall_core.membership import records
+from cactushall_core.membership import completeness, records
 
 RETRY_INTERVAL_SECONDS = 0.15
 NEGATIVE_REPLY_TTL_SECONDS = 2.0
@@ -131,9 +131,10 @@
     ) -> list[actions.Action]:
         """Reset a flow if it certainly has no owner."""
         lookup = self._flows.get(flow_id)
-        if lookup is None or not self._view.is_settled(now):
+        table = self._view.evidence
+        if lookup is None or table is None or not self._view.is_complete:
             return []
-        evidence = self._no_owner_evidence(flow_id, lookup, now)
+        evidence = self._no_owner_evidence(flow_id, lookup, table, now)
         if evidence is None:
             return []
         del self._flows[flow_id]
@@ -183,7 +184,11 @@
         ]
 
     def _no_owner_evidence(
-        self, flow_id: packets.FlowId, lookup: Lookup, now: float
+        self,
+        flow_id: packets.FlowId,
+        lookup: Lookup,
+        table: completeness.Evidence,
+        now: float,
     ) -> actions.NoOwnerEvidence | None:
         """Return why a flow certainly has no owner, None where that is not certain.
 
@@ -208,6 +213,9 @@
             possible_owners=len(owners),
             asked_silent=sum(agent.member.id in lookup.asked for agent in silent),
             newest_change_seconds=now - self._view.agents.changed_at,
+            table_basis=table.basis.value,
+            table_source=table.source.host,
+            table_age_seconds=now - table.obtained_at,
         )
 
 
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -142,9 +142,7 @@
         accepting = self._view.agents.accepting(route.service_of(flow_id))
         candidates = [a for a in accepting if a.packet_address not in flow.declined]
         if not candidates:
-            timeout = (
-                0.0 if self._view.is_settled(now) else packets.OPENING_TIMEOUT_SECONDS
-            )
+            timeout = 0.0 if self._view.is_complete else packets.OPENING_TIMEOUT_SECONDS
             return self._queue_or_refuse(flow, 0, now, timeout)
         untried = [a for a in candidates if a.packet_address not in flow.tried]
         objective = route.objective_seconds
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -0,0 +1,222 @@
+"""Evidence that a member's table holds all members of the fleet.
+
+A member that has just started, was paused or was cut off has missed updates. It asks
+others for their tables until one that is complete itself has answered and had heard of
+it before through others: from then on it receives all updates. Where a whole fleet
+starts, no member is complete, and the first ones have to go by time.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+import typing
+
+import msgspec
+
+from cactushall_core import addresses, identifiers
+from cactushall_core.membership import messages, records
+
+COLD_START_SECONDS = 0.6
+COLD_START_STABLE_SECONDS = 0.3
+COLD_START_ANSWERS = 16
+ASKED_AT_ONCE = 2
+LONGEST_RUNNING = 16
+ASK_INTERVAL_SECONDS = 0.2
+
+
+class Basis(enum.Enum):
+    """Why a table counts as complete.
+
+    COMPLETE_MEMBER: A complete member has answered that had heard of this one.
+    COLD_START: No member that could be asked is complete, and none has been discovered
+        for a while.
+    """
+
+    COMPLETE_MEMBER = "complete-member"
+    COLD_START = "cold-start"
+
+
+class Answer(enum.Enum):
+    """The latest answer of a member that was asked for its table."""
+
+    COMPLETE = "complete"
+    INCOMPLETE = "incomplete"
+    NONE = "none"
+
+
+class Evidence(msgspec.Struct, frozen=True):
+    """Why a table counts as complete.
+
+    Attributes:
+        basis: The kind of evidence.
+        source: Control address of the member that answered last.
+        answers: Number of members that have answered.
+        asked_seconds: Time between the first question and the evidence.
+        obtained_at: When it was obtained.
+    """
+
+    basis: Basis
+    source: addresses.Address
+    answers: int
+    asked_seconds: float
+    obtained_at: float
+
+
+class Completeness:
+    """Whether the table of a member is complete, and whom to ask for theirs.
+
+    Addresses are control addresses. The present time is an argument of all methods.
+    """
+
+    def __init__(self, rng: random.Random, now: float) -> None:
+        """Start with an incomplete table.
+
+        Args:
+            rng: Chooses the members to ask.
+            now: Current time in seconds.
+        """
+        self._rng = rng
+        self._evidence: Evidence | None = None
+        self._incomplete_since = now
+        self._last_new_member_at = now
+        self._answers: dict[addresses.Address, Answer] = {}
+        self._in_progress: set[addresses.Address] = set()
+        self._asked_at: dict[addresses.Address, float] = {}
+
+    @property
+    def evidence(self) -> Evidence | None:
+        """Why the table is complete, None where it may not be."""
+        return self._evidence
+
+    @property
+    def is_asking(self) -> bool:
+        """Whether members still have to be asked."""
+        return self.evidence is None
+
+    def restart(self, now: float) -> None:
+        """Record that updates may have been missed until now."""
+        self._evidence = None
+        self._incomplete_since = now
+        self._answers.clear()
+        self._asked_at.clear()
+
+    def handle_new_member(self, now: float) -> None:
+        """Record that a member was discovered."""
+        self._last_new_member_at = now
+
+    def next_targets(
+        self,
+        contacts: typing.Iterable[addresses.Address],
+        present: typing.Sequence[records.Member],
+        now: float,
+    ) -> list[addresses.Address]:
+        """Return the members to ask now; their answers are awaited from then on.
+
+        Args:
+            contacts: Contact points, which may not be running.
+            present: All other members that are believed to run.
+            now: Current time in seconds.
+        """
+        targets = self._silent_contacts(contacts, now)
+        targets += self._choose_members(present, now)
+        chosen = list(dict.fromkeys(targets))
+        self._in_progress.update(chosen)
+        self._asked_at.update(dict.fromkeys(chosen, now))
+        return chosen
+
+    def handle_reply(
+        self,
+        source: addresses.Address,
+        reply: messages.TableReply,
+        present: typing.Sequence[records.Member],
+        now: float,
+    ) -> None:
+        """Handle the answer of a member, after its records were merged.
+
+        Args:
+            source: The member that has answered.
+            reply: Its answer.
+            present: All other members that are believed to run.
+            now: Current time in seconds.
+        """
+        is_first_answer = source not in self._answers
+        self._in_progress.discard(source)
+        self._answers[source] = (
+            Answer.COMPLETE if reply.is_complete else Answer.INCOMPLETE
+        )
+        if self._evidence is not None or not reply.is_complete:
+            return
+        # The first question itself makes this member known to the one that is asked.
+        is_known_through_others = is_first_answer or not self._unanswered(present)
+        if reply.knew_sender and is_known_through_others:
+            self._conclude(Basis.COMPLETE_MEMBER, source, now)
+
+    def handle_failure(self, source: addresses.Address, now: float) -> None:
+        """Record that a member did not answer."""
+        self._in_progress.discard(source)
+        self._answers[source] = Answer.NONE
+
+    def tick(self, present: typing.Sequence[records.Member], now: float) -> None:
+        """Conclude that the whole fleet has just started, where that is so."""
+        if self._evidence is not None:
+            return
+        is_early = now - self._incomplete_since < COLD_START_SECONDS
+        is_stable = now - self._last_new_member_at >= COLD_START_STABLE_SECONDS
+        if is_early or not is_stable or Answer.COMPLETE in self._answers.values():
+            return
+        answered = [a for a, kind in self._answers.items() if kind is not Answer.NONE]
+        is_enough = len(answered) >= COLD_START_ANSWERS
+        if answered and (is_enough or not self._unanswered(present)):
+            self._conclude(Basis.COLD_START, answered[-1], now)
+
+    def _conclude(self, basis: Basis, source: addresses.Address, now: float) -> None:
+        answers = sum(kind is not Answer.NONE for kind in self._answers.values())
+        asked_seconds = now - self._incomplete_since
+        self._evidence = Evidence(basis, source, answers, asked_seconds, now)
+
+    def _may_ask(self, address: addresses.Address, now: float) -> bool:
+        asked_at = self._asked_at.get(address, float("-inf"))
+        is_due = now - asked_at >= ASK_INTERVAL_SECONDS
+        return is_due and address not in self._in_progress
+
+    def _silent_contacts(
+        self, contacts: typing.Iterable[addresses.Address], now: float
+    ) -> list[addresses.Address]:
+        """Return the contact points that have not answered and may be asked."""
+        return [
+            address
+            for address in contacts
+            if self._may_ask(address, now)
+            and self._answers.get(address, Answer.NONE) is Answer.NONE
+        ]
+
+    def _unanswered(
+        self, present: typing.Sequence[records.Member]
+    ) -> list[records.Member]:
+        return [m for m in present if m.control_address not in self._answers]
+
+    def _choose_members(
+        self, present: typing.Sequence[records.Member], now: float
+    ) -> list[addresses.Address]:
+        """Return some members, preferably such as have not been asked.
+
+        One of them is among those that run longest, which are the most likely to be
+        complete where many others have just started.
+        """
+        candidates = [
+            member
+            for member in self._unanswered(present) or present
+            if self._may_ask(member.control_address, now)
+        ]
+        if not candidates:
+            return []
+        by_start = sorted(candidates, key=_start_order)
+        longest_running = self._rng.choice(by_start[:LONGEST_RUNNING])
+        others = self._rng.sample(candidates, min(len(candidates), ASKED_AT_ONCE - 1))
+        return [member.control_address for member in (longest_running, *others)]
+
+
+def _start_order(member: records.Member) -> identifiers.MemberId:
+    """Return the id of a member; ids grow with the time of the start."""
+    return member.id
--- a/packages/cactushall-core/cactushall_core/membership/messages.py
+++ b/packages/cactushall-core/cactushall_core/membership/messages.py
@@ -9,6 +9,8 @@
 
 VERSION = 1
 
+_EXCHANGE_CONTEXT = b"table"
+
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Asks the target for an acknowledgement."""
@@ -61,13 +63,7 @@
     ids: tuple[identifiers.MemberId, ...]
 
 
-class Join(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """Asks for all records; sent by a member that has just started."""
-
-
-Body = (
-    Probe | Ack | IndirectProbe | Gossip | Digest | BucketSummary | RecordRequest | Join
-)
+Body = Probe | Ack | IndirectProbe | Gossip | Digest | BucketSummary | RecordRequest
 
 
 class Packet(msgspec.Struct, frozen=True, array_like=True):
@@ -86,7 +82,37 @@
     updates: tuple[records.Update, ...] = ()
 
 
+class TableRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a member, over a connection, for all records that the sender lacks.
+
+    Attributes:
+        sender: Record of the sender.
+        digest: Digest of the sender's table.
+        records: Records that the receiver may lack.
+    """
+
+    sender: records.Record
+    digest: bytes
+    records: tuple[records.Record, ...] = ()
+
+
+class TableReply(msgspec.Struct, frozen=True, array_like=True):
+    """Answers a request for a table.
+
+    Attributes:
+        is_complete: Whether the table of the member that answers is complete.
+        knew_sender: Whether that member had heard of the sender before the request.
+        records: All records in the buckets whose hashes differ.
+    """
+
+    is_complete: bool
+    knew_sender: bool
+    records: tuple[records.Record, ...]
+
+
 _encoder = msgspec.msgpack.Encoder()
+_request_decoder = msgspec.msgpack.Decoder(TableRequest)
+_reply_decoder = msgspec.msgpack.Decoder(TableReply)
 _decoder = msgspec.msgpack.Decoder(Packet)
 _table_decoder = msgspec.msgpack.Decoder(tuple[records.Record, ...])
 
@@ -98,6 +124,13 @@
     )
 
 
+def make_exchange_authenticator(key_ring: tuple[keys.Key, ...]) -> keys.Authenticator:
+    """Return the authenticator for exchanges of tables."""
+    return keys.Authenticator(
+        key_ring, keys.Purpose.GOSSIP, _EXCHANGE_CONTEXT, signed_datagram.TAG_BYTES
+    )
+
+
 def encode(authenticator: keys.Authenticator, packet: Packet) -> bytes:
     """Encode and sign one datagram."""
     return signed_datagram.encode(authenticator, VERSION, packet)
@@ -118,6 +151,35 @@
     return len(_encoder.encode(update))
 
 
+def encode_exchange(
+    authenticator: keys.Authenticator, message: TableRequest | TableReply
+) -> bytes:
+    """Encode and sign a request for a table or the answer to one."""
+    return signed_datagram.encode(authenticator, VERSION, message)
+
+
+def decode_table_request(
+    authenticator: keys.Authenticator, data: bytes
+) -> TableRequest:
+    """Decode and verify a request for a table.
+
+    Raises:
+        DecodeError: The data is malformed.
+        AuthenticationError: The authentication tag is invalid.
+    """
+    return signed_datagram.decode(authenticator, VERSION, data, _request_decoder)
+
+
+def decode_table_reply(authenticator: keys.Authenticator, data: bytes) -> TableReply:
+    """Decode and verify the answer to a request for a table.
+
+    Raises:
+        DecodeError: The data is malformed.
+        AuthenticationError: The authentication tag is invalid.
+    """
+    return signed_datagram.decode(authenticator, VERSION, data, _reply_decoder)
+
+
 def encode_table(table: tuple[records.Record, ...]) -> bytes:
     """Encode a whole membership table, for a joining member."""
     return _encoder.encode(table)
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -9,7 +9,13 @@
 import msgspec
 
 from cactushall_core import addresses, exceptions, identifiers, keys
-from cactushall_core.membership import broadcasts, messages, records, table
+from cactushall_core.membership import (
+    broadcasts,
+    completeness,
+    messages,
+    records,
+    table,
+)
 
 MAX_DATAGRAM_BYTES = 1200
 PACKET_OVERHEAD_BYTES = 64
@@ -45,9 +51,8 @@
 
 INDIRECT_PROBES = 3
 GOSSIP_FANOUT = 2
-MAX_BROADCAST_RECORDS = 16
 MAX_BUCKETS_PER_DIGEST = 4
-MAX_JOINS_AFTER_START = 3
+ISOLATION_PROBE_INTERVALS = 3
 
 
 class Send(msgspec.Struct, frozen=True):
@@ -70,7 +75,28 @@
     revision: identifiers.Revision
 
 
-Action = Send | MemberChanged | FetchConfiguration
+class CompletenessChanged(msgspec.Struct, frozen=True):
+    """The table of this member has become complete, or may not be complete any more.
+
+    Attributes:
+        evidence: Why it is complete, None where it may not be.
+    """
+
+    evidence: completeness.Evidence | None
+
+
+class RequestTable(msgspec.Struct, frozen=True):
+    """Ask the member at a control address for its table, over a connection.
+
+    Its answer or the failure is handed to `handle_table_reply` or
+    `handle_table_failure`.
+    """
+
+    address: addresses.Address
+    request: messages.TableRequest
+
+
+Action = Send | MemberChanged | FetchConfiguration | CompletenessChanged | RequestTable
 
 
 class _PendingProbe(msgspec.Struct):
@@ -134,7 +160,10 @@
         self._next_gossip_at = now
         self._next_digest_at = now + rng.random() * timing.digest_interval
         self._next_dead_probe_at = now + timing.dead_probe_interval
-        self._joins_left = MAX_JOINS_AFTER_START
+        self._completeness = completeness.Completeness(rng, now)
+        self._reported_evidence: completeness.Evidence | None = None
+        self._contacts: tuple[addresses.Address, ...] = ()
+        self._last_received_at = now
         self._sent_bytes = 0
         self._table.put(self._own_record(), now)
 
@@ -153,8 +182,13 @@
         """Payload bytes sent so far."""
         return self._sent_bytes
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the table holds all members."""
+        return self._completeness.evidence is not None
+
     def snapshot(self) -> tuple[records.Record, ...]:
-        """Return all records, for a joining member."""
+        """Return all records."""
         return tuple(self._table)
 
     def next_wakeup(self, now: float) -> float:
@@ -182,23 +216,25 @@
         self._revision = revision
         self._revision_rounds = broadcasts.transmit_limit(self._table.present_count)
 
-    def merge(self, received: tuple[records.Record, ...], now: float) -> list[Action]:
-        """Merge another member's whole table into this one.
+    def merge(
+        self,
+        received: typing.Iterable[records.Record],
+        now: float,
+        *,
+        is_broadcast: bool = False,
+    ) -> list[Action]:
+        """Merge records of another member's table into this one.
 
-        A short table comes from a joining member, so its records are broadcast. The
-        records of a long one are already known to others.
+        Args:
+            received: The records.
+            now: Current time in seconds.
+            is_broadcast: Whether the records may be news to other members.
         """
-        is_broadcast = len(received) <= MAX_BROADCAST_RECORDS
-        self._joins_left = 0
         actions: list[Action] = []
         for record in received:
             actions += self._apply_record(record, now, is_broadcast=is_broadcast)
         return actions
 
-    def announce(self, now: float) -> list[Action]:
-        """Announce this member to others after it has joined."""
-        return self._announce(now)
-
     def send_own_record(
         self, members: typing.Iterable[addresses.Address]
     ) -> list[Action]:
@@ -206,13 +242,101 @@
         own = (self._own_record(),)
         return [self._send(address, messages.Gossip(), own) for address in members]
 
-    def join(self, contacts: typing.Iterable[addresses.Address]) -> list[Action]:
-        """Ask members at some gossip addresses for all their records."""
-        own = (self._own_record(),)
+    # Exchange of tables.
+
+    def set_contacts(self, contacts: typing.Iterable[addresses.Address]) -> None:
+        """Set the control addresses of contact points, which may not be running."""
+        own = self._member.control_address
+        self._contacts = tuple(address for address in contacts if address != own)
+
+    def request_merge(self, address: addresses.Address) -> list[Action]:
+        """Exchange whole tables with a member of what may be another fleet."""
+        return [RequestTable(address, self._table_request(self.snapshot()))]
+
+    def _request_tables(self, now: float) -> list[Action]:
+        if not self._completeness.is_asking:
+            return []
+        targets = self._completeness.next_targets(
+            self._contacts, self._present_members(), now
+        )
+        return [RequestTable(address, self._table_request()) for address in targets]
+
+    def _table_request(
+        self, offered: tuple[records.Record, ...] = ()
+    ) -> messages.TableRequest:
+        return messages.TableRequest(self._own_record(), self._table.digest(), offered)
+
+    def handle_table_request(
+        self, request: messages.TableRequest, now: float
+    ) -> tuple[messages.TableReply, list[Action]]:
+        """Handle another member's request for a table.
+
+        Returns:
+            The answer, and the actions to carry out.
+        """
+        known = self._table.get(request.sender.member.id)
+        differing = self._table.differing_buckets(request.digest)
+        reply = messages.TableReply(
+            is_complete=self.is_complete,
+            knew_sender=known is not None and known.is_present,
+            records=tuple(
+                record
+                for bucket in differing
+                for record in self._table.bucket_records(bucket)
+            ),
+        )
+        actions = self.merge((request.sender,), now, is_broadcast=True)
+        return reply, actions + self.merge(request.records, now)
+
+    def handle_table_reply(
+        self, source: addresses.Address, reply: messages.TableReply, now: float
+    ) -> list[Action]:
+        """Handle the answer to a request for a table.
+
+        Args:
+            source: Control address of the member that has answered.
+            reply: Its answer.
+            now: Current time in seconds.
+        """
+        actions = self.merge(reply.records, now)
+        self._completeness.handle_reply(source, reply, self._present_members(), now)
+        return actions + self._report_completeness()
+
+    def handle_table_failure(
+        self, source: addresses.Address, now: float
+    ) -> list[Action]:
+        """Handle a request for a table that was not answered."""
+        self._completeness.handle_failure(source, now)
+        return self._report_completeness()
+
+    def handle_pause(self, now: float) -> list[Action]:
+        """Record that this process was paused until now and has missed updates."""
+        self._last_received_at = now
+        self._completeness.restart(now)
+        return self._report_completeness()
+
+    def _check_completeness(self, now: float) -> list[Action]:
+        isolation_seconds = ISOLATION_PROBE_INTERVALS * self._timing.probe_interval
+        is_alone = self._table.present_count <= 1
+        if not is_alone and now - self._last_received_at >= isolation_seconds:
+            self._completeness.restart(now)
+        elif self._completeness.is_asking:
+            self._completeness.tick(self._present_members(), now)
+        return self._report_completeness() + self._request_tables(now)
+
+    def _report_completeness(self) -> list[Action]:
+        evidence = self._completeness.evidence
+        if evidence is self._reported_evidence:
+            return []
+        self._reported_evidence = evidence
+        return [CompletenessChanged(evidence)]
+
+    def _present_members(self) -> list[records.Member]:
+        """Return all other members that are believed to run."""
         return [
-            self._send(contact, messages.Join(), own)
-            for contact in contacts
-            if contact != self._member.gossip_address
+            record.member
+            for record in self._table
+            if record.is_present and record.member.id != self._member.id
         ]
 
     def tick(self, now: float) -> list[Action]:
@@ -226,7 +350,7 @@
         if now >= self._next_gossip_at:
             self._next_gossip_at = now + self._timing.gossip_interval
             actions += self._gossip(now)
-            actions += self._join_known_member()
+            actions += self._check_completeness(now)
         if now >= self._next_digest_at:
             self._next_digest_at = now + self._timing.digest_interval
             actions += self._send_digest()
@@ -249,6 +373,7 @@
             raise exceptions.DecodeError(
                 "datagram carries this member's own id as its sender"
             )
+        self._last_received_at = now
         actions: list[Action] = []
         for update in packet.updates:
             actions += self._apply(update, now)
@@ -271,8 +396,6 @@
             return self._handle_bucket_summary(sender, body)
         if isinstance(body, messages.RecordRequest):
             return self._handle_record_request(sender, body)
-        if isinstance(body, messages.Join):
-            return self._send_records(sender, list(self._table))
         return []
 
     # Failure detection.
@@ -403,20 +526,6 @@
         extra = (target, self._own_record())
         return [self._send(target.member.gossip_address, body, extra)]
 
-    def _join_known_member(self) -> list[Action]:
-        """Ask a known member for all its records, a few times after the start.
-
-        Other members may contact a restarted member before it has joined. It would
-        know only these for a long time if its contact points and the store were
-        unreachable.
-        """
-        if not self._joins_left:
-            return []
-        targets = self._random_present(1)
-        if targets:
-            self._joins_left -= 1
-        return self.join(target.member.gossip_address for target in targets)
-
     # Dissemination.
 
     def _gossip(self, now: float) -> list[Action]:
@@ -464,6 +573,8 @@
             return []
         replaced = self._table.at_address(member.gossip_address)
         self._table.put(record, now)
+        if known is None:
+            self._completeness.handle_new_member(now)
         self._track_suspicion(record, now)
         if is_broadcast:
             self._broadcast_record(record, known)
--- a/packages/cactushall-daemon/cactushall_daemon/control.py
+++ b/packages/cactushall-daemon/cactushall_daemon/control.py
@@ -5,6 +5,8 @@
 import collections.abc
 import dataclasses
 
+import grpclib.const
+import grpclib.exceptions
 import grpclib.server
 
 from cactushall_core import exceptions
@@ -12,8 +14,6 @@
 from cactushall_daemon import counters
 from cactushall_rpc.generated import control_grpc, control_pb2
 
-RECORDS_PER_RESPONSE = 500
-
 
 def reject_move(reason: str) -> control_pb2.MoveFlowResponse:
     """Return the response to a rejected flow move."""
@@ -70,7 +70,8 @@
 
     Attributes:
         snapshot: Returns the table of members.
-        merge: Merges another process's table of members.
+        handle_table_request: Returns the encoded answer to another process's encoded
+            request for a table.
         configuration: Returns the configuration in force, encoded.
         revision: Returns the revision of the configuration in force.
         agent_handlers: Handlers of calls that only agents serve.
@@ -79,7 +80,7 @@
     """
 
     snapshot: collections.abc.Callable[[], tuple[records.Record, ...]]
-    merge: collections.abc.Callable[[tuple[records.Record, ...]], None]
+    handle_table_request: collections.abc.Callable[[bytes], bytes]
     configuration: collections.abc.Callable[[], bytes]
     revision: collections.abc.Callable[[], int]
     agent_handlers: AgentHandlers
@@ -100,23 +101,20 @@
             control_pb2.SynchronizeRequest, control_pb2.SynchronizeResponse
         ],
     ) -> None:
-        """Exchange member tables with a joining process."""
+        """Answer another process's request for a table of members."""
         request = await stream.recv_message()
         if request is None:
             return
         try:
-            received_table = messages.decode_table(request.table)
-        except exceptions.DecodeError:
-            received_table = ()
-        own_table = self._view.snapshot()
-        self._view.merge(received_table)
-        for start in range(0, len(own_table), RECORDS_PER_RESPONSE):
-            part = own_table[start : start + RECORDS_PER_RESPONSE]
-            response = control_pb2.SynchronizeResponse(
-                table=messages.encode_table(part),
-                configuration=self._view.configuration() if start == 0 else b"",
-            )
-            await stream.send_message(response)
+            table = self._view.handle_table_request(request.table)
+        except exceptions.DecodeError as error:
+            raise grpclib.exceptions.GRPCError(
+                grpclib.const.Status.INVALID_ARGUMENT, str(error)
+            ) from error
+        response = control_pb2.SynchronizeResponse(
+            table=table, configuration=self._view.configuration()
+        )
+        await stream.send_message(response)
 
     async def Configuration(  # noqa: N802
         self,
--- /dev/null
+++ b/packages/cactushall-daemon/cactushall_daemon/discovery.py
@@ -0,0 +1,72 @@
+"""Finds members through the settings and the contact points in the store."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+
+from cactushall_core import addresses, store
+from cactushall_daemon import contacts, gossip, unreadable_entries
+
+CHECK_SECONDS = 0.1
+STORE_READ_SECONDS = 0.4
+CONTACT_REFRESH_SECONDS = 10.0
+
+SettingsContacts = collections.abc.Callable[[], list[addresses.Address]]
+
+
+class Discovery:
+    """Hands contact points to the membership protocol."""
+
+    def __init__(
+        self,
+        gossip_endpoint: gossip.GossipEndpoint,
+        client: store.Store,
+        on_unreadable: unreadable_entries.Reporter,
+        record_store_result: contacts.StoreResultCallback,
+        settings_contacts: SettingsContacts,
+    ) -> None:
+        """Create it without reading anything.
+
+        Args:
+            gossip_endpoint: Asks the contact points for their tables.
+            client: The store, which lists further contact points.
+            on_unreadable: Called for each contact point that cannot be read.
+            record_store_result: Called with the error if the store did not respond.
+            settings_contacts: Returns the control addresses that the settings name.
+        """
+        self._gossip = gossip_endpoint
+        self._store = client
+        self._on_unreadable = on_unreadable
+        self._record_store_result = record_store_result
+        self._settings_contacts = settings_contacts
+
+    async def run(self) -> None:
+        """Look for contact points whenever no other member is known."""
+        loop = asyncio.get_running_loop()
+        next_read_at = loop.time()
+        while True:
+            if self._is_alone() and loop.time() >= next_read_at:
+                self._gossip.set_contacts(self._settings_contacts())
+                self._gossip.set_contacts(await self._find())
+                next_read_at = loop.time() + STORE_READ_SECONDS
+            await asyncio.sleep(CHECK_SECONDS)
+
+    async def refresh(self) -> None:
+        """Merge with unknown contact points regularly, as a split fleet has to."""
+        while True:
+            await asyncio.sleep(CONTACT_REFRESH_SECONDS)
+            table = self._gossip.membership.table
+            known = {r.member.control_address for r in table if r.is_present}
+            for address in await self._find():
+                if address not in known:
+                    self._gossip.request_merge(address)
+
+    def _is_alone(self) -> bool:
+        return self._gossip.membership.table.present_count <= 1
+
+    async def _find(self) -> list[addresses.Address]:
+        stored = await contacts.read_if_available(
+            self._store, self._on_unreadable, self._record_store_result
+        )
+        return [*self._settings_contacts(), *stored]
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 import socket
 
 from cactushall_core import addresses, exceptions, identifiers, keys
-from cactushall_core.membership import records, state
-from cactushall_daemon import counters, events, logs, sockets
+from cactushall_core.membership import completeness, messages, records, state
+from cactushall_daemon import counters, events, logs, sockets, tasks
 
 log = logs.get_logger(__name__)
 
@@ -17,6 +18,30 @@
 RevisionCallback = collections.abc.Callable[
     [records.Member, identifiers.Revision], None
 ]
+CompletenessCallback = collections.abc.Callable[[completeness.Evidence | None], None]
+Exchange = collections.abc.Callable[
+    [addresses.Address, bytes], collections.abc.Awaitable[bytes]
+]
+
+
+def ignore_completeness(_evidence: completeness.Evidence | None) -> None:
+    """Do nothing: the process does not depend on a complete table."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Callbacks:
+    """What a process does with changes of its membership table.
+
+    Attributes:
+        on_member_changed: Called when the record of a member changes.
+        on_revision_seen: Called when a member has a newer configuration.
+        on_completeness_changed: Called with the evidence when the table has become
+            complete, with None when it may not be complete any more.
+    """
+
+    on_member_changed: MemberCallback
+    on_revision_seen: RevisionCallback
+    on_completeness_changed: CompletenessCallback = ignore_completeness
 
 
 class GossipEndpoint:
@@ -27,8 +52,9 @@
         member: records.Member,
         key_ring: tuple[keys.Key, ...],
         process_counters: counters.Counters,
-        on_member_changed: MemberCallback,
-        on_revision_seen: RevisionCallback,
+        callbacks: Callbacks,
+        exchange: Exchange,
+        background_tasks: tasks.Tasks,
         timing: state.Timing | None = None,
     ) -> None:
         """Create the endpoint without binding an address or sending anything.
@@ -37,13 +63,17 @@
             member: The member that this process announces.
             key_ring: Keys that authenticate the datagrams.
             process_counters: The process's counters.
-            on_member_changed: Called when the record of a member changes.
-            on_revision_seen: Called when a member has a newer configuration.
+            callbacks: Called on changes.
+            exchange: Sends a request for a table to a member's control address and
+                returns the answer; raises CactushallError where there is none.
+            background_tasks: Runs requests for tables.
             timing: Intervals and byte budget; the defaults if None.
         """
         self._counters = process_counters
-        self._on_member_changed = on_member_changed
-        self._on_revision_seen = on_revision_seen
+        self._callbacks = callbacks
+        self._exchange = exchange
+        self._tasks = background_tasks
+        self._authenticator = messages.make_exchange_authenticator(key_ring)
         self._loop = asyncio.get_running_loop()
         self._membership = state.Membership(
             member,
@@ -80,17 +110,32 @@
         sockets.close(self._socket)
         self._socket = None
 
-    def merge(self, table: tuple[records.Record, ...]) -> None:
-        """Merge another member's table into this one."""
-        self._execute(self._membership.merge(table, self._loop.time()))
+    def set_contacts(
+        self, contacts: collections.abc.Iterable[addresses.Address]
+    ) -> None:
+        """Set the control addresses of contact points."""
+        self._membership.set_contacts(contacts)
+
+    def request_merge(self, address: addresses.Address) -> None:
+        """Exchange whole tables with a member of what may be another fleet."""
+        self._execute(self._membership.request_merge(address))
+
+    def handle_table_request(self, data: bytes) -> bytes:
+        """Return the encoded answer to another member's request for a table.
 
-    def announce(self) -> None:
-        """Announce this process to the fleet once it has joined."""
-        self._execute(self._membership.announce(self._loop.time()))
+        Raises:
+            DecodeError: The request is malformed or not authentic.
+        """
+        request = messages.decode_table_request(self._authenticator, data)
+        reply, actions = self._membership.handle_table_request(
+            request, self._loop.time()
+        )
+        self._execute(actions)
+        return messages.encode_exchange(self._authenticator, reply)
 
-    def join(self, contacts: collections.abc.Iterable[addresses.Address]) -> None:
-        """Ask members at some gossip addresses for their tables."""
-        self._execute(self._membership.join(contacts))
+    def handle_pause(self) -> None:
+        """Record that this process was paused until now."""
+        self._execute(self._membership.handle_pause(self._loop.time()))
 
     def update(
         self,
@@ -133,9 +178,46 @@
                 self._send(action)
             elif isinstance(action, state.MemberChanged):
                 _log_change(action.record)
-                self._on_member_changed(action.record)
+                self._callbacks.on_member_changed(action.record)
+            elif isinstance(action, state.CompletenessChanged):
+                self._handle_completeness(action.evidence)
+            elif isinstance(action, state.RequestTable):
+                self._tasks.spawn(self._request_table(action))
             else:
-                self._on_revision_seen(action.member, action.revision)
+                self._callbacks.on_revision_seen(action.member, action.revision)
+
+    async def _request_table(self, action: state.RequestTable) -> None:
+        data = messages.encode_exchange(self._authenticator, action.request)
+        address = action.address
+        try:
+            answer = await self._exchange(address, data)
+            reply = messages.decode_table_reply(self._authenticator, answer)
+        except exceptions.CactushallError as error:
+            log.debug(
+                events.Event.TABLE_REQUEST_FAILED,
+                contact=str(address),
+                why=str(error),
+            )
+            now = self._loop.time()
+            self._execute(self._membership.handle_table_failure(address, now))
+            return
+        now = self._loop.time()
+        self._execute(self._membership.handle_table_reply(address, reply, now))
+
+    def _handle_completeness(self, evidence: completeness.Evidence | None) -> None:
+        members = self._membership.table.present_count
+        if evidence is None:
+            log.info(events.Event.TABLE_INCOMPLETE, members=members)
+        else:
+            log.info(
+                events.Event.TABLE_COMPLETE,
+                basis=evidence.basis.value,
+                contact=str(evidence.source),
+                answers=evidence.answers,
+                asked_seconds=round(evidence.asked_seconds, 4),
+                members=members,
+            )
+        self._callbacks.on_completeness_changed(evidence)
 
     def _send(self, action: state.Send) -> None:
         if self._socket is not None:
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -5,23 +5,21 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections.abc
 import secrets
 import time
 
 import grpclib.server
 
-from cactushall_core import addresses, adoption, configuration, exceptions, identifiers
-from cactushall_core.membership import messages, records
+from cactushall_core import addresses, adoption, configuration, identifiers
+from cactushall_core.membership import records
 from cactushall_daemon import (
     configuration_follower,
     contacts,
     control,
     counters,
-    events,
+    discovery,
     gossip,
-    logs,
     sockets,
     tasks,
     unreadable_entries,
@@ -30,11 +28,6 @@
 from cactushall_rpc import control as control_client
 from cactushall_rpc import store, store_keys
 
-log = logs.get_logger(__name__)
-
-JOIN_RETRY_SECONDS = 1.0
-CONTACT_REFRESH_SECONDS = 10.0
-
 ServiceConfiguration = configuration.Configuration
 ConfigurationCallback = collections.abc.Callable[[ServiceConfiguration], None]
 
@@ -112,12 +105,20 @@
             member,
             tuple(settings.key_files),
             self._counters,
-            on_member_changed,
-            self._follower.fetch_if_newer,
+            gossip.Callbacks(on_member_changed, self._follower.fetch_if_newer),
+            self._request_table,
+            self._tasks,
+        )
+        self._discovery = discovery.Discovery(
+            self._gossip,
+            self._store,
+            self._report_unreadable,
+            self._follower.record_store_result,
+            lambda: list(self._settings.contacts),
         )
         view = control.NodeView(
             snapshot=self._gossip.membership.snapshot,
-            merge=self._gossip.merge,
+            handle_table_request=self._gossip.handle_table_request,
             configuration=lambda: self._follower.value,
             revision=lambda: self._follower.current.revision,
             agent_handlers=agent_handlers,
@@ -165,7 +166,7 @@
             )
         except OSError as error:
             raise sockets.BindError(f"cannot bind TCP {address}: {error}") from error
-        self.spawn(self._join())
+        self.spawn(self._discovery.run())
         if self._settings.store:
             self.spawn(self._serve_as_contact())
 
@@ -185,38 +186,10 @@
         """Run a background task until it ends or the process stops."""
         self._tasks.spawn(coroutine)
 
-    async def _join(self) -> None:
-        """Exchange member tables with one contact point, retrying until it works."""
-        while True:
-            for address in await self._find_contacts():
-                if await self._synchronize(address):
-                    self._gossip.announce()
-                    log.info(events.Event.JOINED, contact=str(address))
-                    return
-            if self._gossip.membership.table.present_count > 1:
-                return
-            await asyncio.sleep(JOIN_RETRY_SECONDS)
-
-    async def _find_contacts(self) -> list[addresses.Address]:
-        stored = await contacts.read_if_available(
-            self._store, self._report_unreadable, self._follower.record_store_result
-        )
-        candidates = [*self._settings.contacts, *stored]
-        own = self._gossip.membership.member.control_address
-        return [address for address in candidates if address != own]
-
-    async def _synchronize(self, address: addresses.Address) -> bool:
-        table = messages.encode_table(self._gossip.membership.snapshot())
-        try:
-            responses = await self._client.synchronize(address, table)
-            for response in responses:
-                self._gossip.merge(messages.decode_table(response.table))
-        except (control_client.ControlError, exceptions.DecodeError) as error:
-            log.debug(events.Event.JOIN_FAILED, contact=str(address), why=str(error))
-            return False
-        if responses:
-            self._follower.offer(responses[0].configuration, str(address))
-        return True
+    async def _request_table(self, address: addresses.Address, data: bytes) -> bytes:
+        response = await self._client.synchronize(address, data)
+        self._follower.offer(response.configuration, str(address))
+        return response.table
 
     async def _serve_as_contact(self) -> None:
         """Hold a contact slot and, while holding it, watch the store for the fleet."""
@@ -226,19 +199,9 @@
             member,
             member.control_address,
             self._follower.record_store_result,
-            lambda: [self._follower.run(), self._refresh_contacts()],
+            lambda: [self._follower.run(), self._discovery.refresh()],
         )
 
-    async def _refresh_contacts(self) -> None:
-        """Synchronise with unknown contact points to merge a split fleet again."""
-        while True:
-            await asyncio.sleep(CONTACT_REFRESH_SECONDS)
-            table = self._gossip.membership.table
-            known = {r.member.control_address for r in table if r.is_present}
-            for address in await self._find_contacts():
-                if address not in known:
-                    await self._synchronize(address)
-
     def _adopt(self, adopted: ServiceConfiguration) -> None:
         self._gossip.membership.set_revision(adopted.revision)
         self._on_configuration(adopted)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -10,7 +10,7 @@
 
 from cactushall_core import addresses, identifiers, pauses
 from cactushall_core.flows import actions, entry, messages, routes
-from cactushall_core.membership import records
+from cactushall_core.membership import completeness, records
 from cactushall_daemon import counters, events, logs, sockets
 from cactushall_daemon.config import packet_schema
 from cactushall_daemon.packets import executor, node
@@ -52,6 +52,7 @@
             on_routes=self._on_routes,
             on_message=self._on_message,
             gauges=self._read_gauges,
+            on_completeness_changed=self._on_completeness_changed,
         )
         self._received_counter = self._node.counters.cell(counters.Counter.RECEIVED)
 
@@ -102,6 +103,7 @@
         ):
             log.warning(events.Event.PAUSED)
             self._flows.handle_pause(now)
+            self._node.gossip.handle_pause()
 
     def _tick(self) -> None:
         now = self._loop.time()
@@ -130,6 +132,9 @@
     def _on_member_changed(self, record: records.Record) -> None:
         self._execute(self._flows.update_member(record, self._loop.time()))
 
+    def _on_completeness_changed(self, evidence: completeness.Evidence | None) -> None:
+        self._execute(self._flows.update_completeness(evidence, self._loop.time()))
+
     def _on_routes(self, route_table: routes.RouteTable) -> None:
         self._execute(self._flows.update_routes(route_table, self._loop.time()))
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -19,6 +19,7 @@
     configuration_follower,
     contacts,
     counters,
+    discovery,
     events,
     gossip,
     latencies,
@@ -42,13 +43,10 @@
     digest_interval=1.0,
     dead_probe_interval=1.0,
 )
-JOIN_RETRY_SECONDS = 0.1
-JOINED_CHECK_SECONDS = 0.5
-STARTUP_JOINS = 4
-JOINS_PER_STORE_READ = 4
-CONTACT_REFRESH_SECONDS = 10.0
 FETCH_TIMEOUT_SECONDS = 1.0
+TABLE_TIMEOUT_SECONDS = 0.5
 CONFIGURATION_PATH = "/configuration"
+MEMBERS_PATH = "/members"
 
 MessageCallback = collections.abc.Callable[[addresses.Address, messages.Message], None]
 RoutesCallback = collections.abc.Callable[[routes.RouteTable], None]
@@ -84,6 +82,9 @@
         on_routes: RoutesCallback,
         on_message: MessageCallback,
         gauges: metrics.Gauges,
+        on_completeness_changed: gossip.CompletenessCallback = (
+            gossip.ignore_completeness
+        ),
     ) -> None:
         """Create the node without binding an address or sending anything.
 
@@ -94,6 +95,8 @@
             on_routes: Called when a newer route table is adopted.
             on_message: Called for each message about flows.
             gauges: Returns the gauges that only this role has, by name.
+            on_completeness_changed: Called when the table of members has become
+                complete, or may not be complete any more.
         """
         self._on_routes = on_routes
         self._on_message = on_message
@@ -125,10 +128,22 @@
             member,
             tuple(settings.keys),
             self._counters,
-            on_member_changed,
-            self._follower.fetch_if_newer,
+            gossip.Callbacks(
+                on_member_changed,
+                self._follower.fetch_if_newer,
+                on_completeness_changed,
+            ),
+            _request_table,
+            self._tasks,
             TIMING,
         )
+        self._discovery = discovery.Discovery(
+            self._gossip,
+            self._store,
+            self._report_unreadable,
+            self._follower.record_store_result,
+            self._seed_addresses,
+        )
 
     @property
     def counters(self) -> counters.Counters:
@@ -160,9 +175,9 @@
         address = self._gossip.membership.member.control_address
         self._socket = sockets.bind_udp(address)
         sockets.receive_batches(self._socket, self._receive)
-        self.spawn(self._maintain_membership())
+        self.spawn(self._discovery.run())
         self.spawn(self._follower.run())
-        await self.serve(address, self._handle_configuration_call)
+        await self.serve(address, self._handle_peer_call)
         if self._metrics_address is not None:
             await self.serve(self._metrics_address, self._metrics.handle_call)
 
@@ -186,9 +201,9 @@
             contacts.serve(
                 self._store,
                 member,
-                member.gossip_address,
+                member.control_address,
                 self._follower.record_store_result,
-                lambda: [self._refresh_contacts()],
+                lambda: [self._discovery.refresh()],
             )
         )
 
@@ -231,49 +246,11 @@
             return
         self._on_message(addresses.Address(*source), message)
 
-    # Members.
-
-    async def _maintain_membership(self) -> None:
-        """Join through seeds and contact points whenever no other member is known.
-
-        A few joins follow each start even where members are known, since all
-        processes may start at once and in any order.
-        """
-        joins_left = STARTUP_JOINS
-        contact_addresses: list[addresses.Address] = []
-        while True:
-            is_alone = self._gossip.membership.table.present_count <= 1
-            if is_alone and joins_left % JOINS_PER_STORE_READ == 0:
-                self._gossip.join(self._seed_addresses())
-                contact_addresses = await self._read_contacts()
-            if is_alone or joins_left > 0:
-                joins_left -= 1
-                self._gossip.join({*self._seed_addresses(), *contact_addresses})
-                await asyncio.sleep(JOIN_RETRY_SECONDS)
-            else:
-                await asyncio.sleep(JOINED_CHECK_SECONDS)
-
     def _seed_addresses(self) -> list[addresses.Address]:
-        """Return the gossip addresses of the seeds; ports are the same on all VMs."""
-        port = self._gossip.membership.member.gossip_port
+        """Return the control addresses of the seeds; ports are the same on all VMs."""
+        port = self._gossip.membership.member.control_port
         return [addresses.Address(seed.host, port) for seed in self._seeds]
 
-    async def _read_contacts(self) -> list[addresses.Address]:
-        return await contacts.read_if_available(
-            self._store, self._report_unreadable, self._follower.record_store_result
-        )
-
-    async def _refresh_contacts(self) -> None:
-        """Join unknown contact points regularly, so that a split fleet merges again."""
-        while True:
-            await asyncio.sleep(CONTACT_REFRESH_SECONDS)
-            table = self._gossip.membership.table
-            known = {r.member.gossip_address for r in table if r.is_present}
-            contact_addresses = await self._read_contacts()
-            self._gossip.join(
-                address for address in contact_addresses if address not in known
-            )
-
     # Metrics.
 
     def _read_gauges(self) -> dict[str, float]:
@@ -295,13 +272,30 @@
         self._gossip.membership.set_revision(route_table.revision)
         self._on_routes(route_table)
 
-    def _handle_configuration_call(
-        self, request: http_calls.Request
-    ) -> http_calls.Response:
+    def _handle_peer_call(self, request: http_calls.Request) -> http_calls.Response:
         if request.path == CONFIGURATION_PATH:
             return http_calls.Response(body=self._follower.value)
+        if request.path == MEMBERS_PATH:
+            return self._handle_table_request(request)
         return http_calls.Response(http.HTTPStatus.NOT_FOUND)
 
+    def _handle_table_request(self, request: http_calls.Request) -> http_calls.Response:
+        try:
+            return http_calls.Response(
+                body=self._gossip.handle_table_request(request.body)
+            )
+        except exceptions.DecodeError as error:
+            self._counters.add(counters.Counter.GOSSIP_REJECTED)
+            log.debug(events.Event.GOSSIP_REJECTED, why=str(error))
+            return http_calls.Response(http.HTTPStatus.BAD_REQUEST)
+
+
+async def _request_table(address: addresses.Address, data: bytes) -> bytes:
+    response = await http_calls.call(
+        address, "POST", MEMBERS_PATH, data, TABLE_TIMEOUT_SECONDS
+    )
+    return response.body
+
 
 async def _fetch_configuration(member: records.Member) -> bytes:
     address = member.control_address
--- a/packages/cactushall-rpc/cactushall_rpc/control.py
+++ b/packages/cactushall-rpc/cactushall_rpc/control.py
@@ -126,19 +126,22 @@
 
     async def synchronize(
         self, address: addresses.Address, table: bytes
-    ) -> list[control_pb2.SynchronizeResponse]:
-        """Exchange tables of members with a daemon.
+    ) -> control_pb2.SynchronizeResponse:
+        """Ask a daemon for its table of members.
 
         Args:
             address: The daemon's control address.
-            table: The encoded table of this process.
+            table: The request, encoded by `cactushall_core.membership.messages`.
 
-        Returns:
-            The daemon's table, in parts.
+        Raises:
+            ControlError: The daemon did not answer.
         """
         async with self._connect(address) as stub:
             request = control_pb2.SynchronizeRequest(table=table)
-            return await stub.Synchronize(request, timeout=CALL_TIMEOUT_SECONDS)
+            responses = await stub.Synchronize(request, timeout=CALL_TIMEOUT_SECONDS)
+        if not responses:
+            raise ControlError(f"{address}: no answer to a request for its table")
+        return responses[0]
 
     async def move_flow(
         self, address: addresses.Address, record: bytes
--- a/packages/cactushall-rpc/cactushall_rpc/http.py
+++ b/packages/cactushall-rpc/cactushall_rpc/http.py
@@ -218,12 +218,30 @@
         target: Path with the query.
         timeout: Seconds to wait for the complete response.
 
+    Raises:
+        RequestError: No complete response arrived.
+    """
+    return await call(address, "GET", target, b"", timeout)
+
+
+async def call(
+    address: addresses.Address, method: str, target: str, body: bytes, timeout: float
+) -> Response:
+    """Send a request over a new connection, which is closed afterwards.
+
+    Args:
+        address: Address of the server.
+        method: HTTP method.
+        target: Path with the query.
+        body: Body, may be empty.
+        timeout: Seconds to wait for the complete response.
+
     Raises:
         RequestError: No complete response arrived.
     """
     connection = Connection(address)
     try:
-        return await connection.request("GET", target, b"", timeout)
+        return await connection.request(method, target, body, timeout)
     finally:
         connection.close()
 
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -4,7 +4,7 @@
 
 from cactushall_core import addresses, identifiers
 from cactushall_core.flows import messages, packets, routes, servers
-from cactushall_core.membership import records
+from cactushall_core.membership import completeness, records
 
 ZONE = identifiers.ZoneName("a")
 SERVICE = identifiers.ServiceName("board")
@@ -14,6 +14,7 @@
 CALLER_START = 1000
 SERVER_START = 70_000
 ENTRY = addresses.Address("10.0.0.1", 7735)
+COMPLETE = completeness.Evidence(completeness.Basis.COMPLETE_MEMBER, ENTRY, 1, 0.1, 0.0)
 IDLE_LOAD = messages.Load(0, 0, 1, 0.0)
 
 
--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -25,9 +25,6 @@
 STEP_SECONDS = 0.02
 NETWORK_DELAY_SECONDS = (0.001, 0.02)
 RETRANSMISSION_SECONDS = (0.2, 1.6)
-STARTUP_JOINS = 4
-JOIN_RETRY_SECONDS = 0.1
-JOINED_CHECK_SECONDS = 0.5
 FLEET_STARTED_AT = 1_000_000.0
 SERVICE = builders.SERVICE
 FIRST_PACKET_SECONDS = (0.05, 5.0)
@@ -46,23 +43,19 @@
     Attributes:
         membership: Its view of the fleet.
         flows: Its flows where it is an entry, None where it is an agent.
-        seeds: Gossip addresses through which it joins.
+        seeds: Control addresses through which it joins.
         started_at: When it started.
-        joins_left: How often it still joins after its start.
-        next_join_at: When it joins next.
     """
 
     membership: state.Membership
     flows: entry.EntryFlows | None
     seeds: tuple[addresses.Address, ...]
     started_at: float
-    joins_left: int = STARTUP_JOINS
-    next_join_at: float = 0.0
 
     @property
     def address(self):
-        """Gossip address of the process."""
-        return self.membership.member.gossip_address
+        """Control address of the process."""
+        return self.membership.member.control_address
 
     @property
     def host(self):
@@ -178,11 +171,11 @@
         )
 
     def start_entry(self, seeds, host=None):
-        """Start an entry without state that joins through some gossip addresses."""
+        """Start an entry without state that joins through some control addresses."""
         return self._start(self.make_member(records.Role.ENTRY, host), seeds)
 
     def start_agent(self, seeds):
-        """Start an agent that joins through some gossip addresses."""
+        """Start an agent that joins through some control addresses."""
         return self._start(self.make_member(records.Role.AGENT), seeds)
 
     def restart_entry(self, process):
@@ -198,24 +191,11 @@
     def kill(self, process):
         """End a process without notice."""
         del self.running[process.host]
-        del self.nodes[process.address]
-
-    def run_join(self, process):
-        """Join as `cactushall_daemon.packets.node` does without contact points."""
-        if self.now < process.next_join_at:
-            return
-        is_alone = process.membership.table.present_count <= 1
-        if is_alone or process.joins_left > 0:
-            process.joins_left -= 1
-            joins = process.membership.join(process.seeds)
-            self.execute(process.membership, joins)
-            process.next_join_at = self.now + JOIN_RETRY_SECONDS
-        else:
-            process.next_join_at = self.now + JOINED_CHECK_SECONDS
+        del self.nodes[process.membership.member.gossip_address]
 
     def _start_acquainted(self, members):
         table = tuple(records.Record(m, 0, records.Status.ALIVE) for m in members)
-        seeds = tuple(member.gossip_address for member in members[:3])
+        seeds = tuple(member.control_address for member in members[:3])
         first = self.add_member(members[0], 0)
         first.merge(table, self.now)
         for index, member in enumerate(members):
@@ -223,9 +203,10 @@
             self._begin_amid_probe_round(known, members)
             self.nodes[member.gossip_address] = known
             process = self._run_process(known, seeds)
-            process.joins_left = 0
             for record in table if process.flows else ():
                 process.flows.update_member(record, self.now)
+        for known in list(self.nodes.values()):
+            self.complete(known)
 
     def _begin_amid_probe_round(self, known, members):
         """Let a member be anywhere in its round, as in a fleet that has run long."""
@@ -244,6 +225,7 @@
             flows = entry.EntryFlows(membership.member.zone, rng, self.now)
             flows.update_routes(self.routes, self.now)
         process = Process(membership, flows, seeds, self.now)
+        membership.set_contacts(seeds)
         self.running[process.host] = process
         return process
 
@@ -300,8 +282,6 @@
         super().step()
         while self.events and self.events[0][0] <= self.now:
             heapq.heappop(self.events)[2]()
-        for process in list(self.running.values()):
-            self.run_join(process)
         for process in self.entries:
             self._execute_flow_actions(process, process.flows.tick(self.now))
         for caller in list(self.callers.values()):
@@ -320,9 +300,12 @@
         if process is None or process.flows is None:
             return
         for action in actions:
+            decided = []
             if isinstance(action, state.MemberChanged):
                 decided = process.flows.update_member(action.record, self.now)
-                self._execute_flow_actions(process, decided)
+            elif isinstance(action, state.CompletenessChanged):
+                decided = process.flows.update_completeness(action.evidence, self.now)
+            self._execute_flow_actions(process, decided)
 
     def _execute_flow_actions(self, process, decided):
         for action in decided:
--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -21,6 +21,7 @@
 STEP_SECONDS = 0.02
 NETWORK_DELAY_SECONDS = (0.001, 0.02)
 DISCOVERY_SECONDS = (0.01, 0.25)
+COMPLETE_SECONDS = (0.3, 0.6)
 FAILURE_DETECTION_SECONDS = (0.8, 1.5)
 AGENT_RESTART_SECONDS = (0.1, 1.4)
 FLOW_SECONDS = 30.0
@@ -150,6 +151,15 @@
             elif self.now - self.all_killed_at > AGENT_RESTART_SECONDS[1]:
                 self.publish_member(host, records.Status.ALIVE, recipient=made)
                 self.publish_member(host, records.Status.DEAD, recipient=made)
+        self.schedule(COMPLETE_SECONDS, lambda: self.complete_view(index, made))
+
+    def complete_view(self, index, one):
+        """Tell an entry that it knows all agents, unless it has been restarted."""
+        if self.entries[index] is one:
+            evidence = builders.COMPLETE
+            self.execute_entry_actions(
+                index, one.update_completeness(evidence, self.now)
+            )
 
     def is_undisturbed(self):
         """Return whether enough time has passed since all processes were killed."""
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -27,11 +27,12 @@
 
 @pytest.fixture
 def flows():
-    """An entry whose view of three agents and a route is settled."""
+    """An entry that knows a route and all of three agents."""
     made = entry.EntryFlows(builders.ZONE, random.Random(1), 0.0)
     made.update_routes(builders.route_table(), 0.0)
     for number in (1, 2, 3):
         made.update_member(builders.agent_record(number), 0.0)
+    made.update_completeness(builders.COMPLETE, 0.0)
     return made
 
 
@@ -265,6 +266,7 @@
 def test_new_flow_is_refused_immediately_where_no_known_member_serves_it():
     flows = entry.EntryFlows(builders.ZONE, random.Random(1), 0.0)
     flows.update_routes(builders.route_table(), 0.0)
+    flows.update_completeness(builders.COMPLETE, 0.0)
     (reset,) = flows.handle_packet(builders.opening_packet(), SETTLED)
     assert reset.reason is actions.Reason.NO_SERVER
 
@@ -359,21 +361,30 @@
     assert look_up(flows, SETTLED + 1.5) == {peer_address_of(3)}
 
 
-def test_entry_resets_nothing_before_its_view_is_settled(flows):
+def test_entry_resets_nothing_before_it_knows_all_agents(flows):
     started = entry.EntryFlows(builders.ZONE, random.Random(1), SETTLED)
     started.update_routes(builders.route_table(), 0.0)
     for number in (1, 2, 3):
         started.update_member(builders.agent_record(number), SETTLED)
     look_up(started, SETTLED + 0.1)
     assert deny(started, (1, 2, 3), SETTLED + 0.1) == []
-    (reset,) = started.tick(SETTLED + cluster_view.STARTUP_SETTLE_SECONDS + 0.01)
+    assert started.tick(SETTLED + 12.0) == []
+    (reset,) = started.update_completeness(builders.COMPLETE, SETTLED + 12.0)
     assert reset.reason is actions.Reason.NO_OWNER
 
 
-def test_nothing_is_reset_just_after_an_agent_has_appeared(flows):
+def test_entry_that_may_have_missed_an_agent_resets_nothing(flows):
     look_up(flows)
-    flows.update_member(builders.agent_record(4), SETTLED)
-    assert deny(flows, (1, 2, 3, 4), SETTLED + 0.1) == []
+    flows.update_completeness(None, SETTLED)
+    assert deny(flows, (1, 2, 3), SETTLED + 0.1) == []
+    assert flows.tick(SETTLED + 12.0) == []
+
+
+def test_nothing_is_reset_until_an_agent_that_has_just_appeared_denies(flows):
+    look_up(flows)
+    flows.update_member(builders.agent_record(4), SETTLED + 0.01)
+    assert deny(flows, (1, 2, 3), SETTLED + 0.1) == []
+    assert flows.tick(SETTLED + 12.0) == []
 
 
 def test_flow_denied_by_its_agent_is_looked_up_at_the_others(flows):
@@ -433,14 +444,11 @@
 
 
 def test_messages_of_unknown_senders_are_ignored(flows):
-    open_flow(flows)
-    unknown_sender = builders.ENTRY
-    assert (
-        flows.handle_message(
-            unknown_sender, messages.OwnershipDenied(builders.FLOW), SETTLED
-        )
-        == []
-    )
+    number = open_flow(flows)
+    denial = messages.OwnershipDenied(builders.FLOW)
+    assert flows.handle_message(builders.ENTRY, denial, SETTLED) == []
+    (sent,) = flows.handle_packet(builders.packet(), SETTLED)
+    assert sent.address == packet_address_of(builders.agent_record(number))
 
 
 def test_late_retransmission_goes_to_the_owner(flows):
--- a/tests/core/flows/test_lookups.py
+++ b/tests/core/flows/test_lookups.py
@@ -14,10 +14,11 @@
 
 @pytest.fixture
 def view():
-    """A settled view of a route and three agents."""
-    made = cluster_view.ClusterView(0.0)
+    """A complete view of a route and three agents."""
+    made = cluster_view.ClusterView()
     made.update_routes(builders.route_table())
     add_agents(made, range(1, 4))
+    made.update_evidence(builders.COMPLETE)
     return made
 
 
@@ -61,6 +62,9 @@
         possible_owners=3,
         asked_silent=0,
         newest_change_seconds=DECIDED,
+        table_basis="complete-member",
+        table_source=builders.COMPLETE.source.host,
+        table_age_seconds=DECIDED,
     )
 
 
@@ -101,7 +105,7 @@
 
 
 def test_start_is_reported_where_no_agent_is_known():
-    found = lookups.Lookups(cluster_view.ClusterView(0.0))
+    found = lookups.Lookups(cluster_view.ClusterView())
     decided = found.handle_packet(builders.packet(), SETTLED)
     assert decided == [actions.RecordLookupStarted(builders.FLOW, 0, 0)]
 
--- a/tests/core/flows/test_model.py
+++ b/tests/core/flows/test_model.py
@@ -12,7 +12,7 @@
     lookups,
     servers,
 )
-from tests.core.flows import model
+from tests.core.flows import builders, model
 
 SEEDS = range(12)
 MUTANT_SEEDS = range(30)
@@ -45,13 +45,16 @@
         possible_owners=0,
         asked_silent=0,
         newest_change_seconds=0.0,
+        table_basis="",
+        table_source="",
+        table_age_seconds=0.0,
     )
     patch.setattr(lookups.Lookups, "_no_owner_evidence", lambda *_: denied)
 
 
-def entries_decide_before_settling(patch):
-    patch.setattr(cluster_view, "STARTUP_SETTLE_SECONDS", 0.0)
-    patch.setattr(cluster_view, "MEMBERSHIP_SETTLE_SECONDS", 0.0)
+def entries_decide_before_they_know_all_agents(patch):
+    evidence = property(lambda _: builders.COMPLETE)
+    patch.setattr(cluster_view.ClusterView, "evidence", evidence)
 
 
 def agents_assume_to_have_seen_all_flows(patch):
@@ -87,7 +90,7 @@
     [
         no_grace_period_for_dead_agents,
         silence_counts_as_denial,
-        entries_decide_before_settling,
+        entries_decide_before_they_know_all_agents,
         agents_assume_to_have_seen_all_flows,
         drains_are_ignored,
         nothing_is_reset,
--- a/tests/core/flows/test_started_entry.py
+++ b/tests/core/flows/test_started_entry.py
@@ -142,7 +142,7 @@
     known = members.entries[0].address
     first = members.start_entry([known])
     second = members.start_entry([first.address, known])
-    first.seeds = (second.address, known)
+    first.membership.set_contacts([second.address, known])
     return fleet.Calls(members, owners, [first, second], seed).run()
 
 
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -7,10 +7,11 @@
 import random
 
 from cactushall_core import identifiers
-from cactushall_core.membership import records, state
+from cactushall_core.membership import completeness, messages, records, state
 from tests.core import builders
 
 STEP_SECONDS = 0.05
+EXCHANGE_AUTHENTICATOR = messages.make_exchange_authenticator(builders.RING)
 
 
 def clone(node, member, seed):
@@ -26,6 +27,8 @@
     copied._table = node.table.copy()
     copied._broadcasts = copy.deepcopy(node._broadcasts)
     copied._rng = random.Random(seed)
+    copied._completeness = completeness.Completeness(copied._rng, 0.0)
+    copied._reported_evidence = None
     copied._probes = {}
     copied._suspected_at = {}
     copied._probe_order = []
@@ -49,6 +52,8 @@
         self.in_flight = []
         self.sent_bytes = collections.Counter()
         self.received_bytes = collections.Counter()
+        self.requests = []
+        self.replies = []
         for number in range(count):
             self.add(number)
 
@@ -65,20 +70,39 @@
         return node
 
     def join(self, node, contact):
-        """Exchange tables with a contact, as a joining process does."""
-        mine, theirs = node.snapshot(), contact.snapshot()
-        self.execute(contact, contact.merge(mine, self.now))
-        self.execute(node, node.merge(theirs, self.now))
-        self.execute(node, node.announce(self.now))
+        """Let a member join through a contact, whose answer it gets at once."""
+        node.set_contacts([contact.member.control_address])
+        request = messages.TableRequest(node.table.get(node.member.id), b"")
+        self._deliver_reply(
+            node, contact.member, self._answer_request(contact, request)
+        )
 
     def introduce_all(self):
-        """Make every member known to every other."""
+        """Make every member known to every other, as after a long time."""
         table = tuple(
             records.Record(node.member, 0, records.Status.ALIVE)
             for node in self.nodes.values()
         )
         for node in self.nodes.values():
-            node.merge(table, self.now)
+            node.merge(table, self.now, is_broadcast=True)
+            self.complete(node)
+
+    def complete(self, node):
+        """Let a member hear from a complete one that had heard of it."""
+        for other in list(self.nodes.values()):
+            if other is not node:
+                reply = messages.TableReply(True, True, ())
+                self._deliver_reply(node, other.member, reply)
+                return
+
+    def _answer_request(self, contact, request):
+        reply, actions = contact.handle_table_request(request, self.now)
+        self.execute(contact, actions)
+        return reply
+
+    def _deliver_reply(self, node, source, reply):
+        address = source.control_address
+        self.execute(node, node.handle_table_reply(address, reply, self.now))
 
     def run(self, seconds):
         """Advance the time by some seconds."""
@@ -89,6 +113,7 @@
     def step(self):
         """Deliver all datagrams in flight, then let all members tick."""
         self.now += self.step_seconds
+        self._deliver_requests()
         arriving, self.in_flight = self.in_flight, []
         for source, address, datagram in arriving:
             node = self.nodes.get(address)
@@ -99,14 +124,48 @@
             if address not in self.cut:
                 self.execute(node, node.tick(self.now))
 
+    def _deliver_requests(self):
+        """Deliver the answers to earlier requests for tables, then new requests."""
+        replies, self.replies = self.replies, []
+        for node, source, reply in replies:
+            self._deliver_reply(node, source, reply)
+        requests, self.requests = self.requests, []
+        for node, action in requests:
+            target = self._node_at(action.address)
+            if target is None or self._is_cut(node) or self._is_cut(target):
+                failed = node.handle_table_failure(action.address, self.now)
+                self.execute(node, failed)
+                continue
+            reply = self._answer_request(target, action.request)
+            self._count(node.member, target.member, action.request)
+            self._count(target.member, node.member, reply)
+            self.replies.append((node, target.member, reply))
+
+    def _node_at(self, address):
+        """Return the member at a control address, None where none runs."""
+        for node in self.nodes.values():
+            if node.member.control_address == address:
+                return node
+        return None
+
+    def _count(self, sender, receiver, message):
+        size = len(messages.encode_exchange(EXCHANGE_AUTHENTICATOR, message))
+        self.sent_bytes[sender.gossip_address] += size
+        self.received_bytes[receiver.gossip_address] += size
+
+    def _is_cut(self, node):
+        return node.member.gossip_address in self.cut
+
     def execute(self, node, actions):
-        """Queue datagrams for delivery and record configuration fetches."""
+        """Queue what a member sends and record configuration fetches."""
         source = node.member.gossip_address
         for action in actions:
             if isinstance(action, state.Send):
                 self.in_flight.append((source, action.address, action.datagram))
                 self.sent_bytes[source] += len(action.datagram)
                 self.received_bytes[action.address] += len(action.datagram)
+            elif isinstance(action, state.RequestTable):
+                self.requests.append((node, action))
             elif isinstance(action, state.FetchConfiguration):
                 self.fetches.append((node, action))
 
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -14,6 +14,8 @@
 ALIVE = records.Status.ALIVE
 DEAD = records.Status.DEAD
 LEFT = records.Status.LEFT
+# A round of gossip, a request and its answer.
+EXCHANGE_SECONDS = 0.4
 
 
 def make_network(count=12, **kwargs):
@@ -229,24 +231,21 @@
     assert update == records.Record(made.member, 0, DEAD)
 
 
-def test_join_exchanges_records_of_both_members():
+def test_started_member_and_its_contact_exchange_their_records():
     fleet = make_network()
     joining = fleet.add(50)
-    fleet.execute(joining, joining.join([fleet.node(0).member.gossip_address]))
-    fleet.step()
-    fleet.step()
+    joining.set_contacts([fleet.node(0).member.control_address])
+    fleet.run(EXCHANGE_SECONDS)
     assert len(joining.table) == 13
     assert fleet.node(0).table.get(joining.member.id) is not None
 
 
-def test_join_succeeds_if_one_of_several_contacts_is_running():
+def test_exchange_succeeds_if_one_of_several_contacts_is_running():
     fleet = make_network()
     fleet.cut.add(fleet.node(0).member.gossip_address)
     joining = fleet.add(50)
-    contacts = [fleet.node(n).member.gossip_address for n in (0, 1)]
-    fleet.execute(joining, joining.join(contacts))
-    fleet.step()
-    fleet.step()
+    joining.set_contacts([fleet.node(n).member.control_address for n in (0, 1)])
+    fleet.run(EXCHANGE_SECONDS)
     assert len(joining.table) == 13
 
 
@@ -271,26 +270,29 @@
     assert len(joining.table) == 13
 
 
-def test_joined_member_sends_no_more_joins():
+def test_complete_member_requests_no_more_tables():
     fleet = make_network()
-    node = fleet.node(3)
-    sent = []
-    fleet.execute = lambda _, actions: sent.extend(actions)
-    for _ in range(60):
-        fleet.step()
-    bodies = [
-        messages.decode(messages.make_authenticator(builders.RING), a.datagram).body
-        for a in sent
-        if isinstance(a, state.Send)
-    ]
-    assert bodies
-    assert not any(isinstance(body, messages.Join) for body in bodies)
-    assert node.table.present_count == 12
+    requests = []
+    original = fleet.execute
 
+    def execute(node, actions):
+        requests.extend(a for a in actions if isinstance(a, state.RequestTable))
+        original(node, actions)
 
-def test_member_does_not_send_a_join_to_itself():
-    node = make_network().node(0)
-    assert node.join([node.member.gossip_address]) == []
+    fleet.execute = execute
+    fleet.run(3.0)
+    assert requests == []
+    fleet.execute(fleet.node(3), fleet.node(3).handle_pause(fleet.now))
+    fleet.run(1.0)
+    assert requests
+    assert all(node.is_complete for node in fleet.nodes.values())
+
+
+def test_member_requests_no_table_of_itself():
+    node = network.Network(1).node(0)
+    node.set_contacts([node.member.control_address])
+    actions = [action for tick in range(20) for action in node.tick(tick * 0.1)]
+    assert not any(isinstance(action, state.RequestTable) for action in actions)
 
 
 def test_record_sent_directly_is_known_after_one_datagram():
--- a/tests/daemon/packets/test_executor.py
+++ b/tests/daemon/packets/test_executor.py
@@ -72,6 +72,9 @@
         "possible_owners": 3,
         "asked_silent": 1,
         "newest_change_seconds": 4.0,
+        "table_basis": "cold-start",
+        "table_source": "10.0.0.1",
+        "table_age_seconds": 2.0,
     }
     return actions.NoOwnerEvidence(**fields | changed)
 
@@ -93,6 +96,9 @@
         "possible_owners": 3,
         "asked_silent": 1,
         "newest_change_seconds": None,
+        "table_basis": "cold-start",
+        "table_source": "10.0.0.1",
+        "table_age_seconds": 2.0,
     }
 
 
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -24,6 +24,7 @@
     reports,
     servers,
 )
+from cactushall_core.membership import completeness
 from tests.core.flows import builders
 
 TICK_INTERVAL_SECONDS = 0.05
@@ -314,8 +315,18 @@
             self.schedule(
                 MEMBERSHIP_DELAY_SECONDS, lambda r=record: self._update_member(made, r)
             )
+        self.schedule(
+            completeness.COLD_START_SECONDS, lambda: self._complete_view(made)
+        )
         self._tick_entry(index, made)
 
+    def _complete_view(self, one):
+        now = self.now
+        for index, known in self._entries.items():
+            if known is one:
+                decided = one.update_completeness(builders.COMPLETE, now)
+                self._execute_entry_actions(index, decided)
+
     def _update_member(self, one, record):
         for index, known in self._entries.items():
             if known is one:
