Every agent that may own a flow is asked, at any number of agents

Cause: a bound on messages, and the current route, stood in for an answer.

Change: all known agents may own a flow, those of the route's services are asked first. A round of questions goes over all of them, at most 64 at once, and goes on with each tick; an agent that appears is asked without waiting for the caller's next packet, once the table of members is complete. A flow is reset only where each has denied, or is gone and was asked.

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -109,8 +109,6 @@
         asked_seconds: Time since they were first asked.
         known_present: Number of agents that the entry knows and believes to run.
         known_gone: Number of agents that the entry knows and believes to be gone.
-        possible_owners: Number of known agents that may have owned it.
-        asked_silent: Number of possible owners that were asked and have not answered.
         newest_change_seconds: Time since an agent last appeared or disappeared.
         table_basis: Why the entry's table of members counts as complete.
         table_source: Host of the member whose answer completed it.
@@ -122,8 +120,6 @@
     asked_seconds: float
     known_present: int
     known_gone: int
-    possible_owners: int
-    asked_silent: int
     newest_change_seconds: float
     table_basis: str
     table_source: str
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -109,12 +109,18 @@
             identifiers.ServiceName, dict[addresses.Address, Agent]
         ] = {}
         self._changed_at = float("-inf")
+        self._additions = 0
 
     @property
     def changed_at(self) -> float:
         """When an agent last appeared or disappeared."""
         return self._changed_at
 
+    @property
+    def additions(self) -> int:
+        """How many agents were added so far."""
+        return self._additions
+
     @property
     def agents(self) -> list[Agent]:
         """All agents, including those that are gone."""
@@ -176,6 +182,7 @@
         self._agents[agent.packet_address] = agent
         self._by_peer[agent.peer_address] = agent
         self._changed_at = now
+        self._additions += 1
         self._index(agent)
 
     def _index(self, agent: Agent) -> None:
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -165,7 +165,7 @@
     def tick(self, now: float) -> list[actions.Action]:
         """Make the decisions that had to be deferred when the packets arrived."""
         decided = self._pending.place_queued(now)
-        decided += self._lookups.reset_unowned(now)
+        decided += self._lookups.tick(now)
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
             self._sweep(now)
@@ -241,11 +241,11 @@
         decided: list[actions.Action] = [
             actions.Forward(address, datagram) for datagram in lookup.buffered
         ]
-        if lookup.was_asked:
+        if lookup.asked_at:
             asked_seconds = now - lookup.first_asked_at
             decided.append(
                 actions.RecordOwnerFound(
-                    flow_id, address, asked_seconds, len(lookup.asked)
+                    flow_id, address, asked_seconds, len(lookup.asked_at)
                 )
             )
         return decided
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -23,34 +23,40 @@
 DEAD_GRACE_SECONDS = 1.0
 LEFT_GRACE_SECONDS = 3.0
 MAX_BUFFERED_PACKETS = 16
-MAX_AGENTS_ASKED = 64
+MAX_ASKED_AT_ONCE = 64
 
 
 class Lookup(msgspec.Struct):
     """A flow whose owner is being looked up.
 
     Attributes:
-        first_asked_at: When agents were first asked.
-        last_asked_at: When agents were last asked.
+        round_started_at: When the latest round of questions began, in which each agent
+            is asked once.
         last_packet_at: When the caller's latest packet arrived.
         acknowledged: The caller's latest acknowledgement number.
-        asked: Members that have been asked.
+        datagram: The packet that is sent along with questions.
+        asked_at: When each agent was first asked.
+        asked_in_round: Agents that were asked in the latest round.
+        additions_covered: Number of agents added to the directory when the latest round
+            had reached all of them.
         not_owners: Members that have said that they do not own it.
         buffered: Packets that are held back until the owner is known.
     """
 
-    first_asked_at: float
-    last_asked_at: float
+    round_started_at: float
     last_packet_at: float
     acknowledged: int
-    asked: set[identifiers.MemberId] = msgspec.field(default_factory=set)
+    datagram: bytes = b""
+    asked_at: dict[identifiers.MemberId, float] = msgspec.field(default_factory=dict)
+    asked_in_round: set[identifiers.MemberId] = msgspec.field(default_factory=set)
+    additions_covered: int = -1
     not_owners: set[identifiers.MemberId] = msgspec.field(default_factory=set)
     buffered: list[bytes] = msgspec.field(default_factory=list)
 
     @property
-    def was_asked(self) -> bool:
-        """Whether agents have been asked."""
-        return self.first_asked_at < float("inf")
+    def first_asked_at(self) -> float:
+        """When an agent was first asked; infinite where none was."""
+        return min(self.asked_at.values(), default=float("inf"))
 
 
 class Lookups:
@@ -84,7 +90,7 @@
 
     def start(self, flow_id: packets.FlowId, acknowledged: int, now: float) -> Lookup:
         """Add a lookup; agents are asked when the flow's next packet arrives."""
-        lookup = Lookup(float("inf"), float("-inf"), now, acknowledged)
+        lookup = Lookup(float("-inf"), now, acknowledged)
         self._flows[flow_id] = lookup
         return lookup
 
@@ -103,10 +109,14 @@
         if now - lookup.last_packet_at > NEGATIVE_REPLY_TTL_SECONDS:
             # The caller may have opened a new flow from the same port meanwhile.
             lookup.not_owners.clear()
+            lookup.asked_at.clear()
         lookup.last_packet_at = now
         lookup.acknowledged = packet.acknowledgement
-        if now - lookup.last_asked_at >= RETRY_INTERVAL_SECONDS:
-            return self._ask(packet, lookup, now)
+        has_asked_all = lookup.additions_covered == self._view.agents.additions
+        is_new = not lookup.datagram
+        is_due = now - lookup.round_started_at >= RETRY_INTERVAL_SECONDS
+        if is_new or (has_asked_all and is_due):
+            return self._start_round(packet, lookup, now)
         if len(lookup.buffered) >= MAX_BUFFERED_PACKETS:
             return [actions.Drop(flow_id, actions.Reason.BUFFER_FULL)]
         lookup.buffered.append(packet.datagram)
@@ -119,10 +129,12 @@
         if (lookup := self._flows.get(flow_id)) is not None:
             lookup.not_owners.add(member)
 
-    def reset_unowned(self, now: float) -> list[actions.Action]:
-        """Reset all flows that certainly have no owner."""
+    def tick(self, now: float) -> list[actions.Action]:
+        """Continue rounds of questions and reset flows that have no owner."""
         decided: list[actions.Action] = []
-        for flow_id in list(self._flows):
+        for flow_id, lookup in list(self._flows.items()):
+            if self._view.is_complete:
+                decided += self._ask_next(flow_id, lookup, now)
             decided += self.reset_if_unowned(flow_id, now)
         return decided
 
@@ -147,40 +159,59 @@
             if lookup.last_packet_at < before:
                 del self._flows[flow_id]
 
-    def _ask(
+    def _start_round(
         self, packet: packets.Packet, lookup: Lookup, now: float
     ) -> list[actions.Action]:
-        is_first = not lookup.was_asked
-        lookup.first_asked_at = min(lookup.first_asked_at, now)
-        lookup.last_asked_at = now
-        asked = [
-            agent
-            for agent in self._possible_owners(packet.flow)[:MAX_AGENTS_ASKED]
-            if agent.member.id not in lookup.not_owners
-        ]
-        lookup.asked.update(agent.member.id for agent in asked)
-        request = messages.LookupRequest(packet.datagram)
-        decided: list[actions.Action] = [
-            actions.SendMessage(agent.peer_address, request) for agent in asked
-        ]
+        """Ask all agents again that have not said that they do not own the flow."""
+        is_first = not lookup.datagram
+        lookup.round_started_at = now
+        lookup.datagram = packet.datagram
+        lookup.asked_in_round.clear()
+        lookup.additions_covered = -1
+        decided = self._ask_next(packet.flow, lookup, now)
         if is_first:
             known = len(self._view.agents.agents)
-            decided.append(actions.RecordLookupStarted(packet.flow, len(asked), known))
+            started = actions.RecordLookupStarted(packet.flow, len(decided), known)
+            decided.append(started)
         return decided
 
+    def _ask_next(
+        self, flow_id: packets.FlowId, lookup: Lookup, now: float
+    ) -> list[actions.Action]:
+        """Ask the next agents of the latest round."""
+        additions = self._view.agents.additions
+        if not lookup.datagram or lookup.additions_covered == additions:
+            return []
+        left = [
+            agent
+            for agent in self._possible_owners(flow_id)
+            if agent.member.id not in lookup.not_owners
+            and agent.member.id not in lookup.asked_in_round
+        ]
+        if len(left) <= MAX_ASKED_AT_ONCE:
+            lookup.additions_covered = additions
+        return [self._ask(agent, lookup, now) for agent in left[:MAX_ASKED_AT_ONCE]]
+
+    def _ask(
+        self, agent: directory.Agent, lookup: Lookup, now: float
+    ) -> actions.SendMessage:
+        lookup.asked_in_round.add(agent.member.id)
+        lookup.asked_at.setdefault(agent.member.id, now)
+        request = messages.LookupRequest(lookup.datagram)
+        return actions.SendMessage(agent.peer_address, request)
+
     def _possible_owners(self, flow_id: packets.FlowId) -> list[directory.Agent]:
-        """Return the agents that may own a flow, including those that are gone.
+        """Return all agents, including those that are gone, the likely owners first.
 
-        The route may have led to another service when the flow was opened, so all
-        agents are asked unless they are too many.
+        The route may have led to another service when the flow was opened.
         """
         known = self._view.agents
-        everyone = known.agents
         route = self._view.route_table.find(flow_id)
-        if len(everyone) <= MAX_AGENTS_ASKED or route is None:
-            return everyone
+        services = [share.service for share in route.shares] if route else []
+        likely = {a.member.id: a for s in services for a in known.of_service(s)}
         return [
-            agent for share in route.shares for agent in known.of_service(share.service)
+            *likely.values(),
+            *(a for a in known.agents if a.member.id not in likely),
         ]
 
     def _no_owner_evidence(
@@ -196,22 +227,17 @@
         that are gone were asked as well and had time to answer, because an agent may
         be believed dead wrongly.
         """
-        asked_seconds = now - lookup.first_asked_at
         owners = self._possible_owners(flow_id)
         silent = [a for a in owners if a.member.id not in lookup.not_owners]
-        if not all(is_confirmed_gone(agent, now) for agent in silent):
-            return None
-        if silent and asked_seconds < RETRY_INTERVAL_SECONDS:
+        if not all(_had_time_to_answer(agent, lookup, now) for agent in silent):
             return None
         known = self._view.agents.counts
         return actions.NoOwnerEvidence(
             denied=len(owners) - len(silent),
             gone=len(silent),
-            asked_seconds=asked_seconds,
+            asked_seconds=now - lookup.first_asked_at,
             known_present=known.present,
             known_gone=known.gone,
-            possible_owners=len(owners),
-            asked_silent=sum(agent.member.id in lookup.asked for agent in silent),
             newest_change_seconds=now - self._view.agents.changed_at,
             table_basis=table.basis.value,
             table_source=table.source.host,
@@ -219,6 +245,12 @@
         )
 
 
+def _had_time_to_answer(agent: directory.Agent, lookup: Lookup, now: float) -> bool:
+    """Return whether an agent is gone and did not answer the question either."""
+    asked_at = lookup.asked_at.get(agent.member.id, now)
+    return now - asked_at >= RETRY_INTERVAL_SECONDS and is_confirmed_gone(agent, now)
+
+
 def is_confirmed_gone(agent: directory.Agent, now: float) -> bool:
     """Return whether an agent is gone and its grace period to come back is over."""
     if agent.is_present:
