A message from an unknown agent shows that an entry's table is incomplete

Cause: an agent that knows an entry sends it load reports, four a second.

Change: the entry asks the sender for its record, over a connection, and its table counts as incomplete until that has answered or failed; a sender that fails is left alone for 5 s. The test of unknown senders now requires the report besides that nothing changes.

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -184,6 +184,16 @@
     basis: DenialBasis | None = None
 
 
+class ReportUnknownSender(typing.NamedTuple):
+    """Report a message from a member that is not known.
+
+    Attributes:
+        address: The address that the message came from.
+    """
+
+    address: addresses.Address
+
+
 class Drop(typing.NamedTuple):
     """Drop a packet."""
 
@@ -230,4 +240,13 @@
 
 Record = RecordLookupStarted | RecordOwnerFound | RecordLatency
 
-Action = Forward | DeliverToServer | SendToCaller | Reset | SendMessage | Drop | Record
+Action = (
+    Forward
+    | DeliverToServer
+    | SendToCaller
+    | Reset
+    | SendMessage
+    | ReportUnknownSender
+    | Drop
+    | Record
+)
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -146,7 +146,7 @@
         """Handle an agent's message."""
         agent = self._view.agents.by_peer_address(sender)
         if agent is None:
-            return []
+            return [actions.ReportUnknownSender(sender)]
         agent.last_message_at = now
         if isinstance(message, messages.OwnershipConfirmed):
             return self._handle_owned(agent, message.flow, now)
--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -23,6 +23,7 @@
 ASKED_AT_ONCE = 2
 LONGEST_RUNNING = 16
 ASK_INTERVAL_SECONDS = 0.2
+UNKNOWN_SENDER_RETRY_SECONDS = 5.0
 
 
 class Basis(enum.Enum):
@@ -83,11 +84,13 @@
         self._answers: dict[addresses.Address, Answer] = {}
         self._in_progress: set[addresses.Address] = set()
         self._asked_at: dict[addresses.Address, float] = {}
+        self._unknown_senders: set[addresses.Address] = set()
+        self._failed_senders: dict[addresses.Address, float] = {}
 
     @property
     def evidence(self) -> Evidence | None:
         """Why the table is complete, None where it may not be."""
-        return self._evidence
+        return None if self._unknown_senders else self._evidence
 
     @property
     def is_asking(self) -> bool:
@@ -105,6 +108,12 @@
         """Record that a member was discovered."""
         self._last_new_member_at = now
 
+    def handle_unknown_sender(self, address: addresses.Address, now: float) -> None:
+        """Record a message from a member that is not in the table."""
+        failed_at = self._failed_senders.get(address, float("-inf"))
+        if now - failed_at >= UNKNOWN_SENDER_RETRY_SECONDS:
+            self._unknown_senders.add(address)
+
     def next_targets(
         self,
         contacts: typing.Iterable[addresses.Address],
@@ -118,8 +127,10 @@
             present: All other members that are believed to run.
             now: Current time in seconds.
         """
-        targets = self._silent_contacts(contacts, now)
-        targets += self._choose_members(present, now)
+        targets = [a for a in self._unknown_senders if self._may_ask(a, now)]
+        if self._evidence is None:
+            targets += self._silent_contacts(contacts, now)
+            targets += self._choose_members(present, now)
         chosen = list(dict.fromkeys(targets))
         self._in_progress.update(chosen)
         self._asked_at.update(dict.fromkeys(chosen, now))
@@ -142,6 +153,7 @@
         """
         is_first_answer = source not in self._answers
         self._in_progress.discard(source)
+        self._unknown_senders.discard(source)
         self._answers[source] = (
             Answer.COMPLETE if reply.is_complete else Answer.INCOMPLETE
         )
@@ -156,6 +168,9 @@
         """Record that a member did not answer."""
         self._in_progress.discard(source)
         self._answers[source] = Answer.NONE
+        if source in self._unknown_senders:
+            self._unknown_senders.discard(source)
+            self._failed_senders[source] = now
 
     def tick(self, present: typing.Sequence[records.Member], now: float) -> None:
         """Conclude that the whole fleet has just started, where that is so."""
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -309,6 +309,13 @@
         self._completeness.handle_failure(source, now)
         return self._report_completeness()
 
+    def handle_unknown_sender(
+        self, address: addresses.Address, now: float
+    ) -> list[Action]:
+        """Handle a message that came from the control address of an unknown member."""
+        self._completeness.handle_unknown_sender(address, now)
+        return self._report_completeness() + self._request_tables(now)
+
     def handle_pause(self, now: float) -> list[Action]:
         """Record that this process was paused until now and has missed updates."""
         self._last_received_at = now
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -133,6 +133,12 @@
         self._execute(actions)
         return messages.encode_exchange(self._authenticator, reply)
 
+    def handle_unknown_sender(self, address: addresses.Address) -> None:
+        """Ask the unknown member at a control address for its record."""
+        self._execute(
+            self._membership.handle_unknown_sender(address, self._loop.time())
+        )
+
     def handle_pause(self) -> None:
         """Record that this process was paused until now."""
         self._execute(self._membership.handle_pause(self._loop.time()))
--- a/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
@@ -72,6 +72,8 @@
                 self._reset(action)
             elif isinstance(action, actions.Drop):
                 self._drop(action)
+            elif isinstance(action, actions.ReportUnknownSender):
+                self._node.gossip.handle_unknown_sender(action.address)
             else:
                 self._record(action)
 
--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -311,12 +311,18 @@
         for action in decided:
             if isinstance(action, actions.Reset):
                 self._reset(action)
+            elif isinstance(action, actions.ReportUnknownSender):
+                self._report_unknown_sender(process, action.address)
             elif isinstance(action, actions.Forward):
                 self._send_to_agent(process, action.address, action.datagram.packet)
             elif isinstance(action, actions.SendMessage):
                 packet = action.message.datagram.packet
                 self._send_to_agent(process, action.address, packet)
 
+    def _report_unknown_sender(self, process, address):
+        membership = process.membership
+        self.execute(membership, membership.handle_unknown_sender(address, self.now))
+
     def _reset(self, action):
         caller = self.callers[action.flow]
         if caller.reset is None:
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -447,10 +447,13 @@
     assert flows.flow_count == 0
 
 
-def test_messages_of_unknown_senders_are_ignored(flows):
+def test_messages_of_unknown_senders_change_nothing_and_are_reported(flows):
     number = open_flow(flows)
+    unknown_sender = builders.ENTRY
     denial = messages.OwnershipDenied(builders.FLOW)
-    assert flows.handle_message(builders.ENTRY, denial, SETTLED) == []
+    assert flows.handle_message(unknown_sender, denial, SETTLED) == [
+        actions.ReportUnknownSender(unknown_sender)
+    ]
     (sent,) = flows.handle_packet(builders.packet(), SETTLED)
     assert sent.address == packet_address_of(builders.agent_record(number))
 
