An entry is ready only once its table of members is complete

Change: the check passes for the first time once the table is complete as well; later pauses do not turn it off again, the entry then asks and resets nothing.

--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -36,6 +36,7 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         self._is_stopping = False
+        self._has_been_complete = False
         self._last_received_at = float("-inf")
         self._pause_detector = pauses.PauseDetector(
             self._loop.time(), time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -133,6 +134,7 @@
         self._execute(self._flows.update_member(record, self._loop.time()))
 
     def _on_completeness_changed(self, evidence: completeness.Evidence | None) -> None:
+        self._has_been_complete |= evidence is not None
         self._execute(self._flows.update_completeness(evidence, self._loop.time()))
 
     def _on_routes(self, route_table: routes.RouteTable) -> None:
@@ -143,7 +145,8 @@
     ) -> http_calls.Response:
         if request.path != calls.READINESS_PATH:
             return http_calls.Response(http.HTTPStatus.NOT_FOUND)
-        if self._is_stopping or not self._node.route_table.is_known:
+        has_started = self._has_been_complete and self._node.route_table.is_known
+        if self._is_stopping or not has_started:
             return http_calls.Response(http.HTTPStatus.SERVICE_UNAVAILABLE)
         return http_calls.Response()
 
