An agent asks its backend server before it denies a flow that it once tracked

Callers' open flows could be reset where their agent had forgotten them while the backend server held them (trials of docs/design/certainty.md, cases 6, 7, 18 and 19): an opening packet that is answered after 1 s, a flow that was opened before the first announcement of a new server start, a flow that its caller closed and its server still answers, and flows beyond the agent's bound.

Cause: that an agent does not track a flow stood in for the server's answer, once it had seen all flows since the server's start. Change: only a flow that was never tracked is denied without asking; one that was forgotten is asked of the server by its next packet, as after the agent's own restart. Where flows that were forgotten do not fit into the memory, the agent has not seen all flows any more. The basis "forgotten" of a denial goes.

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -51,14 +51,12 @@
     """What an agent's denial that it owns a flow is based on.
 
     NEVER_TRACKED: The agent has seen all flows, and has not tracked this one.
-    FORGOTTEN: The agent has tracked the flow and forgotten it.
     OTHER_CHOSEN: The caller took another backend server's answer.
     SERVER_DENIED: The backend server has returned or reset a packet of the flow.
     SERVER_GONE: The backend server is gone.
     """
 
     NEVER_TRACKED = "never-tracked"
-    FORGOTTEN = "forgotten"
     OTHER_CHOSEN = "other-chosen"
     SERVER_DENIED = "server-denied"
     SERVER_GONE = "server-gone"
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -103,7 +103,7 @@
         self._flows: dict[packets.FlowId, Flow] = {}
         self._not_owned: dict[packets.FlowId, float] = {}
         # Flows that are not tracked any more, with the times of their latest packets;
-        # they tell a denial's basis and decide nothing.
+        # the backend server may hold them nevertheless.
         self._forgotten: dict[packets.FlowId, float] = {}
         self._awaiting_request: dict[packets.FlowId, float] = {}
         self._queue: dict[packets.FlowId, QueuedOpening] = {}
@@ -348,12 +348,10 @@
         """Return why an untracked flow is certainly not owned, None if it may be."""
         if flow_id in self._not_owned:
             return actions.DenialBasis.SERVER_DENIED
-        if self._has_seen_all_flows and flow_id in self._forgotten:
-            return actions.DenialBasis.FORGOTTEN
-        if self._has_seen_all_flows:
-            return actions.DenialBasis.NEVER_TRACKED
         if self._server.state is servers.State.GONE:
             return actions.DenialBasis.SERVER_GONE
+        if self._has_seen_all_flows and flow_id not in self._forgotten:
+            return actions.DenialBasis.NEVER_TRACKED
         return None
 
     def _handle_bounced(
@@ -426,6 +424,8 @@
         flow = self._flows.pop(flow_id, None)
         if flow is not None:
             self._meter.record_end(flow.progress)
+            if len(self._forgotten) >= MAX_FLOWS:
+                self._has_seen_all_flows = False
             _put_bounded(self._forgotten, flow_id, flow.last_packet_at)
 
 
