A repeated answer to an opening packet is no answer to a probe

Cause: an agent that asks its backend server for a flow, by a packet, took any packet of that flow for the answer. Where two servers had answered the opening packet and the caller had chosen the other one, a repeated SYN+ACK made the agent confirm the flow, and reset it when the server returned the packet (trial of docs/design/certainty.md, case 10).

Change: a SYN+ACK is no answer to a probe. The test failed before.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -313,7 +313,8 @@
             flow.server_sequence = packet.sequence
             message = messages.Accepted(packet.flow, packet.sequence, self.load)
             return [actions.SendMessage(flow.entry, message)]
-        if flow.state is State.PROBED:
+        is_opening_answer = bool(packet.flags & packets.Flags.SYN)
+        if flow.state is State.PROBED and not is_opening_answer:
             flow.state = State.ESTABLISHED
             return [
                 actions.SendMessage(
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -267,6 +267,15 @@
     assert is_probe(look_up(flows, 7.0))
 
 
+def test_repeated_opening_answer_is_no_answer_to_a_probe(restarted):
+    look_up(restarted, 1.0)
+    (returned,) = restarted.handle_server_packet(builders.opening_answer(), 1.0)
+    assert isinstance(returned, actions.SendToCaller)
+    bounced = builders.bounced_packet(builders.packet())
+    decided = restarted.handle_server_packet(bounced, 1.1)
+    assert decided == [denial(actions.DenialBasis.SERVER_DENIED)]
+
+
 def test_denial_while_the_backend_server_is_gone_is_based_on_that(restarted, server):
     server.handle_stopped("s1", 1.0)
     assert look_up(restarted, 1.1) == [denial(actions.DenialBasis.SERVER_GONE)]
