A late deregistration of a former server denies no flow of the present one

Change: the agent still gives the server no new flows, but denies without asking it only where the server that has stopped is one that had announced itself. The test failed before.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -349,7 +349,7 @@
         """Return why an untracked flow is certainly not owned, None if it may be."""
         if flow_id in self._not_owned:
             return actions.DenialBasis.SERVER_DENIED
-        if self._server.state is servers.State.GONE:
+        if self._server.has_certainly_stopped:
             return actions.DenialBasis.SERVER_GONE
         if self._has_seen_all_flows and flow_id not in self._forgotten:
             return actions.DenialBasis.NEVER_TRACKED
--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -81,6 +81,11 @@
         """Whether it accepts new flows."""
         return self._state
 
+    @property
+    def has_certainly_stopped(self) -> bool:
+        """Whether the backend server that announced itself here has stopped."""
+        return self._state is State.GONE and self._latest_announcement is not None
+
     @property
     def latest_announcement(self) -> Announcement | None:
         """Its latest announcement."""
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -276,6 +276,13 @@
     assert decided == [denial(actions.DenialBasis.SERVER_DENIED)]
 
 
+def test_late_deregistration_of_an_unknown_server_denies_no_flow(server):
+    started = agent.AgentFlows(server, 0.0)
+    started.update_routes(builders.route_table(), 0.0)
+    server.handle_stopped("former", 0.5)
+    assert is_probe(look_up(started, 1.0))
+
+
 def test_denial_while_the_backend_server_is_gone_is_based_on_that(restarted, server):
     server.handle_stopped("s1", 1.0)
     assert look_up(restarted, 1.1) == [denial(actions.DenialBasis.SERVER_GONE)]
