An old packet of a caller is not sent to agents that appear later

Traced: a lookup at frontend-alausi-2 began at 6.54 s and found no answer of the owner; the caller went on through its former entry at 6.94 s. At 24 s servers were released, and the lookup sent the packet of 6.54 s to each agent that appeared, which handed it to its backend server as the question whether it holds the flow.

Cause: since "every agent that may own a flow is asked" a lookup sends the packet it has to new agents by itself, without asking whether the caller still waits. Change: only for 2 s after the caller's latest packet, longer than its longest pause between two retransmissions (1.6 s); a later packet begins a new lookup.

--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -19,7 +19,7 @@
 from cactushall_core.membership import completeness, records
 
 RETRY_INTERVAL_SECONDS = 0.15
-NEGATIVE_REPLY_TTL_SECONDS = 2.0
+CALLER_PAUSE_SECONDS = 2.0
 DEAD_GRACE_SECONDS = 1.0
 LEFT_GRACE_SECONDS = 3.0
 MAX_BUFFERED_PACKETS = 16
@@ -106,10 +106,9 @@
         """Handle a packet of a flow: ask agents with it, or buffer it."""
         flow_id = packet.flow
         lookup = self._flows.get(flow_id) or self.start(flow_id, 0, now)
-        if now - lookup.last_packet_at > NEGATIVE_REPLY_TTL_SECONDS:
+        if _has_paused(lookup, now):
             # The caller may have opened a new flow from the same port meanwhile.
-            lookup.not_owners.clear()
-            lookup.asked_at.clear()
+            lookup = self.start(flow_id, 0, now)
         lookup.last_packet_at = now
         lookup.acknowledged = packet.acknowledgement
         has_asked_all = lookup.additions_covered == self._view.agents.additions
@@ -133,7 +132,7 @@
         """Continue rounds of questions and reset flows that have no owner."""
         decided: list[actions.Action] = []
         for flow_id, lookup in list(self._flows.items()):
-            if self._view.is_complete:
+            if self._view.is_complete and not _has_paused(lookup, now):
                 decided += self._ask_next(flow_id, lookup, now)
             decided += self.reset_if_unowned(flow_id, now)
         return decided
@@ -201,18 +200,17 @@
         return actions.SendMessage(agent.peer_address, request)
 
     def _possible_owners(self, flow_id: packets.FlowId) -> list[directory.Agent]:
-        """Return all agents, including those that are gone, the likely owners first.
+        """Return all agents that may hold flows, the likely owners first.
 
-        The route may have led to another service when the flow was opened.
+        Agents that are gone are among them. The route may have led to another service
+        when the flow was opened.
         """
         known = self._view.agents
         route = self._view.route_table.find(flow_id)
         services = [share.service for share in route.shares] if route else []
         likely = {a.member.id: a for s in services for a in known.of_service(s)}
-        return [
-            *likely.values(),
-            *(a for a in known.agents if a.member.id not in likely),
-        ]
+        others = [a for a in known.agents if a.member.id not in likely]
+        return [*likely.values(), *others]
 
     def _no_owner_evidence(
         self,
@@ -245,6 +243,11 @@
         )
 
 
+def _has_paused(lookup: Lookup, now: float) -> bool:
+    """Return whether the caller has ended the flow or sends through another entry."""
+    return now - lookup.last_packet_at > CALLER_PAUSE_SECONDS
+
+
 def _had_time_to_answer(agent: directory.Agent, lookup: Lookup, now: float) -> bool:
     """Return whether an agent is gone and did not answer the question either."""
     asked_at = lookup.asked_at.get(agent.member.id, now)
