That an agent has left proves the end of its flows only where its server has ended

Cause: "left for 3 s" stood in for "its server has ended". Change: an agent whose backend server has stopped announces no endpoints; only then its flows have ended with it, at once and without a question. An agent that leaves beside a server that may live is given 5 s for its successor, as long as calm members need to be in touch, and is asked.

--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -56,6 +56,11 @@
         """Whether it is believed to run."""
         return self.status <= records.Status.SUSPECT
 
+    @property
+    def has_no_flows(self) -> bool:
+        """Whether it has stopped after its backend server had, which ends all flows."""
+        return not self.is_present and not self.member.endpoints
+
     def unacknowledged_count(self, now: float) -> int:
         """Return how many flows were sent to it that its load may not include yet."""
         for flow_id, sent_at in list(self.unacknowledged.items()):
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -21,7 +21,7 @@
 RETRY_INTERVAL_SECONDS = 0.15
 CALLER_PAUSE_SECONDS = 2.0
 DEAD_GRACE_SECONDS = 1.0
-LEFT_GRACE_SECONDS = 3.0
+SUCCESSOR_GRACE_SECONDS = 5.0
 MAX_BUFFERED_PACKETS = 16
 MAX_ASKED_AT_ONCE = 64
 
@@ -210,7 +210,7 @@
         services = [share.service for share in route.shares] if route else []
         likely = {a.member.id: a for s in services for a in known.of_service(s)}
         others = [a for a in known.agents if a.member.id not in likely]
-        return [*likely.values(), *others]
+        return [a for a in (*likely.values(), *others) if not a.has_no_flows]
 
     def _no_owner_evidence(
         self,
@@ -255,9 +255,15 @@
 
 
 def is_confirmed_gone(agent: directory.Agent, now: float) -> bool:
-    """Return whether an agent is gone and its grace period to come back is over."""
+    """Return whether the flows of an agent have ended with it.
+
+    The backend server of an agent that was stopped or has died may live on beside the
+    agent's successor, which has a time to appear.
+    """
     if agent.is_present:
         return False
+    if agent.has_no_flows:
+        return True
     has_left = agent.status is records.Status.LEFT
-    grace_seconds = LEFT_GRACE_SECONDS if has_left else DEAD_GRACE_SECONDS
+    grace_seconds = SUCCESSOR_GRACE_SECONDS if has_left else DEAD_GRACE_SECONDS
     return now - max(agent.status_changed_at, agent.last_message_at) >= grace_seconds
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -195,6 +195,8 @@
 
     def _build_endpoints(self) -> tuple[records.Endpoint, ...]:
         """Return the backend server's endpoints as other members should see them."""
+        if self._server.has_certainly_stopped:
+            return ()
         service = self._server.service
         is_ready = self._server.state is servers.State.READY
         home = identifiers.HomeId(0)
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -76,6 +76,7 @@
     is_draining=False,
     start=1,
     zone=ZONE,
+    has_server=True,
 ):
     """Return the record of the agent on a numbered VM."""
     endpoint = records.Endpoint(service, identifiers.HomeId(0), 2000, is_draining)
@@ -88,7 +89,7 @@
         gossip_port=7720,
         control_port=7735,
         tunnel_port=8172,
-        endpoints=(endpoint,),
+        endpoints=(endpoint,) if has_server else (),
     )
     return records.Record(member, incarnation, status)
 
--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -184,8 +184,11 @@
         return self.start_entry(process.seeds, process.host)
 
     def stop(self, process):
-        """Let a process announce its departure and end."""
-        self.execute(process.membership, process.membership.leave(self.now))
+        """Let a process end whose backend server, if it has one, has ended."""
+        membership = process.membership
+        ended = msgspec.structs.replace(membership.member, endpoints=())
+        self.execute(membership, membership.update(ended, self.now))
+        self.execute(membership, membership.leave(self.now))
         self.kill(process)
 
     def kill(self, process):
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -391,6 +391,30 @@
     assert reset.reason is actions.Reason.NO_OWNER
 
 
+def test_flow_is_reset_immediately_where_its_server_has_ended(flows):
+    number = open_flow(flows)
+    left = builders.agent_record(
+        number, records.Status.LEFT, incarnation=2, has_server=False
+    )
+    flows.update_member(left, SETTLED)
+    look_up(flows, SETTLED + 0.1)
+    (reset,) = deny(flows, [n for n in (1, 2, 3) if n != number], SETTLED + 0.1)
+    assert reset.reason is actions.Reason.NO_OWNER
+
+
+def test_flow_is_not_reset_while_the_successor_of_a_stopped_agent_may_start(flows):
+    left = builders.agent_record(3, records.Status.LEFT, incarnation=2)
+    flows.update_member(left, SETTLED)
+    look_up(flows)
+    deny(flows, (1, 2), SETTLED)
+    late = SETTLED + lookups.SUCCESSOR_GRACE_SECONDS - 0.1
+    assert flows.tick(late) == []
+    successor = builders.agent_record(3, start=2)
+    assert flows.update_member(successor, late) == []
+    assert look_up(flows, late) >= {peer_address_of(3)}
+    assert flows.tick(late + 5.0) == []
+
+
 def test_flow_denied_by_its_agent_is_looked_up_at_the_others(flows):
     number = open_flow(flows)
     deny(flows, (number,), SETTLED)
