A flow without a route is reset only by an entry with the newest revision

An entry whose route table was older than the one under which a flow had been opened reset the flow at once as no-route, and refused new flows of the new route (case 5 of docs/design/certainty.md). The current table stood in for knowledge of the newest one.

Members now tell the revision of their configuration with each table, as they did in each datagram of gossip, and the entry records the newest one. A flow certainly lacks a route only where the table of members is complete, the newest revision told of is adopted, and it has no such route. Until then open flows are looked up, and opening packets wait, for OPENING_TIMEOUT_SECONDS at most; they take no place in the queue of flows that await capacity.

The tests failed first. Of the 9 new tests of the entry all failed, 8 of them only for lack of the method that tells the revision; of the 4 of membership all failed, 3 of them for lack of the action or the field. The 3 of the configuration follower passed before the change: a failed fetch does not block the next one.

Without the check of the revision, of completeness, of the revision in a table or of the queue's limit, tests fail (each run once).

--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
-from cactushall_core.flows import directory, routes
+from cactushall_core import identifiers
+from cactushall_core.flows import directory, packets, routes
 from cactushall_core.membership import completeness
 
 STALE_AFTER_PAUSE_SECONDS = 0.1
 
 
 class ClusterView:
-    """Routes and agents, and the evidence that all agents are known."""
+    """Routes and agents, and the evidence that no newer ones exist."""
 
     def __init__(self) -> None:
         """Start without routes and agents."""
         self._agents = directory.AgentDirectory()
         self._route_table = routes.EMPTY
+        self._newest_revision = routes.EMPTY.revision
         self._evidence: completeness.Evidence | None = None
         self._stale_until = float("-inf")
 
@@ -37,6 +39,21 @@
         """Replace the routes by a newer revision."""
         self._route_table = table
 
+    def record_revision(self, revision: identifiers.Revision) -> None:
+        """Record that a member has told of a revision of the routes."""
+        self._newest_revision = max(self._newest_revision, revision)
+
+    def certainly_lacks_route(self, flow: packets.FlowId) -> bool:
+        """Return whether a flow has no route in the newest revision.
+
+        A revision that this entry has not adopted may have the route. While the table
+        of members is incomplete, there may be a newer one of which no member has told.
+        """
+        is_newest = self._route_table.revision >= self._newest_revision
+        if not self.is_complete or not is_newest:
+            return False
+        return self._route_table.find(flow) is None
+
     def handle_pause(self, now: float) -> None:
         """Record that this process was paused until now, and has missed updates."""
         self._evidence = None
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -100,6 +100,10 @@
         self._view.update_routes(table)
         return self.tick(now)
 
+    def record_revision(self, revision: identifiers.Revision) -> None:
+        """Record that a member has told of a revision of the routes."""
+        self._view.record_revision(revision)
+
     def update_member(self, record: records.Record, now: float) -> list[actions.Action]:
         """Apply a membership update."""
         self._view.agents.update(record, now)
@@ -120,9 +124,7 @@
         """Handle a caller's packet."""
         if packet.is_opening and self._view.is_stale(now):
             return [actions.Drop(packet.flow, actions.Reason.STALE)]
-        if self._view.route_table.is_known and not self._view.route_table.find(
-            packet.flow
-        ):
+        if self._view.certainly_lacks_route(packet.flow):
             return self._reset_without_route(packet)
         if packet.is_opening:
             return self._open(packet, now)
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -64,6 +64,7 @@
         self._rng = rng
         self._flows: dict[packets.FlowId, PendingFlow] = {}
         self._queue: dict[packets.FlowId, PendingFlow] = {}
+        self._without_route: set[packets.FlowId] = set()
 
     def __len__(self) -> int:
         """Return the number of pending flows."""
@@ -76,7 +77,7 @@
     def remove(self, flow_id: packets.FlowId) -> None:
         """Forget a flow."""
         self._flows.pop(flow_id, None)
-        self._queue.pop(flow_id, None)
+        self._remove_from_queue(flow_id)
 
     def remove_oldest(self) -> None:
         """Forget the flow that was opened first."""
@@ -131,6 +132,10 @@
             ):
                 self.remove(flow_id)
 
+    def _remove_from_queue(self, flow_id: packets.FlowId) -> None:
+        self._queue.pop(flow_id, None)
+        self._without_route.discard(flow_id)
+
     def _place(self, flow: PendingFlow, now: float) -> list[actions.Action]:
         """Forward an opening packet, preferably to an agent that has not had it."""
         flow_id = flow.packet.flow
@@ -138,7 +143,8 @@
             return self._queue_or_refuse(flow, 0, now, packets.OPENING_TIMEOUT_SECONDS)
         route = self._view.route_table.find(flow_id)
         if route is None:
-            return self._refuse(flow, 0, now, actions.Reason.NO_ROUTE)
+            return self._queue_without_route(flow, now)
+        self._without_route.discard(flow_id)
         accepting = self._view.agents.accepting(route.service_of(flow_id))
         candidates = [a for a in accepting if a.packet_address not in flow.declined]
         if not candidates:
@@ -154,6 +160,19 @@
             return self._queue_or_refuse(flow, len(candidates), now, timeout)
         return [self._forward(flow, agent, now)]
 
+    def _queue_without_route(
+        self, flow: PendingFlow, now: float
+    ) -> list[actions.Action]:
+        """Queue a flow while its route may be in a revision that is not adopted yet."""
+        flow_id = flow.packet.flow
+        is_late = now - flow.opened_at >= packets.OPENING_TIMEOUT_SECONDS
+        if is_late or self._view.certainly_lacks_route(flow_id):
+            return self._refuse(flow, 0, now, actions.Reason.NO_ROUTE)
+        flow.agent = None
+        self._queue.setdefault(flow_id, flow)
+        self._without_route.add(flow_id)
+        return []
+
     def _queue_timeout(self, agent_count: int) -> float:
         """Return how long a flow may be queued, in seconds.
 
@@ -161,12 +180,13 @@
         they would be answered late and make others late.
         """
         limit = max(MIN_QUEUE_LIMIT, QUEUED_FLOWS_PER_AGENT * agent_count)
-        return QUEUE_TIMEOUT_SECONDS if len(self._queue) < limit else 0.0
+        awaiting_capacity = len(self._queue) - len(self._without_route)
+        return QUEUE_TIMEOUT_SECONDS if awaiting_capacity < limit else 0.0
 
     def _forward(
         self, flow: PendingFlow, agent: directory.Agent, now: float
     ) -> actions.Forward:
-        self._queue.pop(flow.packet.flow, None)
+        self._remove_from_queue(flow.packet.flow)
         placement = actions.Placement(
             flow=flow.packet.flow,
             copy=flow.packet.acknowledgement,
--- a/packages/cactushall-core/cactushall_core/membership/messages.py
+++ b/packages/cactushall-core/cactushall_core/membership/messages.py
@@ -103,11 +103,13 @@
         is_complete: Whether the table of the member that answers is complete.
         knew_sender: Whether that member had heard of the sender before the request.
         records: All records in the buckets whose hashes differ.
+        revision: Revision of that member's service configuration; 0 where it has none.
     """
 
     is_complete: bool
     knew_sender: bool
     records: tuple[records.Record, ...]
+    revision: identifiers.Revision = identifiers.Revision(0)
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -75,6 +75,12 @@
     revision: identifiers.Revision
 
 
+class NewestRevisionChanged(msgspec.Struct, frozen=True):
+    """A member has told of a revision that is newer than all seen before."""
+
+    revision: identifiers.Revision
+
+
 class CompletenessChanged(msgspec.Struct, frozen=True):
     """The table of this member has become complete, or may not be complete any more.
 
@@ -96,7 +102,14 @@
     request: messages.TableRequest
 
 
-Action = Send | MemberChanged | FetchConfiguration | CompletenessChanged | RequestTable
+Action = (
+    Send
+    | MemberChanged
+    | FetchConfiguration
+    | NewestRevisionChanged
+    | CompletenessChanged
+    | RequestTable
+)
 
 
 class _PendingProbe(msgspec.Struct):
@@ -149,6 +162,7 @@
         self._table = table.Table()
         self._broadcasts = broadcasts.BroadcastQueue()
         self._revision = identifiers.Revision(0)
+        self._newest_revision = identifiers.Revision(0)
         self._revision_rounds = 0
         self._probes: dict[int, _PendingProbe] = {}
         self._suspected_at: dict[identifiers.MemberId, float] = {}
@@ -284,6 +298,7 @@
                 for bucket in differing
                 for record in self._table.bucket_records(bucket)
             ),
+            revision=self._revision,
         )
         actions = self.merge((request.sender,), now, is_broadcast=True)
         return reply, actions + self.merge(request.records, now)
@@ -299,6 +314,7 @@
             now: Current time in seconds.
         """
         actions = self.merge(reply.records, now)
+        actions += self._check_revision(reply.revision, self._member_at(source))
         self._completeness.handle_reply(source, reply, self._present_members(), now)
         return actions + self._report_completeness()
 
@@ -338,6 +354,13 @@
         self._reported_evidence = evidence
         return [CompletenessChanged(evidence)]
 
+    def _member_at(self, address: addresses.Address) -> records.Member | None:
+        """Return the running member at a control address, None where none is known."""
+        for member in self._present_members():
+            if member.control_address == address:
+                return member
+        return None
+
     def _present_members(self) -> list[records.Member]:
         """Return all other members that are believed to run."""
         return [
@@ -384,7 +407,9 @@
         actions: list[Action] = []
         for update in packet.updates:
             actions += self._apply(update, now)
-        actions += self._check_revision(packet)
+        record = self._table.get(packet.sender)
+        sender_member = record.member if record is not None else None
+        actions += self._check_revision(packet.revision, sender_member)
         return actions + self._handle_body(sender, packet, now)
 
     def _handle_body(
@@ -550,13 +575,17 @@
             for target in targets
         ]
 
-    def _check_revision(self, packet: messages.Packet) -> list[Action]:
-        if packet.revision <= self._revision:
-            return []
-        record = self._table.get(packet.sender)
-        if record is None:
-            return []
-        return [FetchConfiguration(record.member, packet.revision)]
+    def _check_revision(
+        self, revision: identifiers.Revision, member: records.Member | None
+    ) -> list[Action]:
+        """Handle the revision that a member has, which may not be in the table yet."""
+        actions: list[Action] = []
+        if revision > self._newest_revision:
+            self._newest_revision = revision
+            actions.append(NewestRevisionChanged(revision))
+        if revision > self._revision and member is not None:
+            actions.append(FetchConfiguration(member, revision))
+        return actions
 
     def _apply(self, update: records.Update, now: float) -> list[Action]:
         if isinstance(update, records.Record):
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -18,6 +18,7 @@
 RevisionCallback = collections.abc.Callable[
     [records.Member, identifiers.Revision], None
 ]
+NewestRevisionCallback = collections.abc.Callable[[identifiers.Revision], None]
 CompletenessCallback = collections.abc.Callable[[completeness.Evidence | None], None]
 Exchange = collections.abc.Callable[
     [addresses.Address, bytes], collections.abc.Awaitable[bytes]
@@ -28,6 +29,10 @@
     """Do nothing: the process does not depend on a complete table."""
 
 
+def ignore_newest_revision(_revision: identifiers.Revision) -> None:
+    """Do nothing: the process does not depend on the newest configuration."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Callbacks:
     """What a process does with changes of its membership table.
@@ -37,11 +42,14 @@
         on_revision_seen: Called when a member has a newer configuration.
         on_completeness_changed: Called with the evidence when the table has become
             complete, with None when it may not be complete any more.
+        on_newest_revision_changed: Called when a member has told of a configuration
+            that is newer than all told of before.
     """
 
     on_member_changed: MemberCallback
     on_revision_seen: RevisionCallback
     on_completeness_changed: CompletenessCallback = ignore_completeness
+    on_newest_revision_changed: NewestRevisionCallback = ignore_newest_revision
 
 
 class GossipEndpoint:
@@ -187,6 +195,8 @@
                 self._callbacks.on_member_changed(action.record)
             elif isinstance(action, state.CompletenessChanged):
                 self._handle_completeness(action.evidence)
+            elif isinstance(action, state.NewestRevisionChanged):
+                self._callbacks.on_newest_revision_changed(action.revision)
             elif isinstance(action, state.RequestTable):
                 self._tasks.spawn(self._request_table(action))
             else:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -54,6 +54,7 @@
             on_message=self._on_message,
             gauges=self._read_gauges,
             on_completeness_changed=self._on_completeness_changed,
+            on_newest_revision_changed=self._flows.record_revision,
         )
         self._received_counter = self._node.counters.cell(counters.Counter.RECEIVED)
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -85,6 +85,9 @@
         on_completeness_changed: gossip.CompletenessCallback = (
             gossip.ignore_completeness
         ),
+        on_newest_revision_changed: gossip.NewestRevisionCallback = (
+            gossip.ignore_newest_revision
+        ),
     ) -> None:
         """Create the node without binding an address or sending anything.
 
@@ -97,6 +100,8 @@
             gauges: Returns the gauges that only this role has, by name.
             on_completeness_changed: Called when the table of members has become
                 complete, or may not be complete any more.
+            on_newest_revision_changed: Called when a member has told of a
+                configuration that is newer than all told of before.
         """
         self._on_routes = on_routes
         self._on_message = on_message
@@ -132,6 +137,7 @@
                 on_member_changed,
                 self._follower.fetch_if_newer,
                 on_completeness_changed,
+                on_newest_revision_changed,
             ),
             _request_table,
             self._tasks,
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -10,6 +10,9 @@
 SERVICE = identifiers.ServiceName("board")
 OTHER_SERVICE = identifiers.ServiceName("plans")
 FLOW = packets.FlowId(0x64400001, 40_001, 0xC6120001, 8443)
+NEW_ROUTE_FLOW = FLOW._replace(service_port=8444)
+DROPPED_ROUTE_FLOW = FLOW._replace(service_port=8445)
+NO_ROUTE_FLOW = FLOW._replace(service_port=8446)
 OTHER_FLOW = FLOW._replace(caller_port=40_002)
 CALLER_START = 1000
 SERVER_START = 70_000
@@ -55,14 +58,31 @@
     return original._replace(flags=original.flags | packets.Flags.BOUNCED)
 
 
-def route_table(*services, revision=1, idle=15.0, objective=0.0):
-    """Return a table with one route, shared evenly by services."""
-    address = routes.ServiceAddress(FLOW.service_host, FLOW.service_port)
+def service_address(flow):
+    """Return the address that the caller of a flow sends to."""
+    return routes.ServiceAddress(flow.service_host, flow.service_port)
+
+
+def older_route_table():
+    """Return revision 1, with a route that the newer one drops."""
+    return route_table(revision=1, flows=(FLOW, DROPPED_ROUTE_FLOW))
+
+
+def newer_route_table():
+    """Return revision 2, with a route that the older one lacks."""
+    return route_table(revision=2, flows=(FLOW, NEW_ROUTE_FLOW))
+
+
+def route_table(*services, revision=1, idle=15.0, objective=0.0, flows=(FLOW,)):
+    """Return a table with the routes of some flows, shared evenly by services."""
     shares = tuple(routes.Share(service, 1.0) for service in services or (SERVICE,))
-    route = routes.Route("board", address, shares, objective_seconds=objective)
+    made = [
+        routes.Route("board", address, shares, objective_seconds=objective)
+        for address in map(service_address, flows)
+    ]
     return routes.RouteTable(
         identifiers.Revision(revision),
-        {address: route},
+        {route.address: route for route in made},
         dict.fromkeys(services or (SERVICE,), "/health"),
         idle,
     )
--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -1,7 +1,9 @@
 """Simulates a fleet of entries and agents with its membership protocol.
 
 Every process runs the membership protocol, and entries learn of agents from it alone.
-Callers send packets of open flows; agents answer lookups after a short random delay.
+Callers send packets of open or new flows; agents answer after a short random delay.
+A member that learns of a newer revision of the routes fetches it from the one that has
+it.
 """
 
 from __future__ import annotations
@@ -15,7 +17,7 @@
 import msgspec
 
 from cactushall_core import addresses
-from cactushall_core.flows import actions, entry, messages, packets
+from cactushall_core.flows import actions, entry, messages, packets, routes
 from cactushall_core.membership import records, state
 from cactushall_daemon.packets import node
 from tests.core import builders as member_builders
@@ -34,6 +36,7 @@
 UNOWNED_FLOWS = 3
 ADDED_AGENTS = 6
 AGENT_START_SECONDS = 0.5
+FETCH_SECONDS = (0.3, 0.6)
 
 
 @dataclasses.dataclass(eq=False)
@@ -45,12 +48,16 @@
         flows: Its flows where it is an entry, None where it is an agent.
         seeds: Control addresses through which it joins.
         started_at: When it started.
+        route_table: Its routes.
+        adopted_at: When it adopted them.
     """
 
     membership: state.Membership
     flows: entry.EntryFlows | None
     seeds: tuple[addresses.Address, ...]
     started_at: float
+    route_table: routes.RouteTable
+    adopted_at: float
 
     @property
     def address(self):
@@ -70,7 +77,7 @@
 
 @dataclasses.dataclass(eq=False)
 class Caller:
-    """A caller that sends one packet of an open flow until it is answered.
+    """A caller that sends one packet of a flow until it is answered.
 
     Attributes:
         flow: Id of the flow.
@@ -78,8 +85,9 @@
         entry: The entry that gets the packet; None for the one that routers choose.
         first_sent_at: When the packet is first sent.
         next_at: When it is sent next.
+        is_opening: Whether the packet opens the flow; any agent accepts it.
         interval: Seconds until the retransmission after that.
-        delivered_at: When the owner first got the packet.
+        delivered_at: When the owner, or an agent that accepts it, first got the packet.
         reset_at: When an entry reset the flow.
         reset: The entry's decision to reset it.
     """
@@ -89,6 +97,7 @@
     entry: Process | None
     first_sent_at: float
     next_at: float
+    is_opening: bool = False
     interval: float = RETRANSMISSION_SECONDS[0]
     delivered_at: float | None = None
     reset_at: float | None = None
@@ -224,18 +233,51 @@
             rng = random.Random(self.rng.random())
             flows = entry.EntryFlows(membership.member.zone, rng, self.now)
             flows.update_routes(self.routes, self.now)
-        process = Process(membership, flows, seeds, self.now)
+        process = Process(membership, flows, seeds, self.now, self.routes, self.now)
         membership.set_contacts(seeds)
         self.running[process.host] = process
         return process
 
+    # Routes.
+
+    def adopt(self, process, table):
+        """Let a process adopt a revision of the routes, and announce it."""
+        process.route_table = table
+        process.adopted_at = self.now
+        process.membership.set_revision(table.revision)
+        if process.flows is not None:
+            decided = process.flows.update_routes(table, self.now)
+            self._execute_flow_actions(process, decided)
+
+    def _fetch_routes(self, process, member):
+        """Let a process adopt the routes of a member after a while, if newer."""
+
+        def adopt_if_newer():
+            source = self.running.get(member.host)
+            if source is None or not self._is_running(process):
+                return
+            if source.route_table.revision > process.route_table.revision:
+                self.adopt(process, source.route_table)
+
+        self._schedule(adopt_if_newer, FETCH_SECONDS)
+
     # Callers.
 
-    def add_caller(self, owner, entry=None, after=0.0):
-        """Let a caller send a packet of an open flow after some seconds."""
-        flow = builders.FLOW._replace(caller_port=1024 + len(self.callers))
+    def add_caller(
+        self, owner, entry=None, after=0.0, *, like=builders.FLOW, is_opening=False
+    ):
+        """Let a caller send a packet after some seconds.
+
+        Args:
+            owner: The agent that owns the flow; None where no agent does.
+            entry: The entry that gets the packet; None for the one that routers choose.
+            after: Seconds until the packet is sent.
+            like: A flow of the same route.
+            is_opening: Whether the packet opens the flow.
+        """
+        flow = like._replace(caller_port=1024 + len(self.callers))
         at = self.now + after
-        caller = Caller(flow, owner, entry, at, at)
+        caller = Caller(flow, owner, entry, at, at, is_opening)
         self.callers[flow] = caller
         return caller
 
@@ -252,7 +294,8 @@
         caller.next_at = self.now + caller.interval
         caller.interval = min(2 * caller.interval, RETRANSMISSION_SECONDS[1])
         receiver = caller.entry or self._route(caller.flow)
-        packet = builders.with_linked_datagram(builders.packet(flow=caller.flow))
+        make_packet = builders.opening_packet if caller.is_opening else builders.packet
+        packet = builders.with_linked_datagram(make_packet(flow=caller.flow))
         self._execute_flow_actions(
             receiver, receiver.flows.handle_packet(packet, self.now)
         )
@@ -287,8 +330,8 @@
         for caller in list(self.callers.values()):
             self._send_if_due(caller)
 
-    def _schedule(self, work):
-        at = self.now + self.rng.uniform(*NETWORK_DELAY_SECONDS)
+    def _schedule(self, work, delay=NETWORK_DELAY_SECONDS):
+        at = self.now + self.rng.uniform(*delay)
         heapq.heappush(self.events, (at, next(self.event_order), work))
 
     # Actions.
@@ -305,6 +348,10 @@
                 decided = process.flows.update_member(action.record, self.now)
             elif isinstance(action, state.CompletenessChanged):
                 decided = process.flows.update_completeness(action.evidence, self.now)
+            elif isinstance(action, state.NewestRevisionChanged):
+                process.flows.record_revision(action.revision)
+            elif isinstance(action, state.FetchConfiguration):
+                self._fetch_routes(process, action.member)
             self._execute_flow_actions(process, decided)
 
     def _execute_flow_actions(self, process, decided):
@@ -339,10 +386,15 @@
             return
         caller = self.callers[packet.flow]
         answer = messages.OwnershipDenied(packet.flow)
-        if caller.owner is agent:
+        if caller.is_opening:
+            answer = messages.Accepted(
+                packet.flow, builders.SERVER_START, builders.IDLE_LOAD
+            )
+        elif caller.owner is agent:
             answer = messages.OwnershipConfirmed(packet.flow)
-            if caller.delivered_at is None:
-                caller.delivered_at = self.now
+        is_delivered = caller.is_opening or caller.owner is agent
+        if is_delivered and caller.delivered_at is None:
+            caller.delivered_at = self.now
         peer = agent.membership.member.control_address
         self._schedule(lambda: self._deliver_answer(sender, peer, answer))
 
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -295,6 +295,117 @@
     assert sent.address == packet_address_of(builders.agent_record(3))
 
 
+# Routes that may be older than those of other members.
+
+
+def make_flows(table):
+    """Return an entry that knows some routes and three agents, maybe not all."""
+    made = entry.EntryFlows(builders.ZONE, random.Random(1), 0.0)
+    made.update_routes(table, 0.0)
+    for number in (1, 2, 3):
+        made.update_member(builders.agent_record(number), 0.0)
+    return made
+
+
+def make_flows_with_older_routes():
+    """Return a complete entry that has been told of a revision it has not adopted."""
+    made = make_flows(builders.older_route_table())
+    made.record_revision(builders.newer_route_table().revision)
+    made.update_completeness(builders.COMPLETE, 0.0)
+    return made
+
+
+def flows_that_are_uncertain():
+    """Return an incomplete entry, and a complete one with older routes."""
+    incomplete = make_flows(builders.older_route_table())
+    return [incomplete, make_flows_with_older_routes()]
+
+
+def resets_of(decided):
+    return [action for action in decided if isinstance(action, actions.Reset)]
+
+
+def test_open_flow_without_route_is_looked_up_while_members_are_discovered():
+    flows = make_flows(builders.older_route_table())
+    packet = builders.packet(flow=builders.NEW_ROUTE_FLOW)
+    decided = flows.handle_packet(packet, SETTLED)
+    assert [type(action) for action in decided[:3]] == [actions.SendMessage] * 3
+    assert not resets_of(decided)
+
+
+def test_open_flow_without_route_is_looked_up_until_the_newest_revision():
+    flows = make_flows_with_older_routes()
+    packet = builders.packet(flow=builders.NEW_ROUTE_FLOW)
+    assert not resets_of(flows.handle_packet(packet, SETTLED))
+    confirmed = messages.OwnershipConfirmed(builders.NEW_ROUTE_FLOW)
+    flows.handle_message(peer_address_of(2), confirmed, SETTLED + 0.01)
+    (sent,) = flows.handle_packet(packet, SETTLED + 60)
+    assert sent.address == packet_address_of(builders.agent_record(2))
+    flows.update_routes(builders.newer_route_table(), SETTLED + 61)
+    (sent,) = flows.handle_packet(packet, SETTLED + 62)
+    assert sent.address == packet_address_of(builders.agent_record(2))
+
+
+def test_flow_without_owner_is_reset_although_newer_routes_exist():
+    flows = make_flows_with_older_routes()
+    look_up(flows)
+    (reset,) = deny(flows, (1, 2, 3), SETTLED)
+    assert reset.reason is actions.Reason.NO_OWNER
+
+
+def test_flow_of_a_dropped_route_is_reset_once_the_newest_revision_is_adopted():
+    flows = make_flows_with_older_routes()
+    packet = builders.packet(flow=builders.DROPPED_ROUTE_FLOW)
+    assert not resets_of(flows.handle_packet(packet, SETTLED))
+    flows.update_routes(builders.newer_route_table(), SETTLED + 0.1)
+    (reset,) = flows.handle_packet(packet, SETTLED + 0.2)
+    assert reset.reason is actions.Reason.NO_ROUTE
+
+
+def test_new_flow_of_a_new_route_is_placed_once_the_revision_is_adopted():
+    for flows in flows_that_are_uncertain():
+        packet = builders.opening_packet(flow=builders.NEW_ROUTE_FLOW)
+        assert flows.handle_packet(packet, SETTLED) == []
+        assert flows.handle_packet(packet._replace(acknowledgement=1), SETTLED) == []
+        (sent,) = flows.update_routes(builders.newer_route_table(), SETTLED + 0.5)
+        assert isinstance(sent, actions.Forward)
+
+
+def test_new_flow_is_refused_in_time_where_the_newest_revision_is_not_adopted():
+    for flows in flows_that_are_uncertain():
+        packet = builders.opening_packet(flow=builders.NO_ROUTE_FLOW)
+        assert flows.handle_packet(packet, SETTLED) == []
+        assert flows.tick(SETTLED + packets.OPENING_TIMEOUT_SECONDS - 0.01) == []
+        (reset,) = flows.tick(SETTLED + packets.OPENING_TIMEOUT_SECONDS)
+        assert reset.reason is actions.Reason.NO_ROUTE
+        assert flows.flow_count == 0
+
+
+def test_new_flow_without_route_is_refused_once_the_newest_revision_is_adopted():
+    flows = make_flows_with_older_routes()
+    packet = builders.opening_packet(flow=builders.NO_ROUTE_FLOW)
+    assert flows.handle_packet(packet, SETTLED) == []
+    (reset,) = flows.update_routes(builders.newer_route_table(), SETTLED + 0.5)
+    assert reset.reason is actions.Reason.NO_ROUTE
+
+
+def test_an_older_revision_of_another_member_changes_nothing(flows):
+    flows.update_routes(builders.newer_route_table(), SETTLED)
+    flows.record_revision(builders.older_route_table().revision)
+    packet = builders.packet(flow=builders.NO_ROUTE_FLOW)
+    (reset,) = flows.handle_packet(packet, SETTLED)
+    assert reset.reason is actions.Reason.NO_ROUTE
+
+
+def test_flows_without_route_leave_the_queue_to_those_that_await_capacity(flows):
+    flows.record_revision(builders.newer_route_table().revision)
+    for port in range(pending_flows.MIN_QUEUE_LIMIT):
+        flow = builders.NO_ROUTE_FLOW._replace(caller_port=port)
+        assert flows.handle_packet(builders.opening_packet(flow=flow), SETTLED) == []
+    fill(flows)
+    assert flows.handle_packet(builders.opening_packet(), SETTLED) == []
+
+
 # Flows with unknown owner.
 
 
--- a/tests/core/flows/test_started_entry.py
+++ b/tests/core/flows/test_started_entry.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cactushall_core.flows import actions, packets
 from tests.core.flows import builders, fleet
 
 ENTRIES = 6
@@ -15,6 +16,8 @@
 AGENT_KNOWN_SECONDS = 2.0
 ENTRY_RESTART_SECONDS = 0.4
 PACKET_SECONDS = 0.1
+AFTER_ADOPTION_SECONDS = 4.0
+NEW_FLOWS = 10
 
 
 def with_cases(fixture, *cases):
@@ -294,3 +297,106 @@
 @settled_cases
 def test_entry_with_many_agents_resets_a_flow_without_owner(settled):
     assert_unowned_reset(settled)
+
+
+# An entry starts with an older route table than the fleet has.
+
+
+class StartWithOlderRoutes:
+    """Calls to an entry that took its routes from a member that lagged."""
+
+    def __init__(self, agents, seed):
+        """Start the entry; `run` lets callers send packets."""
+        self.members = make_fleet(agents, seed)
+        for process in self.members.running.values():
+            self.members.adopt(process, builders.newer_route_table())
+        self.members.run(fleet.QUIET_SECONDS)
+        owners = self.members.agents
+        self.started = self.members.start_entry(seeds_of(self.members))
+        self.members.adopt(self.started, builders.older_route_table())
+        rng = random.Random(seed)
+        self.owned = [
+            self.add_caller(
+                builders.NEW_ROUTE_FLOW, owner, rng.uniform(*fleet.FIRST_PACKET_SECONDS)
+            )
+            for owner in rng.sample(owners, fleet.OWNED_FLOWS)
+        ]
+        self.dropped = [
+            self.add_caller(builders.DROPPED_ROUTE_FLOW, owner, AFTER_ADOPTION_SECONDS)
+            for owner in rng.sample(owners, fleet.UNOWNED_FLOWS)
+        ]
+        self.opened = self.add_opening_callers(builders.NEW_ROUTE_FLOW, 0.0)
+        self.refused = self.add_opening_callers(builders.NO_ROUTE_FLOW, 0.0)
+        self.refused_later = self.add_opening_callers(
+            builders.NO_ROUTE_FLOW, AFTER_ADOPTION_SECONDS
+        )
+
+    def add_caller(self, like, owner, after, *, is_opening=False):
+        """Let a caller send a packet to the started entry."""
+        return self.members.add_caller(
+            owner, self.started, after, like=like, is_opening=is_opening
+        )
+
+    def add_opening_callers(self, like, after):
+        """Let callers open flows of a route."""
+        return [
+            self.add_caller(like, None, after, is_opening=True)
+            for _ in range(NEW_FLOWS)
+        ]
+
+    def run(self):
+        """Run the fleet until all callers should have an answer."""
+        seconds = fleet.FIRST_PACKET_SECONDS[1] + fleet.MAX_ANSWER_SECONDS
+        self.members.run_until_answered(seconds)
+        return self
+
+
+@pytest.fixture(scope="module")
+def older_routes(request):
+    """Calls to an entry that starts with an older route table than the fleet has."""
+    return StartWithOlderRoutes(*request.param).run()
+
+
+older_routes_cases = with_cases("older_routes", (64, 1), (64, 2), (64, 3), (300, 1))
+
+
+@older_routes_cases
+def test_entry_with_older_routes_resets_no_flow_of_a_new_route(older_routes):
+    assert_no_wrong_reset(older_routes)
+
+
+@older_routes_cases
+def test_entry_with_older_routes_delivers_flows_of_a_new_route(older_routes):
+    assert_delivered(older_routes)
+
+
+@older_routes_cases
+def test_entry_with_older_routes_places_new_flows_after_the_adoption(older_routes):
+    refused = [c for c in older_routes.opened if c.reset is not None]
+    assert not refused, f"{len(refused)} of {len(older_routes.opened)} refused"
+    adopted_at = older_routes.started.adopted_at
+    assert all(c.delivered_at >= adopted_at for c in older_routes.opened)
+
+
+@older_routes_cases
+def test_flow_of_a_dropped_route_is_reset_after_the_adoption(older_routes):
+    assert older_routes.started.route_table == builders.newer_route_table()
+    for caller in older_routes.dropped:
+        assert older_routes.started.adopted_at < caller.first_sent_at
+        assert caller.reset.reason is actions.Reason.NO_ROUTE
+        assert caller.seconds_to_reset <= fleet.STEP_SECONDS
+
+
+@older_routes_cases
+def test_new_flow_without_route_is_refused_in_time(older_routes):
+    bound = packets.OPENING_TIMEOUT_SECONDS + fleet.STEP_SECONDS
+    for caller in older_routes.refused:
+        assert caller.reset.reason is actions.Reason.NO_ROUTE
+        assert caller.seconds_to_reset <= bound
+
+
+@older_routes_cases
+def test_new_flow_without_route_is_refused_at_once_after_the_adoption(older_routes):
+    for caller in older_routes.refused_later:
+        assert caller.reset.reason is actions.Reason.NO_ROUTE
+        assert caller.seconds_to_reset <= fleet.STEP_SECONDS
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -133,6 +133,62 @@
     assert {fetch.revision for _, fetch in fleet.fetches} == {7}
 
 
+def test_member_is_told_of_each_newer_revision_once():
+    fleet = make_network(6)
+    told = record_actions(fleet, state.NewestRevisionChanged)
+    fleet.node(0).set_revision(identifiers.Revision(7))
+    fleet.run(2)
+    assert len(told) == 5
+    assert {action.revision for _, action in told} == {7}
+
+
+def test_started_member_is_told_of_the_newest_revision_before_it_is_complete():
+    fleet = make_network(6)
+    for node in fleet.nodes.values():
+        node.set_revision(identifiers.Revision(7))
+    fleet.run(10)
+    started = fleet.add(50)
+    kinds = (state.NewestRevisionChanged, state.CompletenessChanged)
+    told = record_actions(fleet, *kinds)
+    started.set_contacts([fleet.node(0).member.control_address])
+    fleet.run(2)
+    assert started.is_complete
+    own = [action for node, action in told if node is started]
+    assert [type(action) for action in own] == list(kinds)
+
+
+def test_revision_in_a_table_is_fetched_from_its_sender():
+    fleet = network.Network(2)
+    contact, started = fleet.node(0), fleet.node(1)
+    contact.set_revision(identifiers.Revision(7))
+    own = started.table.get(started.member.id)
+    request = messages.TableRequest(own, started.table.digest())
+    reply, _ = contact.handle_table_request(request, fleet.now)
+    source = contact.member.control_address
+    decided = started.handle_table_reply(source, reply, fleet.now)
+    expected = state.FetchConfiguration(contact.member, identifiers.Revision(7))
+    assert [a for a in decided if isinstance(a, state.FetchConfiguration)] == [expected]
+
+
+def test_reply_of_an_older_version_is_understood():
+    older = msgspec.msgpack.encode((True, True, ()))
+    reply = msgspec.msgpack.decode(older, type=messages.TableReply)
+    assert reply.revision == 0
+
+
+def record_actions(fleet, *kinds):
+    """Return a list that gets all actions of some kinds, with their members."""
+    recorded = []
+    original = fleet.execute
+
+    def execute(node, actions):
+        original(node, actions)
+        recorded.extend((node, action) for action in actions if type(action) in kinds)
+
+    fleet.execute = execute
+    return recorded
+
+
 def test_bytes_stay_within_the_budget_during_churn():
     fleet = make_network(30)
     before = {a: n.sent_bytes for a, n in fleet.nodes.items()}
