A member that joins is probed in the current round

The order of probes was drawn when a round ended, so a newcomer was probed only in the next round, 26 s long at 53 members with the packet transport's timing. A member that becomes known as present, for the first time or again, now gets a random place in the current round, as in SWIM: it is appended and changes places with a random one, so many joins cost no more than linear time.

--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -434,6 +434,21 @@
             return None
         return self._table.get(self._probe_order.pop())
 
+    def _add_to_probe_round(self, member: identifiers.MemberId) -> None:
+        """Insert a member at a random place of the current round's order.
+
+        The member at that place is probed next. An empty order needs no insertion: the
+        next round starts with the next probe.
+        """
+        if not self._probe_order:
+            return
+        self._probe_order.append(member)
+        place = self._rng.randrange(len(self._probe_order))
+        self._probe_order[place], self._probe_order[-1] = (
+            self._probe_order[-1],
+            self._probe_order[place],
+        )
+
     def _handle_probe(
         self,
         sender: addresses.Address,
@@ -582,6 +597,8 @@
         self._table.put(record, now)
         if known is None:
             self._completeness.handle_new_member(now)
+        if record.is_present and (known is None or not known.is_present):
+            self._add_to_probe_round(member.id)
         self._track_suspicion(record, now)
         if is_broadcast:
             self._broadcast_record(record, known)
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -9,6 +9,7 @@
 
 from cactushall_core import exceptions, identifiers
 from cactushall_core.membership import broadcasts, messages, records, state, table
+from cactushall_daemon.packets import node as packet_node
 from tests.core import builders, network
 
 ALIVE = records.Status.ALIVE
@@ -63,6 +64,49 @@
     assert DEAD not in fleet.statuses(1) + fleet.statuses(2)
 
 
+# In each interval, each of the other 52 members probes a member with a probability of
+# 1/52; a member that none of them probes in 10 intervals is one in 22,000.
+DETECTION_PROBE_INTERVALS = 10
+SPREAD_SECONDS = 1.0
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("seconds_in_round", [1, 13])
+def test_death_of_a_newcomer_is_known_as_soon_as_that_of_others(seconds_in_round, seed):
+    fleet = make_network(53, seed=seed, timing=packet_node.TIMING)
+    fleet.run(seconds_in_round)
+    newcomer = fleet.add(60 + seed)
+    fleet.join(newcomer, fleet.node(seed))
+    fleet.run(2)
+    assert set(fleet.statuses(60 + seed)) == {ALIVE}
+    fleet.cut.add(newcomer.member.gossip_address)
+    died_at = fleet.now
+    while set(fleet.statuses(60 + seed)) != {DEAD}:
+        fleet.step()
+    probing_seconds = DETECTION_PROBE_INTERVALS * fleet.timing.probe_interval
+    suspicion_seconds = fleet.timing.probe_interval + fleet.node(0).suspicion_timeout
+    limit = probing_seconds + suspicion_seconds + SPREAD_SECONDS
+    assert fleet.now - died_at <= limit
+
+
+def test_member_that_is_known_alive_again_is_probed_in_the_same_round():
+    fleet = make_network(20)
+    node, resumed = fleet.node(0), builders.make_agent(5)
+    node.merge((msgspec.structs.replace(resumed, status=DEAD),), fleet.now)
+    probed = [_next_probed_id(node, fleet.now) for _ in range(10)]
+    alive_again = msgspec.structs.replace(resumed, incarnation=1)
+    node.merge((alive_again,), fleet.now)
+    probed += [_next_probed_id(node, fleet.now) for _ in range(9)]
+    assert sorted(probed) == [number + 1 for number in range(1, 20)]
+
+
+def _next_probed_id(node, now):
+    """Let a member start a probe, and return the id of its target."""
+    (probe,) = node._start_probe(now)
+    authenticator = messages.make_authenticator(builders.RING)
+    return messages.decode(authenticator, probe.datagram).body.target
+
+
 def test_resumed_member_refutes_its_death():
     fleet = make_network()
     address = fleet.node(3).member.gossip_address
