An agent keeps reporting to an entry that has started again

Membership reports a member that starts at the address of one that was killed in this order: the new one alive, then the old one dead. The agent process kept entries by address alone, so the second report removed the running entry: it got no load reports and no direct changes until its record changed again. Entries that are known are now a class of their own, which ignores news of a predecessor of the entry that runs at an address.

--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -21,7 +21,7 @@
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, logs, sockets
 from cactushall_daemon.config import packet_schema
-from cactushall_daemon.packets import executor, node
+from cactushall_daemon.packets import executor, known_entries, node
 from cactushall_platform import calls
 from cactushall_platform import packets as layout
 from cactushall_rpc import http as http_calls
@@ -44,8 +44,7 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         now = self._loop.time()
-        # Gossip addresses of the entries that are present, by control address.
-        self._entry_gossip_addresses: dict[addresses.Address, addresses.Address] = {}
+        self._entries = known_entries.KnownEntries()
         self._load_reporter = reports.LoadReporter(now)
         self._packet_socket: socket.socket | None = None
         self._server_socket: socket.socket | None = None
@@ -58,7 +57,7 @@
         self._node = node.Node(
             settings,
             node.make_member(settings, records.Role.AGENT, self._build_endpoints()),
-            on_member_changed=self._on_member_changed,
+            on_member_changed=self._entries.update,
             on_routes=self._on_routes,
             on_message=self._on_message,
             gauges=self._read_gauges,
@@ -211,7 +210,7 @@
             service=self._server.service,
             state=self._server.state.value,
         )
-        recipients = list(self._entry_gossip_addresses.values())[:MAX_DIRECT_UPDATES]
+        recipients = self._entries.gossip_addresses[:MAX_DIRECT_UPDATES]
         self._node.gossip.update(
             structs.replace(member, endpoints=endpoints), recipients
         )
@@ -237,15 +236,6 @@
 
     # Other nodes.
 
-    def _on_member_changed(self, record: records.Record) -> None:
-        member = record.member
-        if member.role is not records.Role.ENTRY:
-            return
-        if record.is_present:
-            self._entry_gossip_addresses[member.control_address] = member.gossip_address
-        else:
-            self._entry_gossip_addresses.pop(member.control_address, None)
-
     def _on_routes(self, route_table: routes.RouteTable) -> None:
         is_first = not self._flows.has_routes
         self._execute(self._flows.update_routes(route_table, self._loop.time()))
@@ -256,7 +246,7 @@
         load = self._flows.load
         if not self._load_reporter.is_due(load, now):
             return
-        for entry in self._entry_gossip_addresses:
+        for entry in self._entries.control_addresses:
             self._node.send_message(entry, messages.LoadReport(load))
 
     def _handle_readiness_call(
