A member whose clock was set back takes a higher id than its predecessor's

Ids begin with the wall clock, and of two members at one address the higher id counts as the later start. Where a VM's clock is set back, all others declared the restarted process dead, flow directories kept its predecessor, and its flows were reset.

A process that learns of a higher id at its own gossip address, which it has bound, now takes one above it, announces itself under it and its former id as dead, and counts its table as incomplete again. It does so at most 4 times, so that two processes that claim one address stop, and not once it leaves. Only on the packet transport: on the QUIC transport the home ids of agents derive from their ids; its entries have none, but share their node with agents and were left as they are.

The new tests ran first with no change of id allowed. Of test_member_ids, 5 of 9 failed; of the other four, the one about leaving and the one about two running processes fail if their condition is taken out. All 12 of test_clock_set_back failed: in each of four fleets 6 of 9 flows of the agent were reset (the other 11 agents had denied, the agent counted as gone), and it was offered no new flows. The agent answers no lookup for 6 s there; where it answered at once, no flow was reset before either.

--- a/packages/cactushall-core/cactushall_core/membership/records.py
+++ b/packages/cactushall-core/cactushall_core/membership/records.py
@@ -45,7 +45,8 @@
     """Description of a member, issued by itself.
 
     Attributes:
-        id: Start time in milliseconds in the high bits, random low bits.
+        id: Start time in milliseconds in the high bits, random low bits; above the id
+            of a predecessor at its address, where clocks differ.
         name: Name of the node, from its settings.
         role: Role of the member.
         zone: Availability zone.
@@ -125,11 +126,29 @@
 def make_member_id(now: float, random_bits: int) -> identifiers.MemberId:
     """Return the id of a member that starts now.
 
-    Of two members at the same address, the one that started later has the higher id.
+    Of two members at the same address, the one with the higher id counts as the later
+    start.
 
     Args:
         now: Seconds since the Unix epoch.
         random_bits: At least 21 random bits.
     """
-    low_bits = random_bits & (1 << _START_TIME_SHIFT) - 1
-    return identifiers.MemberId(int(now * 1000) << _START_TIME_SHIFT | low_bits)
+    return identifiers.MemberId(
+        int(now * 1000) << _START_TIME_SHIFT | _low_bits(random_bits)
+    )
+
+
+def make_higher_id(
+    member: identifiers.MemberId, random_bits: int
+) -> identifiers.MemberId:
+    """Return an id above that of another member.
+
+    Args:
+        member: Id of the other member.
+        random_bits: At least 21 random bits.
+    """
+    return identifiers.MemberId(member + 1 + _low_bits(random_bits))
+
+
+def _low_bits(random_bits: int) -> int:
+    return random_bits & (1 << _START_TIME_SHIFT) - 1
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -7,6 +7,7 @@
 import typing
 
 import msgspec
+from msgspec import structs
 
 from cactushall_core import addresses, exceptions, identifiers, keys
 from cactushall_core.membership import (
@@ -53,6 +54,9 @@
 GOSSIP_FANOUT = 2
 MAX_BUCKETS_PER_DIGEST = 4
 ISOLATION_PROBE_INTERVALS = 3
+ID_RANDOM_BITS = 32
+# Two running processes that claim one address would else outbid each other forever.
+MAX_ID_CHANGES = 4
 
 
 class Send(msgspec.Struct, frozen=True):
@@ -130,6 +134,8 @@
         timing: Timing,
         rng: random.Random,
         now: float,
+        *,
+        may_change_id: bool = False,
     ) -> None:
         """Create a view that contains only this member.
 
@@ -139,8 +145,12 @@
             timing: Intervals and byte budget.
             rng: Source of random choices.
             now: Current time in seconds.
+            may_change_id: Whether this member may take a higher id than that of a
+                predecessor at its address; not if anything is derived from its id.
         """
         self._member = member
+        self._may_change_id = may_change_id
+        self._id_changes = 0
         self._incarnation = 0
         self._is_leaving = False
         self._authenticator = messages.make_authenticator(key_ring)
@@ -230,6 +240,16 @@
             now: Current time in seconds.
             is_broadcast: Whether the records may be news to other members.
         """
+        actions = self._apply_records(received, now, is_broadcast=is_broadcast)
+        return actions + self._claim_address(now)
+
+    def _apply_records(
+        self,
+        received: typing.Iterable[records.Record],
+        now: float,
+        *,
+        is_broadcast: bool = False,
+    ) -> list[Action]:
         actions: list[Action] = []
         for record in received:
             actions += self._apply_record(record, now, is_broadcast=is_broadcast)
@@ -298,8 +318,9 @@
             reply: Its answer.
             now: Current time in seconds.
         """
-        actions = self.merge(reply.records, now)
+        actions = self._apply_records(reply.records, now)
         self._completeness.handle_reply(source, reply, self._present_members(), now)
+        actions += self._claim_address(now)
         return actions + self._report_completeness()
 
     def handle_table_failure(
@@ -384,6 +405,7 @@
         actions: list[Action] = []
         for update in packet.updates:
             actions += self._apply(update, now)
+        actions += self._claim_address(now)
         actions += self._check_revision(packet)
         return actions + self._handle_body(sender, packet, now)
 
@@ -628,14 +650,41 @@
         """Declare the older of two members with the same address dead."""
         if other.member.id == member:
             return []
-        older = self._table.get(min(member, other.member.id))
-        if older is None or not older.is_present:
+        return self._declare_dead(min(member, other.member.id), now)
+
+    def _declare_dead(self, member: identifiers.MemberId, now: float) -> list[Action]:
+        record = self._table.get(member)
+        if record is None or not record.is_present:
             return []
         status_update = records.StatusUpdate(
-            older.member.id, older.incarnation, records.Status.DEAD
+            member, record.incarnation, records.Status.DEAD
         )
         return self._apply(status_update, now)
 
+    def _claim_address(self, now: float) -> list[Action]:
+        """Take an id above that of a predecessor at the own address.
+
+        Its process cannot run any more, since this one has bound the address, but its
+        clock was ahead, and for others the member with the higher id is the later one.
+        """
+        latest = self._table.at_address(self._member.gossip_address)
+        if latest is None or latest.member.id <= self._member.id:
+            return []
+        is_allowed = self._may_change_id and not self._is_leaving
+        if not is_allowed or self._id_changes >= MAX_ID_CHANGES:
+            return []
+        self._id_changes += 1
+        former = self._member.id
+        random_bits = self._rng.getrandbits(ID_RANDOM_BITS)
+        new = records.make_higher_id(latest.member.id, random_bits)
+        self._member = structs.replace(self._member, id=new)
+        actions = self._announce(now)
+        for member in (former, latest.member.id):
+            actions += self._declare_dead(member, now)
+        # While others believed this member to be dead, it may have missed updates.
+        self._completeness.restart(now)
+        return actions + self._report_completeness()
+
     def _refute(self, record: records.Record, now: float) -> list[Action]:
         own = self._own_record()
         if not records.supersedes(
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -56,6 +56,8 @@
         exchange: Exchange,
         background_tasks: tasks.Tasks,
         timing: state.Timing | None = None,
+        *,
+        may_change_id: bool = False,
     ) -> None:
         """Create the endpoint without binding an address or sending anything.
 
@@ -68,6 +70,8 @@
                 returns the answer; raises CactushallError where there is none.
             background_tasks: Runs requests for tables.
             timing: Intervals and byte budget; the defaults if None.
+            may_change_id: Whether the member may take a higher id than that of a
+                predecessor at its address.
         """
         self._counters = process_counters
         self._callbacks = callbacks
@@ -81,6 +85,7 @@
             timing or state.Timing(),
             random.Random(),
             self._loop.time(),
+            may_change_id=may_change_id,
         )
         self._socket: socket.socket | None = None
         self._timer: asyncio.TimerHandle | None = None
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -136,6 +136,7 @@
             _request_table,
             self._tasks,
             TIMING,
+            may_change_id=True,
         )
         self._discovery = discovery.Discovery(
             self._gossip,
--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -45,12 +45,14 @@
         flows: Its flows where it is an entry, None where it is an agent.
         seeds: Control addresses through which it joins.
         started_at: When it started.
+        answers_from: Where it is an agent, when it begins to answer lookups.
     """
 
     membership: state.Membership
     flows: entry.EntryFlows | None
     seeds: tuple[addresses.Address, ...]
     started_at: float
+    answers_from: float = 0.0
 
     @property
     def address(self):
@@ -132,7 +134,7 @@
             seed: Seed of all random choices.
             services: Services of the agents, in turn. The route leads to the first.
         """
-        super().__init__(0, seed, node.TIMING, STEP_SECONDS)
+        super().__init__(0, seed, node.TIMING, STEP_SECONDS, may_change_ids=True)
         self.routes = builders.route_table(services[0])
         self.services = services
         self.running = {}
@@ -156,12 +158,18 @@
 
     # Processes.
 
-    def make_member(self, role, host=None):
-        """Describe a process that starts now, on a new VM or on a given host."""
+    def make_member(self, role, host=None, clock_offset=0.0):
+        """Describe a process that starts now.
+
+        Args:
+            role: Its role.
+            host: IP address of its VM; that of a new VM if None.
+            clock_offset: Seconds by which the VM's clock is ahead.
+        """
         number = next(self.numbers)
         service = self.services[number % len(self.services)]
         usual = member_builders.make_agent(number, service).member
-        started_at = FLEET_STARTED_AT + self.now
+        started_at = FLEET_STARTED_AT + self.now + clock_offset
         return msgspec.structs.replace(
             usual,
             id=records.make_member_id(started_at, self.rng.getrandbits(32)),
@@ -183,6 +191,16 @@
         self.stop(process)
         return self.start_entry(process.seeds, process.host)
 
+    def start_agent_again(self, process, clock_offset=0.0):
+        """Start an agent at the address of one that has ended.
+
+        Args:
+            process: The agent that has ended.
+            clock_offset: Seconds by which the VM's clock is ahead since then.
+        """
+        member = self.make_member(records.Role.AGENT, process.host, clock_offset)
+        return self._start(member, process.seeds)
+
     def stop(self, process):
         """Let a process announce its departure and end."""
         self.execute(process.membership, process.membership.leave(self.now))
@@ -335,7 +353,7 @@
     def _answer(self, sender, address, packet):
         """Answer an entry as the agent at an address, if one runs there."""
         agent = self.running.get(address.host)
-        if agent is None or agent.flows is not None:
+        if agent is None or agent.flows is not None or self.now < agent.answers_from:
             return
         caller = self.callers[packet.flow]
         answer = messages.OwnershipDenied(packet.flow)
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -41,11 +41,19 @@
 class Network:
     """Members that exchange datagrams without loss, except those that are cut off."""
 
-    def __init__(self, count, seed=1, timing=None, step_seconds=STEP_SECONDS):
+    def __init__(
+        self,
+        count,
+        seed=1,
+        timing=None,
+        step_seconds=STEP_SECONDS,
+        may_change_ids=False,
+    ):
         self.now = 0.0
         self.step_seconds = step_seconds
         self.rng = random.Random(seed)
         self.timing = timing or state.Timing()
+        self.may_change_ids = may_change_ids
         self.nodes = {}
         self.cut = set()
         self.fetches = []
@@ -64,7 +72,12 @@
     def add_member(self, member, seed):
         """Add a member with a description; it knows only itself."""
         node = state.Membership(
-            member, builders.RING, self.timing, random.Random(seed), self.now
+            member,
+            builders.RING,
+            self.timing,
+            random.Random(seed),
+            self.now,
+            may_change_id=self.may_change_ids,
         )
         self.nodes[member.gossip_address] = node
         return node
