--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -7,6 +7,7 @@
 import typing
 
 import msgspec
+from msgspec import structs
 
 from cactushall_core import addresses, exceptions, identifiers, keys
 from cactushall_core.membership import (
@@ -53,6 +54,9 @@
 GOSSIP_FANOUT = 2
 MAX_BUCKETS_PER_DIGEST = 4
 ISOLATION_PROBE_INTERVALS = 3
+ID_RANDOM_BITS = 32
+# Two running processes that claim one address would else outbid each other forever.
+MAX_ID_CHANGES = 4
 
 
 class Send(msgspec.Struct, frozen=True):
@@ -143,6 +147,8 @@
         timing: Timing,
         rng: random.Random,
         now: float,
+        *,
+        may_change_id: bool = False,
     ) -> None:
         """Create a view that contains only this member.
 
@@ -152,8 +158,12 @@
             timing: Intervals and byte budget.
             rng: Source of random choices.
             now: Current time in seconds.
+            may_change_id: Whether this member may take a higher id than that of a
+                predecessor at its address; not if anything is derived from its id.
         """
         self._member = member
+        self._may_change_id = may_change_id
+        self._id_changes = 0
         self._incarnation = 0
         self._is_leaving = False
         self._authenticator = messages.make_authenticator(key_ring)
@@ -244,6 +254,16 @@
             now: Current time in seconds.
             is_broadcast: Whether the records may be news to other members.
         """
+        actions = self._apply_records(received, now, is_broadcast=is_broadcast)
+        return actions + self._claim_address(now)
+
+    def _apply_records(
+        self,
+        received: typing.Iterable[records.Record],
+        now: float,
+        *,
+        is_broadcast: bool = False,
+    ) -> list[Action]:
         actions: list[Action] = []
         for record in received:
             actions += self._apply_record(record, now, is_broadcast=is_broadcast)
@@ -313,9 +333,10 @@
             reply: Its answer.
             now: Current time in seconds.
         """
-        actions = self.merge(reply.records, now)
+        actions = self._apply_records(reply.records, now)
         actions += self._check_revision(reply.revision, self._member_at(source))
         self._completeness.handle_reply(source, reply, self._present_members(), now)
+        actions += self._claim_address(now)
         return actions + self._report_completeness()
 
     def handle_table_failure(
@@ -407,6 +428,7 @@
         actions: list[Action] = []
         for update in packet.updates:
             actions += self._apply(update, now)
+        actions += self._claim_address(now)
         record = self._table.get(packet.sender)
         sender_member = record.member if record is not None else None
         actions += self._check_revision(packet.revision, sender_member)
@@ -459,6 +481,21 @@
             return None
         return self._table.get(self._probe_order.pop())
 
+    def _add_to_probe_round(self, member: identifiers.MemberId) -> None:
+        """Insert a member at a random place of the current round's order.
+
+        The member at that place is probed next. An empty order needs no insertion: the
+        next round starts with the next probe.
+        """
+        if not self._probe_order:
+            return
+        self._probe_order.append(member)
+        place = self._rng.randrange(len(self._probe_order))
+        self._probe_order[place], self._probe_order[-1] = (
+            self._probe_order[-1],
+            self._probe_order[place],
+        )
+
     def _handle_probe(
         self,
         sender: addresses.Address,
@@ -611,6 +648,8 @@
         self._table.put(record, now)
         if known is None:
             self._completeness.handle_new_member(now)
+        if record.is_present and (known is None or not known.is_present):
+            self._add_to_probe_round(member.id)
         self._track_suspicion(record, now)
         if is_broadcast:
             self._broadcast_record(record, known)
@@ -640,14 +679,41 @@
         """Declare the older of two members with the same address dead."""
         if other.member.id == member:
             return []
-        older = self._table.get(min(member, other.member.id))
-        if older is None or not older.is_present:
+        return self._declare_dead(min(member, other.member.id), now)
+
+    def _declare_dead(self, member: identifiers.MemberId, now: float) -> list[Action]:
+        record = self._table.get(member)
+        if record is None or not record.is_present:
             return []
         status_update = records.StatusUpdate(
-            older.member.id, older.incarnation, records.Status.DEAD
+            member, record.incarnation, records.Status.DEAD
         )
         return self._apply(status_update, now)
 
+    def _claim_address(self, now: float) -> list[Action]:
+        """Take an id above that of a predecessor at the own address.
+
+        Its process cannot run any more, since this one has bound the address, but its
+        clock was ahead, and for others the member with the higher id is the later one.
+        """
+        latest = self._table.at_address(self._member.gossip_address)
+        if latest is None or latest.member.id <= self._member.id:
+            return []
+        is_allowed = self._may_change_id and not self._is_leaving
+        if not is_allowed or self._id_changes >= MAX_ID_CHANGES:
+            return []
+        self._id_changes += 1
+        former = self._member.id
+        random_bits = self._rng.getrandbits(ID_RANDOM_BITS)
+        new = records.make_higher_id(latest.member.id, random_bits)
+        self._member = structs.replace(self._member, id=new)
+        actions = self._announce(now)
+        for member in (former, latest.member.id):
+            actions += self._declare_dead(member, now)
+        # While others believed this member to be dead, it may have missed updates.
+        self._completeness.restart(now)
+        return actions + self._report_completeness()
+
     def _refute(self, record: records.Record, now: float) -> list[Action]:
         own = self._own_record()
         if not records.supersedes(
