--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -139,7 +139,11 @@
         Raises:
             DecodeError: The request is malformed or not authentic.
         """
-        request = messages.decode_table_request(self._authenticator, data)
+        try:
+            request = messages.decode_table_request(self._authenticator, data)
+        except exceptions.DecodeError as error:
+            self._record_rejected(error)
+            raise
         reply, actions = self._membership.handle_table_request(
             request, self._loop.time()
         )
@@ -186,11 +190,14 @@
                 sender, datagram, self._loop.time()
             )
         except exceptions.DecodeError as error:
-            self._counters.add(counters.Counter.GOSSIP_REJECTED)
-            log.debug(events.Event.GOSSIP_REJECTED, sender=str(sender), why=str(error))
+            self._record_rejected(error, sender=str(sender))
             return
         self._execute(actions)
 
+    def _record_rejected(self, error: exceptions.DecodeError, **fields: str) -> None:
+        self._counters.add(counters.Counter.GOSSIP_REJECTED)
+        log.debug(events.Event.GOSSIP_REJECTED, why=str(error), **fields)
+
     def _execute(self, actions: list[state.Action]) -> None:
         for action in actions:
             if isinstance(action, state.Send):
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -291,9 +291,7 @@
             return http_calls.Response(
                 body=self._gossip.handle_table_request(request.body)
             )
-        except exceptions.DecodeError as error:
-            self._counters.add(counters.Counter.GOSSIP_REJECTED)
-            log.debug(events.Event.GOSSIP_REJECTED, why=str(error))
+        except exceptions.DecodeError:
             return http_calls.Response(http.HTTPStatus.BAD_REQUEST)
 
 
