A digest of another length gets the whole table

A member whose digest has another number of buckets got an empty table, marked as that of a complete member, and would have counted its own as complete. The stand-in network's join sends an empty digest, so its contact answered without any record as well. The test failed before the change for each length.

--- a/packages/cactushall-core/cactushall_core/membership/table.py
+++ b/packages/cactushall-core/cactushall_core/membership/table.py
@@ -113,10 +113,13 @@
         )
 
     def differing_buckets(self, digest: bytes) -> list[int]:
-        """Return the buckets whose hashes differ from those in a digest."""
+        """Return the buckets whose hashes differ from those in a digest.
+
+        These are all buckets where the digest has another number of them.
+        """
         own = self.digest()
         if len(digest) != len(own):
-            return []
+            return list(range(BUCKETS))
         width = _BUCKET_HASH_BYTES
         return [
             bucket
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -370,6 +370,16 @@
     assert len(joining.table) == 13
 
 
+@pytest.mark.parametrize("digest", [b"", bytes(4), bytes(4 * 128)])
+def test_digest_of_another_length_is_answered_with_the_whole_table(digest):
+    fleet = make_network()
+    asker = records.Record(builders.make_agent(50).member, 0, ALIVE)
+    request = messages.TableRequest(asker, digest)
+    expected = set(fleet.node(0).snapshot())
+    reply, _ = fleet.node(0).handle_table_request(request, fleet.now)
+    assert set(reply.records) == expected
+
+
 def test_complete_member_requests_no_more_tables():
     fleet = make_network()
     requests = []
