--- a/bench/membership.py
+++ b/bench/membership.py
@@ -26,7 +26,7 @@
 
 
 def make_fleet(size: int) -> network.Network:
-    """Return a fleet in which every member knows all others."""
+    """Return a fleet in which every member knows all others, and knows that it does."""
     fleet = network.Network(1)
     first_node = fleet.node(0)
     table = tuple(
@@ -38,6 +38,8 @@
         member = builders.make_agent(number).member
         node = network.clone(first_node, member, number)
         fleet.nodes[node.member.gossip_address] = node
+    for node in fleet.nodes.values():
+        fleet.complete(node)
     return fleet
 
 
