--- a/packages/cactushall-core/cactushall_core/membership/messages.py
+++ b/packages/cactushall-core/cactushall_core/membership/messages.py
@@ -183,7 +183,7 @@
 
 
 def encode_table(table: tuple[records.Record, ...]) -> bytes:
-    """Encode a whole membership table, for a joining member."""
+    """Encode a whole membership table, for operators."""
     return _encoder.encode(table)
 
 
