--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -39,7 +39,13 @@
 
 
 class Network:
-    """Members that exchange datagrams without loss, except those that are cut off."""
+    """Members that exchange datagrams and tables.
+
+    Attributes:
+        cut: Gossip addresses of members that are paused and cut off.
+        isolated: Gossip addresses of members that run, but are cut off.
+        lost_share: Share of all datagrams that are lost.
+    """
 
     def __init__(
         self,
@@ -56,6 +62,8 @@
         self.may_change_ids = may_change_ids
         self.nodes = {}
         self.cut = set()
+        self.isolated = set()
+        self.lost_share = 0.0
         self.fetches = []
         self.in_flight = []
         self.sent_bytes = collections.Counter()
@@ -130,7 +138,7 @@
         arriving, self.in_flight = self.in_flight, []
         for source, address, datagram in arriving:
             node = self.nodes.get(address)
-            if node is None or source == address or {source, address} & self.cut:
+            if node is None or source == address or self._is_lost(source, address):
                 continue
             self.execute(node, node.handle_datagram(source, datagram, self.now))
         for address, node in list(self.nodes.items()):
@@ -167,7 +175,13 @@
         self.received_bytes[receiver.gossip_address] += size
 
     def _is_cut(self, node):
-        return node.member.gossip_address in self.cut
+        return node.member.gossip_address in self.cut | self.isolated
+
+    def _is_lost(self, source, address):
+        """Return whether a datagram does not arrive."""
+        if {source, address} & (self.cut | self.isolated):
+            return True
+        return self.lost_share > 0 and self.rng.random() < self.lost_share
 
     def execute(self, node, actions):
         """Queue what a member sends and record configuration fetches."""
