--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -17,7 +17,14 @@
 import msgspec
 
 from cactushall_core import addresses
-from cactushall_core.flows import actions, entry, messages, packets, routes
+from cactushall_core.flows import (
+    actions,
+    entry,
+    messages,
+    packets,
+    reports,
+    routes,
+)
 from cactushall_core.membership import records, state
 from cactushall_daemon.packets import node
 from tests.core import builders as member_builders
@@ -132,7 +139,11 @@
 
 
 class Fleet(network.Network):
-    """Entries and agents, in simulated time; at the start all know each other."""
+    """Entries and agents, in simulated time; at the start all know each other.
+
+    Attributes:
+        reporting: Agents that report their load to the entries that they know.
+    """
 
     def __init__(self, agents, entries, seed, services=(SERVICE,)):
         """Start with entries and agents that know all members.
@@ -151,6 +162,8 @@
         self.numbers = itertools.count()
         self.events = []
         self.event_order = itertools.count()
+        self.reporting = set()
+        self.next_report_at = 0.0
         members = [self.make_member(records.Role.ENTRY) for _ in range(entries)]
         members += [self.make_member(records.Role.AGENT) for _ in range(agents)]
         self._start_acquainted(members)
@@ -223,6 +236,29 @@
         del self.running[process.host]
         del self.nodes[process.membership.member.gossip_address]
 
+    def pause(self, process):
+        """Pause a process: it does nothing, and what is sent to it is lost."""
+        self.cut.add(process.membership.member.gossip_address)
+
+    def resume(self, process):
+        """Let a paused entry go on, which notices the pause at once."""
+        self.cut.discard(process.membership.member.gossip_address)
+        process.flows.handle_pause(self.now)
+        membership = process.membership
+        self.execute(membership, membership.handle_pause(self.now))
+
+    def isolate(self, process):
+        """Cut a running process off from all others; callers still reach it."""
+        self.isolated.add(process.membership.member.gossip_address)
+
+    def reconnect(self, process):
+        """End the isolation of a process."""
+        self.isolated.discard(process.membership.member.gossip_address)
+
+    def is_paused(self, process):
+        """Return whether a process is paused."""
+        return process.membership.member.gossip_address in self.cut
+
     def _start_acquainted(self, members):
         table = tuple(records.Record(m, 0, records.Status.ALIVE) for m in members)
         seeds = tuple(member.control_address for member in members[:3])
@@ -285,20 +321,31 @@
     # Callers.
 
     def add_caller(
-        self, owner, entry=None, after=0.0, *, like=builders.FLOW, is_opening=False
+        self,
+        owner,
+        entry=None,
+        after=0.0,
+        *,
+        like=builders.FLOW,
+        is_opening=False,
+        is_repeating=True,
     ):
         """Let a caller send a packet after some seconds.
 
         Args:
             owner: The agent that owns the flow; None where no agent does.
             entry: The entry that gets the packet; None for the one that routers choose.
-            after: Seconds until the packet is sent.
+            after: Seconds until the packet is first sent.
             like: A flow of the same route.
             is_opening: Whether the packet opens the flow.
+            is_repeating: Whether it is sent again until it is answered.
         """
         flow = like._replace(caller_port=1024 + len(self.callers))
         at = self.now + after
-        caller = Caller(flow, owner, entry, at, at, is_opening)
+        interval = RETRANSMISSION_SECONDS[0] if is_repeating else float("inf")
+        caller = Caller(
+            flow, owner, entry, at, at, is_opening=is_opening, interval=interval
+        )
         self.callers[flow] = caller
         return caller
 
@@ -315,6 +362,8 @@
         caller.next_at = self.now + caller.interval
         caller.interval = min(2 * caller.interval, RETRANSMISSION_SECONDS[1])
         receiver = caller.entry or self._route(caller.flow)
+        if self.is_paused(receiver):
+            return
         make_packet = builders.opening_packet if caller.is_opening else builders.packet
         packet = builders.with_linked_datagram(make_packet(flow=caller.flow))
         self._execute_flow_actions(
@@ -346,8 +395,10 @@
         super().step()
         while self.events and self.events[0][0] <= self.now:
             heapq.heappop(self.events)[2]()
+        self._report_loads()
         for process in self.entries:
-            self._execute_flow_actions(process, process.flows.tick(self.now))
+            if not self.is_paused(process):
+                self._execute_flow_actions(process, process.flows.tick(self.now))
         for caller in list(self.callers.values()):
             self._send_if_due(caller)
 
@@ -405,6 +456,8 @@
         agent = self.running.get(address.host)
         if agent is None or agent.flows is not None or self.now < agent.answers_from:
             return
+        if self._is_message_lost(sender, agent):
+            return
         caller = self.callers[packet.flow]
         answer = messages.OwnershipDenied(packet.flow)
         if caller.is_opening:
@@ -416,13 +469,33 @@
         is_delivered = caller.is_opening or caller.owner is agent
         if is_delivered and caller.delivered_at is None:
             caller.delivered_at = self.now
-        peer = agent.membership.member.control_address
-        self._schedule(lambda: self._deliver_answer(sender, peer, answer))
+        self._schedule_message(agent, sender, answer)
 
-    def _deliver_answer(self, process, peer, answer):
-        if self._is_running(process):
-            decided = process.flows.handle_message(peer, answer, self.now)
-            self._execute_flow_actions(process, decided)
+    def _report_loads(self):
+        """Let agents report their loads to the entries that they know."""
+        if self.now < self.next_report_at:
+            return
+        self.next_report_at = self.now + reports.REPORT_INTERVAL_SECONDS
+        report = messages.LoadReport(builders.IDLE_LOAD)
+        by_address = {process.address: process for process in self.entries}
+        for agent in self.agents:
+            for record in agent.membership.table if agent in self.reporting else ():
+                receiver = by_address.get(record.member.control_address)
+                if receiver is not None and record.is_present:
+                    self._schedule_message(agent, receiver, report)
+
+    def _schedule_message(self, agent, receiver, message):
+        self._schedule(lambda: self._deliver_message(agent, receiver, message))
+
+    def _deliver_message(self, agent, receiver, message):
+        if not self._is_running(receiver) or self._is_message_lost(agent, receiver):
+            return
+        decided = receiver.flows.handle_message(agent.address, message, self.now)
+        self._execute_flow_actions(receiver, decided)
+
+    def _is_message_lost(self, *processes):
+        """Return whether a message between two processes does not arrive."""
+        return self._is_lost(*(p.membership.member.gossip_address for p in processes))
 
 
 class Calls:
--- /dev/null
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -0,0 +1,381 @@
+"""Scenarios of an entry's view, which must detect each removed part of the rule."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from cactushall_core.flows import cluster_view, lookups
+from cactushall_core.membership import completeness, state
+from tests.core.flows import builders, fleet
+
+AGENTS = 64
+ENTRIES = 6
+SEEDS = range(2)
+QUIET_SECONDS = 0.5
+MAX_ANSWER_SECONDS = 10.0
+PACKETS_SECONDS = 1.5
+PAUSE_SECONDS = 3.0
+OWNED_FLOWS = 24
+UNOWNED_FLOWS = 2
+ADDED_AGENTS = 12
+# Other entries place flows on an agent only once they know it.
+AGENT_KNOWN_SECONDS = 0.5
+SHORT_SILENCE_SECONDS = 0.4
+LONG_SILENCE_SECONDS = 1.0
+
+
+class RuleError(AssertionError):
+    """A flow was reset wrongly, or neither delivered nor reset."""
+
+
+def make_fleet(seed, agents=AGENTS, entries=ENTRIES, **kwargs):
+    members = fleet.Fleet(agents, entries, seed, **kwargs)
+    members.run(QUIET_SECONDS)
+    return members
+
+
+def seeds_of(members):
+    return [process.address for process in members.entries[:3]]
+
+
+def add_callers(members, owners, receiver, within=PACKETS_SECONDS):
+    """Let callers of some flows with owner and of some without send a packet."""
+    chosen = members.rng.sample(owners, min(len(owners), OWNED_FLOWS))
+    for owner in chosen + [None] * UNOWNED_FLOWS:
+        members.add_caller(owner, receiver, members.rng.uniform(0.0, within))
+
+
+def start_agents(members, seconds, seeds=None):
+    """Let agents join one after the other."""
+    joined = []
+    for _ in range(ADDED_AGENTS):
+        joined.append(members.start_agent(seeds or seeds_of(members)))
+        members.run(seconds / ADDED_AGENTS)
+    return joined
+
+
+def check_answers(members):
+    """Run until all callers should have an answer, and check each."""
+    members.run_until_answered(MAX_ANSWER_SECONDS)
+    for caller in members.callers.values():
+        if members.is_wrongly_reset(caller):
+            raise RuleError(f"wrongly reset: {caller.reset.evidence}")
+        if not caller.is_done:
+            raise RuleError("neither delivered nor reset")
+
+
+# Scenarios.
+
+
+def entry_starts(seed):
+    members = make_fleet(seed)
+    started = members.start_entry(seeds_of(members))
+    add_callers(members, members.agents, started)
+    check_answers(members)
+
+
+def entries_start_while_their_seed_is_silent(seed, seconds=SHORT_SILENCE_SECONDS):
+    """Two entries start at once; their only other seed answers after some seconds."""
+    members = make_fleet(seed)
+    known = members.entries[0]
+    members.pause(known)
+    started = start_pair(members, known)
+    add_callers(members, members.agents, started, seconds)
+    members.run(seconds)
+    members.resume(known)
+    check_answers(members)
+
+
+def start_pair(members, known):
+    """Start two entries that are each among the other's seeds, and return one."""
+    first = members.start_entry([known.address])
+    second = members.start_entry([first.address, known.address])
+    first.membership.set_contacts([second.address, known.address])
+    return second
+
+
+def packets_come_once_while_the_seed_is_silent(seed):
+    members = make_fleet(seed)
+    known = members.entries[0]
+    members.pause(known)
+    started = start_pair(members, known)
+    for owner in members.rng.sample(members.agents, OWNED_FLOWS):
+        members.add_caller(owner, started, is_repeating=False)
+    members.run(SHORT_SILENCE_SECONDS)
+    members.resume(known)
+    check_answers(members)
+
+
+def entry_starts_while_agents_join_elsewhere(seed):
+    """Agents join through others than the seed of the entry; datagrams are lost."""
+    members = make_fleet(seed)
+    members.lost_share = 0.3
+    far = [process.address for process in members.agents[-3:]]
+    joined = start_agents(members, 0.2, far)
+    started = members.start_entry(seeds_of(members)[:1])
+    joined += start_agents(members, 0.2, far)
+    members.run(AGENT_KNOWN_SECONDS)
+    members.lost_share = 0.0
+    for owner in joined:
+        members.add_caller(owner, started, members.rng.uniform(0.0, 0.3))
+    check_answers(members)
+
+
+def entry_is_paused_while_agents_join(seed):
+    members = make_fleet(seed)
+    paused = members.entries[-1]
+    members.pause(paused)
+    joined = start_agents(members, PAUSE_SECONDS)
+    members.run(AGENT_KNOWN_SECONDS)
+    members.resume(paused)
+    add_callers(members, joined, paused)
+    check_answers(members)
+
+
+def entry_is_paused_again_while_agents_join(seed):
+    """The entry is paused for a second time while it awaits the answer to a request."""
+    members = make_fleet(seed)
+    paused = members.entries[-1]
+    members.pause(paused)
+    members.run(SHORT_SILENCE_SECONDS)
+    members.resume(paused)
+    members.run_until(lambda: is_awaiting_answer(members, paused), QUIET_SECONDS)
+    members.pause(paused)
+    joined = start_agents(members, PAUSE_SECONDS)
+    members.run(AGENT_KNOWN_SECONDS)
+    members.resume(paused)
+    add_callers(members, joined, paused)
+    check_answers(members)
+
+
+def is_awaiting_answer(members, process):
+    return any(node is process.membership for node, _, _ in members.replies)
+
+
+def entry_is_isolated(seed):
+    members = make_fleet(seed)
+    isolated = members.entries[-1]
+    owners = members.agents
+    members.isolate(isolated)
+    add_callers(members, owners, isolated, PAUSE_SECONDS)
+    members.run(PAUSE_SECONDS)
+    members.reconnect(isolated)
+    check_answers(members)
+
+
+def entry_is_isolated_while_agents_join(seed):
+    members = make_fleet(seed)
+    isolated = members.entries[-1]
+    members.isolate(isolated)
+    joined = start_agents(members, PAUSE_SECONDS)
+    members.run(AGENT_KNOWN_SECONDS)
+    members.reconnect(isolated)
+    add_callers(members, joined, isolated)
+    check_answers(members)
+
+
+def answers_are_lost(seed):
+    members = make_fleet(seed)
+    members.lost_share = 0.2
+    add_callers(members, members.agents, members.entries[-1])
+    check_answers(members)
+
+
+def entry_misses_agents_that_report_to_it(seed):
+    members = make_fleet(seed)
+    receiver = members.entries[-1]
+    members.isolate(receiver)
+    joined = start_agents(members, 0.2)
+    members.run(1.0)
+    members.reporting.update(joined)
+    members.reconnect(receiver)
+    members.run(0.4)
+    add_callers(members, joined, receiver)
+    check_answers(members)
+
+
+def route_led_to_another_service(seed):
+    services = (builders.SERVICE, builders.OTHER_SERVICE)
+    members = make_fleet(seed, 2 * AGENTS + 4, 1, services=services)
+    owners = [agent for agent in members.agents if agent.serves(services[1])]
+    add_callers(members, owners, members.entries[0])
+    check_answers(members)
+
+
+def all_start_at_once(seed):
+    members = fleet.Fleet(2, 1, seed)
+    for process in list(members.running.values()):
+        members.kill(process)
+    first = [members.start_entry([]) for _ in range(3)]
+    seeds = [process.address for process in first]
+    for process in first:
+        process.membership.set_contacts(seeds)
+    owners = [members.start_agent(seeds) for _ in range(AGENTS)]
+    add_callers(members, owners, first[0])
+    check_answers(members)
+
+
+SCENARIOS = [
+    entry_starts,
+    entries_start_while_their_seed_is_silent,
+    packets_come_once_while_the_seed_is_silent,
+    entry_starts_while_agents_join_elsewhere,
+    entry_is_paused_while_agents_join,
+    entry_is_paused_again_while_agents_join,
+    entry_is_isolated,
+    entry_is_isolated_while_agents_join,
+    answers_are_lost,
+    entry_misses_agents_that_report_to_it,
+    route_led_to_another_service,
+    all_start_at_once,
+]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("scenario", SCENARIOS)
+def test_no_flow_is_reset_wrongly_or_forgotten(scenario, seed):
+    scenario(seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_entries_whose_seed_is_silent_for_long_reset_no_flow(seed):
+    entries_start_while_their_seed_is_silent(seed, LONG_SILENCE_SECONDS)
+
+
+# Mutants.
+
+
+def _change_replies(patch, **changes):
+    """Let a member take each answer for one with other statements."""
+    original = completeness.Completeness.handle_reply
+
+    def handle_reply(self, source, reply, present, now):
+        changed = msgspec.structs.replace(reply, **changes)
+        original(self, source, changed, present, now)
+
+    patch.setattr(completeness.Completeness, "handle_reply", handle_reply)
+
+
+def answers_of_incomplete_members_count(patch):
+    _change_replies(patch, is_complete=True)
+
+
+def sender_need_not_be_known(patch):
+    _change_replies(patch, knew_sender=True)
+
+
+def own_question_counts_as_known_through_others(patch):
+    patch.setattr(completeness.Completeness, "_unanswered", lambda *_: [])
+
+
+def pause_does_not_make_incomplete(patch):
+    patch.setattr(state.Membership, "handle_pause", lambda *_: [])
+    patch.setattr(cluster_view.ClusterView, "handle_pause", lambda *_: None)
+    silence_does_not_make_incomplete(patch)
+
+
+def silence_does_not_make_incomplete(patch):
+    patch.setattr(state, "ISOLATION_PROBE_INTERVALS", float("inf"))
+
+
+def silence_counts_as_denial(patch):
+    def had_time_to_answer(agent, lookup, now):
+        asked_at = lookup.asked_at.get(agent.member.id, now)
+        return now - asked_at >= lookups.RETRY_INTERVAL_SECONDS
+
+    patch.setattr(lookups, "_had_time_to_answer", had_time_to_answer)
+
+
+def agents_that_appear_during_a_lookup_do_not_count(patch):
+    original = lookups.Lookups._possible_owners
+    first_owners = {}
+
+    def possible_owners(self, flow_id):
+        known = {agent.member.id for agent in original(self, flow_id)}
+        first = first_owners.setdefault((self, flow_id), known)
+        return [a for a in original(self, flow_id) if a.member.id in first]
+
+    patch.setattr(lookups.Lookups, "_possible_owners", possible_owners)
+
+
+def agents_that_appear_during_a_lookup_are_not_asked(patch):
+    original = lookups.Lookups._ask_next
+
+    def ask_next(self, flow_id, lookup, now):
+        is_start_of_round = lookup.round_started_at == now
+        return original(self, flow_id, lookup, now) if is_start_of_round else []
+
+    patch.setattr(lookups.Lookups, "_ask_next", ask_next)
+
+
+def unknown_senders_are_ignored(patch):
+    patch.setattr(state.Membership, "handle_unknown_sender", lambda *_: [])
+
+
+def entry_is_complete_from_the_start(patch):
+    evidence = property(lambda _: builders.COMPLETE)
+    patch.setattr(cluster_view.ClusterView, "evidence", evidence)
+
+
+def only_the_first_agents_count(patch):
+    original = lookups.Lookups._possible_owners
+
+    def possible_owners(self, flow_id):
+        return original(self, flow_id)[: lookups.MAX_ASKED_AT_ONCE]
+
+    patch.setattr(lookups.Lookups, "_possible_owners", possible_owners)
+
+
+def only_the_first_agents_are_asked(patch):
+    original = lookups.Lookups._ask_next
+
+    def ask_next(self, flow_id, lookup, now):
+        owners = self._possible_owners(flow_id)[: lookups.MAX_ASKED_AT_ONCE]
+        first = {agent.peer_address for agent in owners}
+        asked = original(self, flow_id, lookup, now)
+        return [action for action in asked if action.address in first]
+
+    patch.setattr(lookups.Lookups, "_ask_next", ask_next)
+
+
+def nobody_is_complete_by_time(patch):
+    patch.setattr(completeness.Completeness, "tick", lambda *_: None)
+
+
+def run_all_seeds(scenario):
+    for seed in SEEDS:
+        scenario(seed)
+
+
+MUTANTS = [
+    (answers_of_incomplete_members_count, entries_start_while_their_seed_is_silent),
+    (sender_need_not_be_known, entry_starts_while_agents_join_elsewhere),
+    (
+        own_question_counts_as_known_through_others,
+        entry_starts_while_agents_join_elsewhere,
+    ),
+    (pause_does_not_make_incomplete, entry_is_paused_while_agents_join),
+    (silence_does_not_make_incomplete, entry_is_isolated_while_agents_join),
+    (silence_counts_as_denial, answers_are_lost),
+    (
+        agents_that_appear_during_a_lookup_do_not_count,
+        entries_start_while_their_seed_is_silent,
+    ),
+    (
+        agents_that_appear_during_a_lookup_are_not_asked,
+        packets_come_once_while_the_seed_is_silent,
+    ),
+    (unknown_senders_are_ignored, entry_misses_agents_that_report_to_it),
+    (entry_is_complete_from_the_start, entries_start_while_their_seed_is_silent),
+    (only_the_first_agents_count, route_led_to_another_service),
+    (only_the_first_agents_are_asked, route_led_to_another_service),
+    (nobody_is_complete_by_time, all_start_at_once),
+]
+
+
+@pytest.mark.parametrize(("mutate", "scenario"), MUTANTS)
+def test_scenario_detects_mutant(mutate, scenario, monkeypatch):
+    mutate(monkeypatch)
+    with pytest.raises(RuleError):
+        run_all_seeds(scenario)
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -146,22 +146,32 @@
                 self.execute(node, node.tick(self.now))
 
     def _deliver_requests(self):
-        """Deliver the answers to earlier requests for tables, then new requests."""
+        """Deliver the answers to earlier requests for tables, then new requests.
+
+        Answers to members that are cut off wait for them.
+        """
         replies, self.replies = self.replies, []
         for node, source, reply in replies:
-            self._deliver_reply(node, source, reply)
+            if node.member.gossip_address in self.cut:
+                self.replies.append((node, source, reply))
+            elif self._is_cut(node):
+                self._fail_request(node, source.control_address)
+            else:
+                self._deliver_reply(node, source, reply)
         requests, self.requests = self.requests, []
         for node, action in requests:
             target = self._node_at(action.address)
             if target is None or self._is_cut(node) or self._is_cut(target):
-                failed = node.handle_table_failure(action.address, self.now)
-                self.execute(node, failed)
+                self._fail_request(node, action.address)
                 continue
             reply = self._answer_request(target, action.request)
             self._count(node.member, target.member, action.request)
             self._count(target.member, node.member, reply)
             self.replies.append((node, target.member, reply))
 
+    def _fail_request(self, node, address):
+        self.execute(node, node.handle_table_failure(address, self.now))
+
     def _node_at(self, address):
         """Return the member at a control address, None where none runs."""
         for node in self.nodes.values():
