Mutants of a short pause, cold start at once and contacts asked once

The mutant without the rule of pauses now keeps the rule of silence, and is detected by a pause shorter than that silence. Mutants that only some seeds detect get eight.

--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -12,10 +12,13 @@
 AGENTS = 64
 ENTRIES = 6
 SEEDS = range(2)
+MUTANT_SEEDS = range(8)
 QUIET_SECONDS = 0.5
 MAX_ANSWER_SECONDS = 10.0
 PACKETS_SECONDS = 1.5
 PAUSE_SECONDS = 3.0
+# Shorter than the silence that makes a member incomplete.
+SHORT_PAUSE_SECONDS = 0.6
 OWNED_FLOWS = 24
 UNOWNED_FLOWS = 2
 ADDED_AGENTS = 12
@@ -122,17 +125,21 @@
     check_answers(members)
 
 
-def entry_is_paused_while_agents_join(seed):
+def entry_is_paused_while_agents_join(seed, seconds=PAUSE_SECONDS):
     members = make_fleet(seed)
     paused = members.entries[-1]
     members.pause(paused)
-    joined = start_agents(members, PAUSE_SECONDS)
+    joined = start_agents(members, seconds)
     members.run(AGENT_KNOWN_SECONDS)
     members.resume(paused)
     add_callers(members, joined, paused)
     check_answers(members)
 
 
+def entry_is_paused_briefly_while_agents_join(seed):
+    entry_is_paused_while_agents_join(seed, SHORT_PAUSE_SECONDS)
+
+
 def entry_is_paused_again_while_agents_join(seed):
     """The entry is paused for a second time while it awaits the answer to a request."""
     members = make_fleet(seed)
@@ -222,6 +229,7 @@
     packets_come_once_while_the_seed_is_silent,
     entry_starts_while_agents_join_elsewhere,
     entry_is_paused_while_agents_join,
+    entry_is_paused_briefly_while_agents_join,
     entry_is_paused_again_while_agents_join,
     entry_is_isolated,
     entry_is_isolated_while_agents_join,
@@ -272,7 +280,6 @@
 def pause_does_not_make_incomplete(patch):
     patch.setattr(state.Membership, "handle_pause", lambda *_: [])
     patch.setattr(cluster_view.ClusterView, "handle_pause", lambda *_: None)
-    silence_does_not_make_incomplete(patch)
 
 
 def silence_does_not_make_incomplete(patch):
@@ -343,8 +350,23 @@
     patch.setattr(completeness.Completeness, "tick", lambda *_: None)
 
 
+def time_completes_at_once(patch):
+    patch.setattr(completeness, "COLD_START_SECONDS", 0.0)
+    patch.setattr(completeness, "COLD_START_STABLE_SECONDS", 0.0)
+
+
+def silent_contacts_are_not_asked_again(patch):
+    original = completeness.Completeness._silent_contacts
+
+    def silent_contacts(self, contacts, now):
+        silent = original(self, contacts, now)
+        return [address for address in silent if address not in self._answers]
+
+    patch.setattr(completeness.Completeness, "_silent_contacts", silent_contacts)
+
+
 def run_all_seeds(scenario):
-    for seed in SEEDS:
+    for seed in MUTANT_SEEDS:
         scenario(seed)
 
 
@@ -355,7 +377,7 @@
         own_question_counts_as_known_through_others,
         entry_starts_while_agents_join_elsewhere,
     ),
-    (pause_does_not_make_incomplete, entry_is_paused_while_agents_join),
+    (pause_does_not_make_incomplete, entry_is_paused_briefly_while_agents_join),
     (silence_does_not_make_incomplete, entry_is_isolated_while_agents_join),
     (silence_counts_as_denial, answers_are_lost),
     (
@@ -371,6 +393,8 @@
     (only_the_first_agents_count, route_led_to_another_service),
     (only_the_first_agents_are_asked, route_led_to_another_service),
     (nobody_is_complete_by_time, all_start_at_once),
+    (time_completes_at_once, entries_start_while_their_seed_is_silent),
+    (silent_contacts_are_not_asked_again, entries_start_while_their_seed_is_silent),
 ]
 
 
