Agents and all other processes notice their pauses, and say that they may be incomplete

Cause: only entries of the packet transport noticed a pause, at packets and ticks. An agent, or any process of the QUIC transport, that was paused missed updates and went on to tell others that its table was complete; a denial that was queued during a pause could reset a flow before the entry's next tick.

Change: the gossip endpoint checks for a pause at each datagram, tick, request for a table and answer, for every process, and tells the entry, which checks at messages about flows as well. The callbacks of a node of the packet transport are one structure.

--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -7,8 +7,9 @@
 import dataclasses
 import random
 import socket
+import time
 
-from cactushall_core import addresses, exceptions, identifiers, keys
+from cactushall_core import addresses, exceptions, identifiers, keys, pauses
 from cactushall_core.membership import completeness, messages, records, state
 from cactushall_daemon import counters, events, logs, sockets, tasks
 
@@ -19,6 +20,7 @@
     [records.Member, identifiers.Revision], None
 ]
 NewestRevisionCallback = collections.abc.Callable[[identifiers.Revision], None]
+PauseCallback = collections.abc.Callable[[float], None]
 CompletenessCallback = collections.abc.Callable[[completeness.Evidence | None], None]
 Exchange = collections.abc.Callable[
     [addresses.Address, bytes], collections.abc.Awaitable[bytes]
@@ -29,6 +31,10 @@
     """Do nothing: the process does not depend on a complete table."""
 
 
+def ignore_pause(_now: float) -> None:
+    """Do nothing: the process keeps nothing that a pause makes old."""
+
+
 def ignore_newest_revision(_revision: identifiers.Revision) -> None:
     """Do nothing: the process does not depend on the newest configuration."""
 
@@ -44,12 +50,14 @@
             complete, with None when it may not be complete any more.
         on_newest_revision_changed: Called when a member has told of a configuration
             that is newer than all told of before.
+        on_paused: Called with the current time when the process was paused until then.
     """
 
     on_member_changed: MemberCallback
     on_revision_seen: RevisionCallback
     on_completeness_changed: CompletenessCallback = ignore_completeness
     on_newest_revision_changed: NewestRevisionCallback = ignore_newest_revision
+    on_paused: PauseCallback = ignore_pause
 
 
 class GossipEndpoint:
@@ -87,6 +95,9 @@
         self._tasks = background_tasks
         self._authenticator = messages.make_exchange_authenticator(key_ring)
         self._loop = asyncio.get_running_loop()
+        self._pause_detector = pauses.PauseDetector(
+            self._loop.time(), time.clock_gettime(time.CLOCK_BOOTTIME)
+        )
         self._membership = state.Membership(
             member,
             key_ring,
@@ -145,7 +156,7 @@
             self._record_rejected(error)
             raise
         reply, actions = self._membership.handle_table_request(
-            request, self._loop.time()
+            request, self.check_for_pause()
         )
         self._execute(actions)
         return messages.encode_exchange(self._authenticator, reply)
@@ -156,9 +167,15 @@
             self._membership.handle_unknown_sender(address, self._loop.time())
         )
 
-    def handle_pause(self) -> None:
-        """Record that this process was paused until now."""
-        self._execute(self._membership.handle_pause(self._loop.time()))
+    def check_for_pause(self) -> float:
+        """Find out whether the process was paused, and return the current time."""
+        now = self._loop.time()
+        boot_time = time.clock_gettime(time.CLOCK_BOOTTIME)
+        if self._pause_detector.has_paused(now, boot_time):
+            log.warning(events.Event.PAUSED)
+            self._execute(self._membership.handle_pause(now))
+            self._callbacks.on_paused(now)
+        return now
 
     def update(
         self,
@@ -176,7 +193,7 @@
         self._execute(self._membership.send_own_record(recipients))
 
     def _tick(self) -> None:
-        now = self._loop.time()
+        now = self.check_for_pause()
         self._execute(self._membership.tick(now))
         self._counters.set(
             counters.Counter.GOSSIP_BYTES_SENT, self._membership.sent_bytes
@@ -187,7 +204,7 @@
         sender = addresses.Address(source[0], source[1])
         try:
             actions = self._membership.handle_datagram(
-                sender, datagram, self._loop.time()
+                sender, datagram, self.check_for_pause()
             )
         except exceptions.DecodeError as error:
             self._record_rejected(error, sender=str(sender))
@@ -226,10 +243,10 @@
                 contact=str(address),
                 why=str(error),
             )
-            now = self._loop.time()
+            now = self.check_for_pause()
             self._execute(self._membership.handle_table_failure(address, now))
             return
-        now = self._loop.time()
+        now = self.check_for_pause()
         self._execute(self._membership.handle_table_reply(address, reply, now))
 
     def _handle_completeness(self, evidence: completeness.Evidence | None) -> None:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -57,9 +57,11 @@
         self._node = node.Node(
             settings,
             node.make_member(settings, records.Role.AGENT, self._build_endpoints()),
-            on_member_changed=self._entries.update,
-            on_routes=self._on_routes,
-            on_message=self._on_message,
+            node.Callbacks(
+                on_member_changed=self._entries.update,
+                on_routes=self._on_routes,
+                on_message=self._on_message,
+            ),
             gauges=self._read_gauges,
         )
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -6,20 +6,17 @@
 import http
 import random
 import socket
-import time
 
-from cactushall_core import addresses, identifiers, pauses
+from cactushall_core import addresses, identifiers
 from cactushall_core.flows import actions, entry, messages, routes
 from cactushall_core.membership import completeness, records
-from cactushall_daemon import counters, events, logs, sockets
+from cactushall_daemon import counters, sockets
 from cactushall_daemon.config import packet_schema
 from cactushall_daemon.packets import executor, node
 from cactushall_platform import calls
 from cactushall_platform import packets as layout
 from cactushall_rpc import http as http_calls
 
-log = logs.get_logger(__name__)
-
 TICK_SECONDS = 0.05
 MAX_STOP_SECONDS = 3.0
 STOP_IDLE_SECONDS = 0.7
@@ -38,9 +35,6 @@
         self._is_stopping = False
         self._has_been_complete = False
         self._last_received_at = float("-inf")
-        self._pause_detector = pauses.PauseDetector(
-            self._loop.time(), time.clock_gettime(time.CLOCK_BOOTTIME)
-        )
         self._socket: socket.socket | None = None
         self._executor: executor.ActionExecutor | None = None
         self._flows = entry.EntryFlows(
@@ -49,12 +43,15 @@
         self._node = node.Node(
             settings,
             node.make_member(settings, records.Role.ENTRY, ()),
-            on_member_changed=self._on_member_changed,
-            on_routes=self._on_routes,
-            on_message=self._on_message,
+            node.Callbacks(
+                on_member_changed=self._on_member_changed,
+                on_routes=self._on_routes,
+                on_message=self._on_message,
+                on_completeness_changed=self._on_completeness_changed,
+                on_newest_revision_changed=self._flows.record_revision,
+                on_paused=self._flows.handle_pause,
+            ),
             gauges=self._read_gauges,
-            on_completeness_changed=self._on_completeness_changed,
-            on_newest_revision_changed=self._flows.record_revision,
         )
         self._received_counter = self._node.counters.cell(counters.Counter.RECEIVED)
 
@@ -99,17 +96,8 @@
     def _read_gauges(self) -> dict[str, float]:
         return read_gauges(self._flows, self._loop.time())
 
-    def _check_for_pause(self, now: float) -> None:
-        if self._pause_detector.has_paused(
-            now, time.clock_gettime(time.CLOCK_BOOTTIME)
-        ):
-            log.warning(events.Event.PAUSED)
-            self._flows.handle_pause(now)
-            self._node.gossip.handle_pause()
-
     def _tick(self) -> None:
-        now = self._loop.time()
-        self._check_for_pause(now)
+        now = self._node.gossip.check_for_pause()
         self._execute(self._flows.tick(now))
         self._loop.call_later(TICK_SECONDS, self._tick)
 
@@ -119,8 +107,7 @@
         if packet is None:
             self._node.counters.add(counters.Counter.MALFORMED)
             return
-        now = self._loop.time()
-        self._check_for_pause(now)
+        now = self._node.gossip.check_for_pause()
         self._last_received_at = now
         self._execute(self._flows.handle_packet(packet, now))
 
@@ -129,7 +116,8 @@
             self._executor.execute(decisions)
 
     def _on_message(self, sender: addresses.Address, message: messages.Message) -> None:
-        self._execute(self._flows.handle_message(sender, message, self._loop.time()))
+        now = self._node.gossip.check_for_pause()
+        self._execute(self._flows.handle_message(sender, message, now))
 
     def _on_member_changed(self, record: records.Record) -> None:
         self._execute(self._flows.update_member(record, self._loop.time()))
--- a/tests/daemon/packets/test_table_exchange.py
+++ b/tests/daemon/packets/test_table_exchange.py
@@ -65,11 +65,13 @@
         started_node = node.Node(
             settings,
             node.make_member(settings, records.Role.AGENT, ()),
-            on_member_changed=lambda record: None,
-            on_routes=lambda table: None,
-            on_message=lambda sender, message: None,
+            node.Callbacks(
+                on_member_changed=lambda record: None,
+                on_routes=lambda table: None,
+                on_message=lambda sender, message: None,
+                on_completeness_changed=on_complete or (lambda evidence: None),
+            ),
             gauges=dict,
-            on_completeness_changed=on_complete or (lambda evidence: None),
         )
         self._nodes.append(started_node)
         await started_node.start()
