--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -83,6 +83,8 @@
         self._last_new_member_at = now
         self._answers: dict[addresses.Address, Answer] = {}
         self._in_progress: set[addresses.Address] = set()
+        # Members that were asked before updates may have been missed.
+        self._outdated: set[addresses.Address] = set()
         self._asked_at: dict[addresses.Address, float] = {}
         self._unknown_senders: set[addresses.Address] = set()
         self._failed_senders: dict[addresses.Address, float] = {}
@@ -103,6 +105,7 @@
         self._incomplete_since = now
         self._answers.clear()
         self._asked_at.clear()
+        self._outdated |= self._in_progress
 
     def handle_new_member(self, now: float) -> None:
         """Record that a member was discovered."""
@@ -152,8 +155,9 @@
             now: Current time in seconds.
         """
         is_first_answer = source not in self._answers
-        self._in_progress.discard(source)
         self._unknown_senders.discard(source)
+        if not self._end_question(source):
+            return
         self._answers[source] = (
             Answer.COMPLETE if reply.is_complete else Answer.INCOMPLETE
         )
@@ -166,8 +170,8 @@
 
     def handle_failure(self, source: addresses.Address, now: float) -> None:
         """Record that a member did not answer."""
-        self._in_progress.discard(source)
-        self._answers[source] = Answer.NONE
+        if self._end_question(source):
+            self._answers[source] = Answer.NONE
         if source in self._unknown_senders:
             self._unknown_senders.discard(source)
             self._failed_senders[source] = now
@@ -185,6 +189,17 @@
         if answered and (is_enough or not self._unanswered(present)):
             self._conclude(Basis.COLD_START, answered[-1], now)
 
+    def _end_question(self, source: addresses.Address) -> bool:
+        """Record that a member has answered or failed.
+
+        Returns:
+            Whether it was asked since updates may have been missed.
+        """
+        is_outdated = source in self._outdated
+        self._in_progress.discard(source)
+        self._outdated.discard(source)
+        return not is_outdated
+
     def _conclude(self, basis: Basis, source: addresses.Address, now: float) -> None:
         answers = sum(kind is not Answer.NONE for kind in self._answers.values())
         asked_seconds = now - self._incomplete_since
