A complete member that has died does not block the cold start of the others

Cause: its answer stayed the latest one. 64 of 64 members that started through it were still incomplete after 30 s. Change: only answers of members that are present block a cold start.

--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -182,13 +182,19 @@
             return
         is_early = now - self._incomplete_since < COLD_START_SECONDS
         is_stable = now - self._last_new_member_at >= COLD_START_STABLE_SECONDS
-        if is_early or not is_stable or Answer.COMPLETE in self._answers.values():
+        if is_early or not is_stable:
+            return
+        if any(self._is_complete(member) for member in present):
             return
         answered = [a for a, kind in self._answers.items() if kind is not Answer.NONE]
         is_enough = len(answered) >= COLD_START_ANSWERS
         if answered and (is_enough or not self._unanswered(present)):
             self._conclude(Basis.COLD_START, answered[-1], now)
 
+    def _is_complete(self, member: records.Member) -> bool:
+        """Return whether a member has answered that its table is complete."""
+        return self._answers.get(member.control_address) is Answer.COMPLETE
+
     def _end_question(self, source: addresses.Address) -> bool:
         """Record that a member has answered or failed.
 
