Silent contact points outweigh few answers in a cold start

Change: fewer than 16 answers conclude a cold start only where more members have answered than contact points are silent, or after 3 s; and an entry that knows no agent concludes nothing about a flow.

--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -227,6 +227,8 @@
         """
         owners = self._possible_owners(flow_id)
         silent = [a for a in owners if a.member.id not in lookup.not_owners]
+        if not self._view.agents.agents:
+            return None
         if not all(_had_time_to_answer(agent, lookup, now) for agent in silent):
             return None
         known = self._view.agents.counts
--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -20,6 +20,7 @@
 COLD_START_SECONDS = 0.6
 COLD_START_STABLE_SECONDS = 0.3
 COLD_START_ANSWERS = 16
+COLD_START_SILENT_CONTACTS_SECONDS = 3.0
 ASKED_AT_ONCE = 2
 LONGEST_RUNNING = 16
 ASK_INTERVAL_SECONDS = 0.2
@@ -158,6 +159,7 @@
         self._unknown_senders.discard(source)
         if not self._end_question(source):
             return
+        self._answers.pop(source, None)
         self._answers[source] = (
             Answer.COMPLETE if reply.is_complete else Answer.INCOMPLETE
         )
@@ -166,7 +168,7 @@
         # The first question itself makes this member known to the one that is asked.
         is_known_through_others = is_first_answer or not self._unanswered(present)
         if reply.knew_sender and is_known_through_others:
-            self._conclude(Basis.COMPLETE_MEMBER, source, now)
+            self._conclude(Basis.COMPLETE_MEMBER, now)
 
     def handle_failure(self, source: addresses.Address, now: float) -> None:
         """Record that a member did not answer."""
@@ -176,20 +178,33 @@
             self._unknown_senders.discard(source)
             self._failed_senders[source] = now
 
-    def tick(self, present: typing.Sequence[records.Member], now: float) -> None:
+    def tick(
+        self,
+        contacts: typing.Collection[addresses.Address],
+        present: typing.Sequence[records.Member],
+        now: float,
+    ) -> None:
         """Conclude that the whole fleet has just started, where that is so."""
         if self._evidence is not None:
             return
-        is_early = now - self._incomplete_since < COLD_START_SECONDS
+        seconds = now - self._incomplete_since
         is_stable = now - self._last_new_member_at >= COLD_START_STABLE_SECONDS
-        if is_early or not is_stable:
+        if seconds < COLD_START_SECONDS or not is_stable:
             return
         if any(self._is_complete(member) for member in present):
             return
-        answered = [a for a, kind in self._answers.items() if kind is not Answer.NONE]
+        answered = self._answered()
         is_enough = len(answered) >= COLD_START_ANSWERS
-        if answered and (is_enough or not self._unanswered(present)):
-            self._conclude(Basis.COLD_START, answered[-1], now)
+        if not is_enough and self._unanswered(present):
+            return
+        silent_contacts = [address for address in contacts if address not in answered]
+        has_waited = seconds >= COLD_START_SILENT_CONTACTS_SECONDS
+        if is_enough or has_waited or len(answered) > len(silent_contacts):
+            self._conclude(Basis.COLD_START, now)
+
+    def _answered(self) -> list[addresses.Address]:
+        """Return the members that have answered, the latest last."""
+        return [a for a, kind in self._answers.items() if kind is not Answer.NONE]
 
     def _is_complete(self, member: records.Member) -> bool:
         """Return whether a member has answered that its table is complete."""
@@ -206,10 +221,14 @@
         self._outdated.discard(source)
         return not is_outdated
 
-    def _conclude(self, basis: Basis, source: addresses.Address, now: float) -> None:
-        answers = sum(kind is not Answer.NONE for kind in self._answers.values())
+    def _conclude(self, basis: Basis, now: float) -> None:
+        answered = self._answered()
+        if not answered:
+            return
         asked_seconds = now - self._incomplete_since
-        self._evidence = Evidence(basis, source, answers, asked_seconds, now)
+        self._evidence = Evidence(
+            basis, answered[-1], len(answered), asked_seconds, now
+        )
 
     def _may_ask(self, address: addresses.Address, now: float) -> bool:
         asked_at = self._asked_at.get(address, float("-inf"))
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -365,7 +365,7 @@
         if not is_alone and now - self._last_received_at >= isolation_seconds:
             self._completeness.restart(now)
         elif self._completeness.is_asking:
-            self._completeness.tick(self._present_members(), now)
+            self._completeness.tick(self._contacts, self._present_members(), now)
         return self._report_completeness() + self._request_tables(now)
 
     def _report_completeness(self) -> list[Action]:
