A flow whose route this entry has seen dropped is reset at any time

Change: addresses that were dropped by a revision that the entry has adopted are known to have no route. The test failed before.

--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -19,6 +19,8 @@
         self._newest_revision = routes.EMPTY.revision
         self._evidence: completeness.Evidence | None = None
         self._stale_until = float("-inf")
+        # Service addresses of former revisions that have no route any more.
+        self._dropped_addresses: set[routes.ServiceAddress] = set()
 
     @property
     def evidence(self) -> completeness.Evidence | None:
@@ -37,6 +39,8 @@
 
     def update_routes(self, table: routes.RouteTable) -> None:
         """Replace the routes by a newer revision."""
+        self._dropped_addresses |= self._route_table.routes.keys()
+        self._dropped_addresses -= table.routes.keys()
         self._route_table = table
 
     def record_revision(self, revision: identifiers.Revision) -> None:
@@ -44,11 +48,15 @@
         self._newest_revision = max(self._newest_revision, revision)
 
     def certainly_lacks_route(self, flow: packets.FlowId) -> bool:
-        """Return whether a flow has no route in the newest revision.
+        """Return whether the flow's route was dropped, or never existed.
 
-        A revision that this entry has not adopted may have the route. While the table
-        of members is incomplete, there may be a newer one of which no member has told.
+        Where this entry has not seen the route dropped, a revision that it has not
+        adopted may have it. While the table of members is incomplete, there may be a
+        newer one of which no member has told.
         """
+        address = routes.ServiceAddress(flow.service_host, flow.service_port)
+        if address in self._dropped_addresses:
+            return True
         is_newest = self._route_table.revision >= self._newest_revision
         if not self.is_complete or not is_newest:
             return False
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -113,6 +113,17 @@
     assert reset.reason is actions.Reason.NO_SERVER
 
 
+def test_open_flow_whose_route_was_seen_to_be_removed_is_reset_at_any_time(flows):
+    open_flow(flows)
+    flows.update_routes(routes.RouteTable(identifiers.Revision(2)), SETTLED)
+    flows.update_completeness(None, SETTLED)
+    flows.record_revision(identifiers.Revision(3))
+    (reset,) = flows.handle_packet(builders.packet(), SETTLED)
+    assert reset.reason is actions.Reason.NO_ROUTE
+    flows.update_routes(builders.route_table(revision=3), SETTLED)
+    assert look_up(flows, SETTLED) == {peer_address_of(n) for n in (1, 2, 3)}
+
+
 def test_open_flow_whose_route_is_removed_is_reset(flows):
     open_flow(flows)
     flows.update_routes(routes.RouteTable(identifiers.Revision(2)), 0.0)
