A lookup goes on with the caller's packets while some agents may be unknown

Cause: a new round of questions began only once the former had reached all agents, and only ticks of a complete entry continued it.

Change: a caller's packet that is due continues the round itself, with that packet. Both tests failed before.

--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -116,6 +116,10 @@
         is_due = now - lookup.round_started_at >= RETRY_INTERVAL_SECONDS
         if is_new or (has_asked_all and is_due):
             return self._start_round(packet, lookup, now)
+        if is_due:
+            lookup.round_started_at = now
+            lookup.datagram = packet.datagram
+            return self._ask_next(flow_id, lookup, now)
         if len(lookup.buffered) >= MAX_BUFFERED_PACKETS:
             return [actions.Drop(flow_id, actions.Reason.BUFFER_FULL)]
         lookup.buffered.append(packet.datagram)
--- a/tests/core/flows/test_lookups.py
+++ b/tests/core/flows/test_lookups.py
@@ -111,6 +111,32 @@
     assert len(asked) == 7
 
 
+def test_callers_packets_ask_all_agents_while_some_may_be_unknown(found, view):
+    count = 2 * lookups.MAX_ASKED_AT_ONCE + 10
+    add_agents(view, range(4, count + 1))
+    view.update_evidence(None)
+    asked = set()
+    for number in range(3):
+        now = SETTLED + 0.2 * number
+        assert found.tick(now) == []
+        decided = found.handle_packet(builders.packet(), now)
+        asked |= {a.address for a in decided if isinstance(a, actions.SendMessage)}
+    assert len(asked) == count
+
+
+def test_lost_question_is_repeated_after_an_agent_has_appeared(found, view):
+    view.update_evidence(None)
+    found.handle_packet(builders.packet(), SETTLED)
+    add_agents(view, [4], SETTLED)
+    first = builders.agent_record(1).member.control_address
+    asked = [
+        action.address
+        for number in (1, 2)
+        for action in found.handle_packet(builders.packet(), SETTLED + 0.2 * number)
+    ]
+    assert first in asked
+
+
 def test_flow_is_not_reset_while_one_of_many_agents_is_silent(found, view):
     count = 3 * lookups.MAX_ASKED_AT_ONCE
     add_agents(view, range(4, count + 1))
