A caller counts as paused 0.1 s after its longest interval between retransmissions

A lookup sends the caller's packet to agents that appear until the caller has paused. The former 2.0 s left no distance to the 2 s after which callers count packets that only others got (found by the review). Callers repeat a packet after 1.6 s at most.

--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -19,7 +19,7 @@
 from cactushall_core.membership import completeness, records
 
 RETRY_INTERVAL_SECONDS = 0.15
-CALLER_PAUSE_SECONDS = 2.0
+CALLER_PAUSE_SECONDS = 1.7
 DEAD_GRACE_SECONDS = 1.0
 SUCCESSOR_GRACE_SECONDS = 5.0
 MAX_BUFFERED_PACKETS = 16
