Restarted seeds find the members that they knew, and reset none of their flows

Cause (found by the review): where all contact points were stopped, and agents looked for them in vain meanwhile, the restarted contact points and the newcomers met nobody else, concluded a cold start, and reset 90 of 90 flows of the agents that had run all the time. It did not heal: members that had left are not probed, and a found member did not end the evidence.

Change: members probe the addresses of those that are gone, whether they died or left, the latest more often; a member that discovers one that started before it does not hold a whole table, whatever had completed it. The simulated members begin at different times of the interval of these probes, as they do of all others.

Not proved: the probes are a matter of chance and of time; with 60 other members gone a seed is probed once in 0.5 s by 36 members (computed), a cold start takes 0.9 s.

--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -108,9 +108,17 @@
         self._asked_at.clear()
         self._outdated |= self._in_progress
 
-    def handle_new_member(self, now: float) -> None:
-        """Record that a member was discovered."""
+    def handle_new_member(self, has_started_before: bool, now: float) -> None:
+        """Record that a member was discovered.
+
+        Args:
+            has_started_before: Whether it has run since before this member started, so
+                that a complete table would have held it.
+            now: Current time in seconds.
+        """
         self._last_new_member_at = now
+        if has_started_before and self._evidence is not None:
+            self.restart(now)
 
     def handle_unknown_sender(self, address: addresses.Address, now: float) -> None:
         """Record a message from a member that is not in the table."""
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -53,6 +53,7 @@
 INDIRECT_PROBES = 3
 GOSSIP_FANOUT = 2
 MAX_BUCKETS_PER_DIGEST = 4
+RECENTLY_GONE = 16
 ISOLATION_PROBE_INTERVALS = 3
 ID_RANDOM_BITS = 32
 # Two running processes that claim one address would else outbid each other forever.
@@ -408,7 +409,7 @@
             self._table.expire(now)
         if now >= self._next_dead_probe_at:
             self._next_dead_probe_at = now + self._timing.dead_probe_interval
-            actions += self._probe_dead_member()
+            actions += self._probe_gone_member()
         return actions
 
     def handle_datagram(
@@ -582,12 +583,18 @@
         scale = max(1.0, math.log10(self._table.present_count + 1))
         return self._timing.suspicion_factor * scale * self._timing.probe_interval
 
-    def _probe_dead_member(self) -> list[Action]:
-        """Probe a dead member, so that the sides of a healed partition reconnect."""
-        dead = [r for r in self._table.gone if r.status is records.Status.DEAD]
-        if not dead:
+    def _probe_gone_member(self) -> list[Action]:
+        """Probe the address of a member that is gone, so that fleets reconnect.
+
+        The sides of a healed partition believe each other dead. A member that was
+        stopped may have started again without finding any other.
+        """
+        gone = list(self._table.gone)
+        if not gone:
             return []
-        target = self._rng.choice(dead)
+        recent = gone[-RECENTLY_GONE:]
+        dead = [r for r in gone if r.status is records.Status.DEAD] or recent
+        target = self._rng.choice(self._rng.choice((recent, dead)))
         latest = self._table.at_address(target.member.gossip_address)
         if latest is None or latest.member.id != target.member.id:
             return []
@@ -647,7 +654,8 @@
         replaced = self._table.at_address(member.gossip_address)
         self._table.put(record, now)
         if known is None:
-            self._completeness.handle_new_member(now)
+            has_started_before = record.is_present and member.id < self._member.id
+            self._completeness.handle_new_member(has_started_before, now)
         if record.is_present and (known is None or not known.is_present):
             self._add_to_probe_round(member.id)
         self._track_suspicion(record, now)
--- a/tests/core/flows/test_started_entry.py
+++ b/tests/core/flows/test_started_entry.py
@@ -400,3 +400,40 @@
     for caller in older_routes.refused_later:
         assert caller.reset.reason is actions.Reason.NO_ROUTE
         assert caller.seconds_to_reset <= fleet.STEP_SECONDS
+
+
+# All contact points stop for a while, so that those that start meet none of the others.
+
+
+@pytest.fixture(scope="module")
+def restarted_seeds(request):
+    """Calls to seeds that start again after agents have looked for them in vain."""
+    agents, down_seconds, seed = request.param
+    members = make_fleet(agents, seed)
+    owners = members.agents
+    stopped = members.entries[:SEEDS]
+    seeds = seeds_of(members)
+    for process in stopped:
+        members.stop(process)
+        members.run(ENTRY_RESTART_SECONDS)
+    end = members.now + down_seconds
+    while members.now < end:
+        members.start_agent(seeds)
+        members.run(AGENT_CHANGE_SECONDS)
+    started = [members.start_entry(seeds, process.host) for process in stopped]
+    return fleet.Calls(members, owners, started, seed).run()
+
+
+restarted_seeds_cases = with_cases(
+    "restarted_seeds", (36, 1, 1), (36, 3, 2), (36, 3, 3), (64, 2, 4)
+)
+
+
+@restarted_seeds_cases
+def test_restarted_seeds_reset_no_flow_of_the_agents_that_they_knew(restarted_seeds):
+    assert_no_wrong_reset(restarted_seeds)
+
+
+@restarted_seeds_cases
+def test_restarted_seeds_find_the_agents_that_they_knew(restarted_seeds):
+    assert_delivered(restarted_seeds)
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -35,6 +35,8 @@
     copied._next_probe_at = copied._rng.random() * node._timing.probe_interval
     copied._next_gossip_at = copied._rng.random() * node._timing.gossip_interval
     copied._next_digest_at = copied._rng.random() * node._timing.digest_interval
+    interval = node._timing.dead_probe_interval
+    copied._next_dead_probe_at = copied._rng.random() * interval
     return copied
 
 
