A lookup whose agents have all been asked begins a new round with the next packet

Names after a reading as a newcomer: Completeness.forget_evidence (restart restarted nothing), _is_gone_without_answer, _ask_agent. A due packet that finds no agent left to ask begins a new round at once in place of being dropped.

--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -30,8 +30,8 @@
     """A flow whose owner is being looked up.
 
     Attributes:
-        round_started_at: When the latest round of questions began, in which each agent
-            is asked once.
+        round_started_at: When a packet of the caller last began or continued a round of
+            questions, in which each agent is asked once.
         last_packet_at: When the caller's latest packet arrived.
         acknowledged: The caller's latest acknowledgement number.
         datagram: The packet that is sent along with questions.
@@ -111,15 +111,9 @@
             lookup = self.start(flow_id, 0, now)
         lookup.last_packet_at = now
         lookup.acknowledged = packet.acknowledgement
-        has_asked_all = lookup.additions_covered == self._view.agents.additions
-        is_new = not lookup.datagram
         is_due = now - lookup.round_started_at >= RETRY_INTERVAL_SECONDS
-        if is_new or (has_asked_all and is_due):
-            return self._start_round(packet, lookup, now)
-        if is_due:
-            lookup.round_started_at = now
-            lookup.datagram = packet.datagram
-            return self._ask_next(flow_id, lookup, now)
+        if is_due or not lookup.datagram:
+            return self._ask(packet, lookup, now)
         if len(lookup.buffered) >= MAX_BUFFERED_PACKETS:
             return [actions.Drop(flow_id, actions.Reason.BUFFER_FULL)]
         lookup.buffered.append(packet.datagram)
@@ -162,6 +156,18 @@
             if lookup.last_packet_at < before:
                 del self._flows[flow_id]
 
+    def _ask(
+        self, packet: packets.Packet, lookup: Lookup, now: float
+    ) -> list[actions.Action]:
+        """Ask the next agents of the latest round, or begin a new one."""
+        if lookup.datagram:
+            lookup.round_started_at = now
+            lookup.datagram = packet.datagram
+            decided = self._ask_next(packet.flow, lookup, now)
+            if decided:
+                return decided
+        return self._start_round(packet, lookup, now)
+
     def _start_round(
         self, packet: packets.Packet, lookup: Lookup, now: float
     ) -> list[actions.Action]:
@@ -193,9 +199,11 @@
         ]
         if len(left) <= MAX_ASKED_AT_ONCE:
             lookup.additions_covered = additions
-        return [self._ask(agent, lookup, now) for agent in left[:MAX_ASKED_AT_ONCE]]
+        return [
+            self._ask_agent(agent, lookup, now) for agent in left[:MAX_ASKED_AT_ONCE]
+        ]
 
-    def _ask(
+    def _ask_agent(
         self, agent: directory.Agent, lookup: Lookup, now: float
     ) -> actions.SendMessage:
         lookup.asked_in_round.add(agent.member.id)
@@ -233,7 +241,7 @@
         silent = [a for a in owners if a.member.id not in lookup.not_owners]
         if not self._view.agents.agents:
             return None
-        if not all(_had_time_to_answer(agent, lookup, now) for agent in silent):
+        if not all(_is_gone_without_answer(agent, lookup, now) for agent in silent):
             return None
         known = self._view.agents.counts
         return actions.NoOwnerEvidence(
@@ -254,7 +262,7 @@
     return now - lookup.last_packet_at > CALLER_PAUSE_SECONDS
 
 
-def _had_time_to_answer(agent: directory.Agent, lookup: Lookup, now: float) -> bool:
+def _is_gone_without_answer(agent: directory.Agent, lookup: Lookup, now: float) -> bool:
     """Return whether an agent is gone and did not answer the question either."""
     asked_at = lookup.asked_at.get(agent.member.id, now)
     return now - asked_at >= RETRY_INTERVAL_SECONDS and is_confirmed_gone(agent, now)
--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -100,7 +100,7 @@
         """Whether members still have to be asked."""
         return self.evidence is None
 
-    def restart(self, now: float) -> None:
+    def forget_evidence(self, now: float) -> None:
         """Record that updates may have been missed until now."""
         self._evidence = None
         self._incomplete_since = now
@@ -118,7 +118,7 @@
         """
         self._last_new_member_at = now
         if has_started_before and self._evidence is not None:
-            self.restart(now)
+            self.forget_evidence(now)
 
     def handle_unknown_sender(self, address: addresses.Address, now: float) -> None:
         """Record a message from a member that is not in the table."""
@@ -257,6 +257,7 @@
     def _unanswered(
         self, present: typing.Sequence[records.Member]
     ) -> list[records.Member]:
+        """Return the members that have neither answered nor failed."""
         return [m for m in present if m.control_address not in self._answers]
 
     def _choose_members(
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -357,14 +357,14 @@
     def handle_pause(self, now: float) -> list[Action]:
         """Record that this process was paused until now and has missed updates."""
         self._last_received_at = now
-        self._completeness.restart(now)
+        self._completeness.forget_evidence(now)
         return self._report_completeness()
 
     def _check_completeness(self, now: float) -> list[Action]:
         isolation_seconds = ISOLATION_PROBE_INTERVALS * self._timing.probe_interval
         is_alone = self._table.present_count <= 1
         if not is_alone and now - self._last_received_at >= isolation_seconds:
-            self._completeness.restart(now)
+            self._completeness.forget_evidence(now)
         elif self._completeness.is_asking:
             self._completeness.tick(self._contacts, self._present_members(), now)
         return self._report_completeness() + self._request_tables(now)
@@ -719,7 +719,7 @@
         for member in (former, latest.member.id):
             actions += self._declare_dead(member, now)
         # While others believed this member to be dead, it may have missed updates.
-        self._completeness.restart(now)
+        self._completeness.forget_evidence(now)
         return actions + self._report_completeness()
 
     def _refute(self, record: records.Record, now: float) -> list[Action]:
--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -287,11 +287,11 @@
 
 
 def silence_counts_as_denial(patch):
-    def had_time_to_answer(agent, lookup, now):
+    def is_gone_without_answer(agent, lookup, now):
         asked_at = lookup.asked_at.get(agent.member.id, now)
         return now - asked_at >= lookups.RETRY_INTERVAL_SECONDS
 
-    patch.setattr(lookups, "_had_time_to_answer", had_time_to_answer)
+    patch.setattr(lookups, "_is_gone_without_answer", is_gone_without_answer)
 
 
 def agents_that_appear_during_a_lookup_do_not_count(patch):
--- a/tests/core/test_completeness.py
+++ b/tests/core/test_completeness.py
@@ -340,7 +340,7 @@
 
 def test_restart_makes_incomplete():
     asker = make_complete()
-    asker.state.restart(10.0)
+    asker.state.forget_evidence(10.0)
     assert asker.basis is None
     assert asker.targets(10.0)
 
@@ -348,14 +348,14 @@
 def test_restart_forgets_earlier_answers():
     asker = Asker(4)
     asker.answer_all(0.1)
-    asker.state.restart(10.0)
+    asker.state.forget_evidence(10.0)
     asker.tick(10.0 + LATE)
     assert asker.basis is None
 
 
 def test_restart_begins_the_time_of_a_cold_start_anew():
     asker = Asker(4)
-    asker.state.restart(10.0)
+    asker.state.forget_evidence(10.0)
     asker.answer_all(10.1)
     asker.tick(10.0 + completeness.COLD_START_SECONDS - 0.01)
     assert asker.basis is None
@@ -365,7 +365,7 @@
 
 def test_member_is_complete_again_with_an_answer_after_the_restart():
     asker = make_complete()
-    asker.state.restart(10.0)
+    asker.state.forget_evidence(10.0)
     asker.answer(0, 10.2, is_complete=True, knew_sender=True)
     assert asker.basis is COMPLETE_MEMBER
     assert asker.state.evidence.asked_seconds == pytest.approx(0.2)
@@ -374,7 +374,7 @@
 def test_answer_to_a_question_from_before_a_pause_does_not_complete():
     asker = Asker(1)
     assert asker.targets(0.0)
-    asker.state.restart(10.0)
+    asker.state.forget_evidence(10.0)
     asker.answer(0, 10.0, is_complete=True, knew_sender=True)
     assert asker.basis is None
 
@@ -454,7 +454,7 @@
 def test_restart_does_not_forget_unknown_members():
     asker = make_complete()
     asker.state.handle_unknown_sender(address_of(70), 5.0)
-    asker.state.restart(6.0)
+    asker.state.forget_evidence(6.0)
     asker.answer(0, 6.1, is_complete=True, knew_sender=True)
     assert asker.basis is None
     assert address_of(70) in asker.targets(6.2)
