--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -54,13 +54,11 @@
         adopted may have it. While the table of members is incomplete, there may be a
         newer one of which no member has told.
         """
+        if self._route_table.find(flow) is not None:
+            return False
         address = routes.ServiceAddress(flow.service_host, flow.service_port)
-        if address in self._dropped_addresses:
-            return True
         is_newest = self._route_table.revision >= self._newest_revision
-        if not self.is_complete or not is_newest:
-            return False
-        return self._route_table.find(flow) is None
+        return address in self._dropped_addresses or (self.is_complete and is_newest)
 
     def handle_pause(self, now: float) -> None:
         """Record that this process was paused until now, and has missed updates."""
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -30,7 +30,7 @@
     """A flow whose owner is being looked up.
 
     Attributes:
-        round_started_at: When a packet of the caller last began or continued a round of
+        last_asked_at: When a packet of the caller last began or continued a round of
             questions, in which each agent is asked once.
         last_packet_at: When the caller's latest packet arrived.
         acknowledged: The caller's latest acknowledgement number.
@@ -43,7 +43,7 @@
         buffered: Packets that are held back until the owner is known.
     """
 
-    round_started_at: float
+    last_asked_at: float
     last_packet_at: float
     acknowledged: int
     datagram: bytes = b""
@@ -111,7 +111,7 @@
             lookup = self.start(flow_id, 0, now)
         lookup.last_packet_at = now
         lookup.acknowledged = packet.acknowledgement
-        is_due = now - lookup.round_started_at >= RETRY_INTERVAL_SECONDS
+        is_due = now - lookup.last_asked_at >= RETRY_INTERVAL_SECONDS
         if is_due or not lookup.datagram:
             return self._ask(packet, lookup, now)
         if len(lookup.buffered) >= MAX_BUFFERED_PACKETS:
@@ -160,29 +160,19 @@
         self, packet: packets.Packet, lookup: Lookup, now: float
     ) -> list[actions.Action]:
         """Ask the next agents of the latest round, or begin a new one."""
-        if lookup.datagram:
-            lookup.round_started_at = now
-            lookup.datagram = packet.datagram
-            decided = self._ask_next(packet.flow, lookup, now)
-            if decided:
-                return decided
-        return self._start_round(packet, lookup, now)
-
-    def _start_round(
-        self, packet: packets.Packet, lookup: Lookup, now: float
-    ) -> list[actions.Action]:
-        """Ask all agents again that have not said that they do not own the flow."""
         is_first = not lookup.datagram
-        lookup.round_started_at = now
+        lookup.last_asked_at = now
         lookup.datagram = packet.datagram
-        lookup.asked_in_round.clear()
-        lookup.additions_covered = -1
         decided = self._ask_next(packet.flow, lookup, now)
         if is_first:
             known = len(self._view.agents.agents)
             started = actions.RecordLookupStarted(packet.flow, len(decided), known)
-            decided.append(started)
-        return decided
+            return [*decided, started]
+        if decided:
+            return decided
+        lookup.asked_in_round.clear()
+        lookup.additions_covered = -1
+        return self._ask_next(packet.flow, lookup, now)
 
     def _ask_next(
         self, flow_id: packets.FlowId, lookup: Lookup, now: float
--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -108,13 +108,13 @@
         self._asked_at.clear()
         self._outdated |= self._in_progress
 
-    def handle_new_member(self, has_started_before: bool, now: float) -> None:
+    def handle_new_member(self, now: float, *, has_started_before: bool) -> None:
         """Record that a member was discovered.
 
         Args:
+            now: Current time in seconds.
             has_started_before: Whether it has run since before this member started, so
                 that a complete table would have held it.
-            now: Current time in seconds.
         """
         self._last_new_member_at = now
         if has_started_before and self._evidence is not None:
@@ -173,9 +173,10 @@
         )
         if self._evidence is not None or not reply.is_complete:
             return
-        # The first question itself makes this member known to the one that is asked.
-        is_known_through_others = is_first_answer or not self._unanswered(present)
-        if reply.knew_sender and is_known_through_others:
+        # The first question itself makes this member known to the one that is asked;
+        # a later answer of that one proves it only where nobody else is left to ask.
+        is_proof = is_first_answer or not self._unanswered(present)
+        if reply.knew_sender and is_proof:
             self._conclude(Basis.COMPLETE_MEMBER, now)
 
     def handle_failure(self, source: addresses.Address, now: float) -> None:
@@ -205,9 +206,9 @@
         is_enough = len(answered) >= COLD_START_ANSWERS
         if not is_enough and self._unanswered(present):
             return
-        silent_contacts = [address for address in contacts if address not in answered]
+        without_answer = [address for address in contacts if address not in answered]
         has_waited = seconds >= COLD_START_SILENT_CONTACTS_SECONDS
-        if is_enough or has_waited or len(answered) > len(silent_contacts):
+        if is_enough or has_waited or len(answered) > len(without_answer):
             self._conclude(Basis.COLD_START, now)
 
     def _answered(self) -> list[addresses.Address]:
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -56,7 +56,7 @@
 RECENTLY_GONE = 16
 ISOLATION_PROBE_INTERVALS = 3
 ID_RANDOM_BITS = 32
-# Two running processes that claim one address would else outbid each other forever.
+# Bounds the ids that two running processes with one address take in turn.
 MAX_ID_CHANGES = 4
 
 
@@ -288,12 +288,12 @@
         """Exchange whole tables with a member of what may be another fleet."""
         return [RequestTable(address, self._table_request(self.snapshot()))]
 
-    def _request_tables(self, now: float) -> list[Action]:
+    def _request_tables(
+        self, present: list[records.Member], now: float
+    ) -> list[Action]:
         if not self._completeness.is_asking:
             return []
-        targets = self._completeness.next_targets(
-            self._contacts, self._present_members(), now
-        )
+        targets = self._completeness.next_targets(self._contacts, present, now)
         return [RequestTable(address, self._table_request()) for address in targets]
 
     def _table_request(
@@ -314,11 +314,7 @@
         reply = messages.TableReply(
             is_complete=self.is_complete,
             knew_sender=known is not None and known.is_present,
-            records=tuple(
-                record
-                for bucket in differing
-                for record in self._table.bucket_records(bucket)
-            ),
+            records=tuple(self._table.records_in(differing)),
             revision=self._revision,
         )
         actions = self.merge((request.sender,), now, is_broadcast=True)
@@ -352,7 +348,8 @@
     ) -> list[Action]:
         """Handle a message that came from the control address of an unknown member."""
         self._completeness.handle_unknown_sender(address, now)
-        return self._report_completeness() + self._request_tables(now)
+        present = self._present_members()
+        return self._report_completeness() + self._request_tables(present, now)
 
     def handle_pause(self, now: float) -> list[Action]:
         """Record that this process was paused until now and has missed updates."""
@@ -365,9 +362,11 @@
         is_alone = self._table.present_count <= 1
         if not is_alone and now - self._last_received_at >= isolation_seconds:
             self._completeness.forget_evidence(now)
-        elif self._completeness.is_asking:
-            self._completeness.tick(self._contacts, self._present_members(), now)
-        return self._report_completeness() + self._request_tables(now)
+        if not self._completeness.is_asking:
+            return self._report_completeness()
+        present = self._present_members()
+        self._completeness.tick(self._contacts, present, now)
+        return self._report_completeness() + self._request_tables(present, now)
 
     def _report_completeness(self) -> list[Action]:
         evidence = self._completeness.evidence
@@ -655,7 +654,9 @@
         self._table.put(record, now)
         if known is None:
             has_started_before = record.is_present and member.id < self._member.id
-            self._completeness.handle_new_member(has_started_before, now)
+            self._completeness.handle_new_member(
+                now, has_started_before=has_started_before
+            )
         if record.is_present and (known is None or not known.is_present):
             self._add_to_probe_round(member.id)
         self._track_suspicion(record, now)
@@ -774,7 +775,7 @@
         ]
         offered = [
             record
-            for record in self._table.bucket_records(body.bucket)
+            for record in self._table.records_in((body.bucket,))
             if _is_entry_older(entries_by_id.get(record.member.id), record)
         ]
         actions: list[Action] = []
--- a/packages/cactushall-core/cactushall_core/membership/table.py
+++ b/packages/cactushall-core/cactushall_core/membership/table.py
@@ -132,13 +132,16 @@
         """Return a summary of the records in a bucket."""
         entries = tuple(
             messages.BucketEntry(record.member.id, record.incarnation, record.status)
-            for record in self.bucket_records(bucket)
+            for record in self.records_in((bucket,))
         )
         return messages.BucketSummary(bucket, entries)
 
-    def bucket_records(self, bucket: int) -> list[records.Record]:
-        """Return the records in a bucket."""
-        return [self._records[m] for m in self._member_ids if m % BUCKETS == bucket]
+    def records_in(self, buckets: typing.Collection[int]) -> list[records.Record]:
+        """Return the records in some buckets, bucket by bucket."""
+        wanted = frozenset(buckets)
+        chosen = [m for m in self._member_ids if m % BUCKETS in wanted]
+        chosen.sort(key=lambda member: member % BUCKETS)
+        return [self._records[member] for member in chosen]
 
     def expire(self, now: float) -> None:
         """Forget gone members whose retention time is over."""
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -27,6 +27,10 @@
 ]
 
 
+def ignore_revision(_member: records.Member, _revision: identifiers.Revision) -> None:
+    """Do nothing: the process fetches no configuration."""
+
+
 def ignore_completeness(_evidence: completeness.Evidence | None) -> None:
     """Do nothing: the process does not depend on a complete table."""
 
@@ -54,7 +58,7 @@
     """
 
     on_member_changed: MemberCallback
-    on_revision_seen: RevisionCallback
+    on_revision_seen: RevisionCallback = ignore_revision
     on_completeness_changed: CompletenessCallback = ignore_completeness
     on_newest_revision_changed: NewestRevisionCallback = ignore_newest_revision
     on_paused: PauseCallback = ignore_pause
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -19,7 +19,7 @@
     servers,
 )
 from cactushall_core.membership import records
-from cactushall_daemon import counters, events, logs, sockets
+from cactushall_daemon import counters, events, gossip, logs, sockets
 from cactushall_daemon.config import packet_schema
 from cactushall_daemon.packets import executor, known_entries, node
 from cactushall_platform import calls
@@ -57,11 +57,9 @@
         self._node = node.Node(
             settings,
             node.make_member(settings, records.Role.AGENT, self._build_endpoints()),
-            node.Callbacks(
-                on_member_changed=self._entries.update,
-                on_routes=self._on_routes,
-                on_message=self._on_message,
-            ),
+            gossip.Callbacks(self._entries.update),
+            on_routes=self._on_routes,
+            on_message=self._on_message,
             gauges=self._read_gauges,
         )
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -10,7 +10,7 @@
 from cactushall_core import addresses, identifiers
 from cactushall_core.flows import actions, entry, messages, routes
 from cactushall_core.membership import completeness, records
-from cactushall_daemon import counters, sockets
+from cactushall_daemon import counters, gossip, sockets
 from cactushall_daemon.config import packet_schema
 from cactushall_daemon.packets import executor, node
 from cactushall_platform import calls
@@ -43,14 +43,14 @@
         self._node = node.Node(
             settings,
             node.make_member(settings, records.Role.ENTRY, ()),
-            node.Callbacks(
+            gossip.Callbacks(
                 on_member_changed=self._on_member_changed,
-                on_routes=self._on_routes,
-                on_message=self._on_message,
                 on_completeness_changed=self._on_completeness_changed,
                 on_newest_revision_changed=self._flows.record_revision,
                 on_paused=self._flows.handle_pause,
             ),
+            on_routes=self._on_routes,
+            on_message=self._on_message,
             gauges=self._read_gauges,
         )
         self._received_counter = self._node.counters.cell(counters.Counter.RECEIVED)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -72,31 +72,6 @@
     )
 
 
-@dataclasses.dataclass(frozen=True)
-class Callbacks:
-    """What a process does with changes of the fleet and with messages.
-
-    Attributes:
-        on_member_changed: Called when the record of a member changes.
-        on_routes: Called when a newer route table is adopted.
-        on_message: Called for each message about flows.
-        on_completeness_changed: Called with the evidence when the table of members has
-            become complete, with None when it may not be complete any more.
-        on_newest_revision_changed: Called when a member has told of a configuration
-            that is newer than all told of before.
-        on_paused: Called with the current time when the process was paused until then.
-    """
-
-    on_member_changed: gossip.MemberCallback
-    on_routes: RoutesCallback
-    on_message: MessageCallback
-    on_completeness_changed: gossip.CompletenessCallback = gossip.ignore_completeness
-    on_newest_revision_changed: gossip.NewestRevisionCallback = (
-        gossip.ignore_newest_revision
-    )
-    on_paused: gossip.PauseCallback = gossip.ignore_pause
-
-
 class Node:
     """A process of the fleet and its connections to the others."""
 
@@ -104,7 +79,9 @@
         self,
         settings: packet_schema.PacketSettings,
         member: records.Member,
-        callbacks: Callbacks,
+        callbacks: gossip.Callbacks,
+        on_routes: RoutesCallback,
+        on_message: MessageCallback,
         gauges: metrics.Gauges,
     ) -> None:
         """Create the node without binding an address or sending anything.
@@ -112,10 +89,14 @@
         Args:
             settings: Settings of the process.
             member: The member that the process announces.
-            callbacks: Called on changes and messages.
+            callbacks: Called on changes of the table of members; the node itself
+                fetches configurations.
+            on_routes: Called when a newer route table is adopted.
+            on_message: Called for each message about flows.
             gauges: Returns the gauges that only this role has, by name.
         """
-        self._callbacks = callbacks
+        self._on_routes = on_routes
+        self._on_message = on_message
         self._counters = counters.Counters()
         self._latencies = latencies.Latencies()
         self._role_gauges = gauges
@@ -144,12 +125,8 @@
             member,
             tuple(settings.keys),
             self._counters,
-            gossip.Callbacks(
-                callbacks.on_member_changed,
-                self._follower.fetch_if_newer,
-                callbacks.on_completeness_changed,
-                callbacks.on_newest_revision_changed,
-                callbacks.on_paused,
+            dataclasses.replace(
+                callbacks, on_revision_seen=self._follower.fetch_if_newer
             ),
             _request_table,
             self._tasks,
@@ -263,7 +240,7 @@
             self._counters.add(counters.Counter.TUNNEL_REJECTED)
             log.debug(events.Event.MESSAGE_REJECTED, sender=source[0], why=str(error))
             return
-        self._callbacks.on_message(addresses.Address(*source), message)
+        self._on_message(addresses.Address(*source), message)
 
     def _seed_addresses(self) -> list[addresses.Address]:
         """Return the control addresses of the seeds; ports are the same on all VMs."""
@@ -289,7 +266,7 @@
 
     def _adopt(self, route_table: routes.RouteTable) -> None:
         self._gossip.membership.set_revision(route_table.revision)
-        self._callbacks.on_routes(route_table)
+        self._on_routes(route_table)
 
     def _handle_peer_call(self, request: http_calls.Request) -> http_calls.Response:
         if request.path == CONFIGURATION_PATH:
--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -310,7 +310,7 @@
     original = lookups.Lookups._ask_next
 
     def ask_next(self, flow_id, lookup, now):
-        is_start_of_round = lookup.round_started_at == now
+        is_start_of_round = lookup.last_asked_at == now
         return original(self, flow_id, lookup, now) if is_start_of_round else []
 
     patch.setattr(lookups.Lookups, "_ask_next", ask_next)
--- a/tests/core/test_completeness.py
+++ b/tests/core/test_completeness.py
@@ -284,7 +284,7 @@
 def test_no_cold_start_while_members_are_still_discovered():
     asker = Asker(4)
     asker.answer_all(0.1)
-    asker.state.handle_new_member(False, LATE)
+    asker.state.handle_new_member(LATE, has_started_before=False)
     asker.tick(LATE + completeness.COLD_START_STABLE_SECONDS - 0.01)
     assert asker.basis is None
     asker.tick(LATE + completeness.COLD_START_STABLE_SECONDS)
--- a/tests/daemon/fleets.py
+++ b/tests/daemon/fleets.py
@@ -7,13 +7,15 @@
 import json
 import socket
 
-from cactushall_core.membership import records
+from cactushall_core import keys
+from cactushall_core.membership import messages, records
 from cactushall_daemon.config import base
 from tests.core import builders
 
 HOSTS = [f"127.40.0.{number}" for number in range(1, 9)]
 KEY = "ab" * 32
 OTHER_KEY = "cd" * 32
+OTHER_RING = (keys.make_key(bytes.fromhex(OTHER_KEY)),)
 WAIT_SECONDS = 6.0
 POLL_SECONDS = 0.02
 GONE_MEMBER_COUNT = 300
@@ -74,6 +76,15 @@
     return {record.member.id for record in node.gossip.membership.table}
 
 
+def unauthentic_requests(node):
+    """Return bodies that a node must refuse as requests for its table."""
+    membership = node.gossip.membership
+    own_record = membership.snapshot()[0]
+    request = messages.TableRequest(own_record, membership.table.digest())
+    foreign = messages.make_exchange_authenticator(OTHER_RING)
+    return b"", b"garbled", messages.encode_exchange(foreign, request)
+
+
 @contextlib.asynccontextmanager
 async def silent_listener(host, port):
     """Accept connections at an address and never answer; yield those accepted."""
--- a/tests/daemon/packets/test_table_exchange.py
+++ b/tests/daemon/packets/test_table_exchange.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from cactushall_core import addresses, keys
-from cactushall_core.membership import completeness, messages, records
-from cactushall_daemon import counters
+from cactushall_core import addresses
+from cactushall_core.membership import completeness, records
+from cactushall_daemon import counters, gossip
 from cactushall_daemon.config import packet_schema
 from cactushall_daemon.packets import entry_process, node
 from cactushall_platform import calls, configuration
@@ -18,7 +18,6 @@
 from tests.standins import packet_site, platform_store
 
 CALL_SECONDS = 1.0
-OTHER_RING = (keys.make_key(bytes.fromhex(fleets.OTHER_KEY)),)
 
 
 class Fleet:
@@ -65,12 +64,12 @@
         started_node = node.Node(
             settings,
             node.make_member(settings, records.Role.AGENT, ()),
-            node.Callbacks(
+            gossip.Callbacks(
                 on_member_changed=lambda record: None,
-                on_routes=lambda table: None,
-                on_message=lambda sender, message: None,
                 on_completeness_changed=on_complete or (lambda evidence: None),
             ),
+            on_routes=lambda table: None,
+            on_message=lambda sender, message: None,
             gauges=dict,
         )
         self._nodes.append(started_node)
@@ -167,12 +166,7 @@
 async def test_a_request_that_is_not_authentic_is_refused_and_counted(fleet):
     host = fleets.HOSTS[0]
     asked_node = await fleet.start_node(host, [])
-    membership = asked_node.gossip.membership
-    own_record = membership.snapshot()[0]
-    request = messages.TableRequest(own_record, membership.table.digest())
-    foreign = messages.make_exchange_authenticator(OTHER_RING)
-    signed_by_others = messages.encode_exchange(foreign, request)
-    for number, body in enumerate((b"", b"garbled", signed_by_others), start=1):
+    for number, body in enumerate(fleets.unauthentic_requests(asked_node), start=1):
         status = await fleet.post_request(host, body)
         assert status == http.HTTPStatus.BAD_REQUEST
         values = dict(asked_node.counters.items())
--- a/tests/daemon/test_table_exchange.py
+++ b/tests/daemon/test_table_exchange.py
@@ -4,16 +4,14 @@
 
 import pytest
 
-from cactushall_core import addresses, keys
-from cactushall_core.membership import messages, records
+from cactushall_core import addresses
+from cactushall_core.membership import records
 from cactushall_daemon import control, counters, node
 from cactushall_daemon.config import schema
 from cactushall_rpc import control as control_client
 from tests.daemon import fleets
 from tests.standins import site as site_standin
 
-OTHER_RING = (keys.make_key(bytes.fromhex(fleets.OTHER_KEY)),)
-
 
 class Fleet:
     """Nodes on loopback hosts, without a store."""
@@ -114,12 +112,7 @@
 async def test_a_request_that_is_not_authentic_is_refused_and_counted(fleet):
     host = fleets.HOSTS[0]
     asked_node = await fleet.start_node(host, [])
-    membership = asked_node.gossip.membership
-    own_record = membership.snapshot()[0]
-    request = messages.TableRequest(own_record, membership.table.digest())
-    foreign = messages.make_exchange_authenticator(OTHER_RING)
-    signed_by_others = messages.encode_exchange(foreign, request)
-    for number, body in enumerate((b"", b"garbled", signed_by_others), start=1):
+    for number, body in enumerate(fleets.unauthentic_requests(asked_node), start=1):
         with pytest.raises(control_client.ControlError, match="INVALID_ARGUMENT"):
             await fleet.client.synchronize(fleet.control_address(host), body)
         values = dict(asked_node.counters.items())
