A lookup that waits costs the same at any number of agents

Cause: each tick, each member update and each message built the list of all agents twice for each open lookup, to see whom to ask and whether all had denied. Only a denial, an agent that appears or is gone, and time for agents that are gone change that answer.

Ruled out: the sends themselves; the tick's figures are without any.

Change: the directory tells lookups of each agent that is added or removed. A lookup keeps the agents that have not denied and those that are left to ask; the check stops at the first agent that is present. The counts of agents are kept, not computed.

Test first: test_tick_does_not_visit_each_agent_of_a_lookup_that_waits[64, 300] failed before. The mutants of the rule are adapted to the new names; each takes the same part of the rule out.

--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import typing
 
 import msgspec
@@ -91,6 +92,9 @@
         )
 
 
+AgentCallback = collections.abc.Callable[[Agent], None]
+
+
 class AgentCounts(typing.NamedTuple):
     """How many agents an entry knows.
 
@@ -114,7 +118,8 @@
             identifiers.ServiceName, dict[addresses.Address, Agent]
         ] = {}
         self._changed_at = float("-inf")
-        self._additions = 0
+        self._present_count = 0
+        self._subscribers: list[tuple[AgentCallback, AgentCallback]] = []
 
     @property
     def changed_at(self) -> float:
@@ -122,9 +127,9 @@
         return self._changed_at
 
     @property
-    def additions(self) -> int:
-        """How many agents were added so far."""
-        return self._additions
+    def has_agents(self) -> bool:
+        """Whether any agent is known."""
+        return bool(self._agents)
 
     @property
     def agents(self) -> list[Agent]:
@@ -134,8 +139,15 @@
     @property
     def counts(self) -> AgentCounts:
         """How many agents are known."""
-        present = sum(agent.is_present for agent in self._agents.values())
-        return AgentCounts(present, len(self._agents) - present)
+        gone = len(self._agents) - self._present_count
+        return AgentCounts(self._present_count, gone)
+
+    def subscribe(self, on_added: AgentCallback, on_removed: AgentCallback) -> None:
+        """Call back for each agent that is added or removed from now on.
+
+        An agent that starts again is another one: its predecessor is removed.
+        """
+        self._subscribers.append((on_added, on_removed))
 
     def update(self, record: records.Record, now: float) -> None:
         """Apply a membership update; updates about other roles are ignored."""
@@ -146,10 +158,13 @@
         if known is not None and known.member.id > member.id:
             return
         if known is None or known.member.id != member.id:
+            if known is not None:
+                self._remove(known)
             self._add(Agent(member, record.status, now), now)
             return
         if known.is_present != record.is_present:
             self._changed_at = now
+            self._present_count += 1 if record.is_present else -1
         if known.status is not record.status:
             known.status_changed_at = now
         known.member = member
@@ -158,13 +173,9 @@
 
     def remove_gone(self, before: float) -> None:
         """Remove agents that have been gone since before a point in time."""
-        for address, agent in list(self._agents.items()):
+        for agent in list(self._agents.values()):
             if not agent.is_present and agent.status_changed_at < before:
-                del self._agents[address]
-                for members in self._by_service.values():
-                    members.pop(address, None)
-                if self._by_peer.get(agent.peer_address) is agent:
-                    del self._by_peer[agent.peer_address]
+                self._remove(agent)
 
     def by_packet_address(self, packet_address: addresses.Address) -> Agent | None:
         """Return the agent that receives packets at an address."""
@@ -187,8 +198,20 @@
         self._agents[agent.packet_address] = agent
         self._by_peer[agent.peer_address] = agent
         self._changed_at = now
-        self._additions += 1
+        self._present_count += agent.is_present
         self._index(agent)
+        for on_added, _ in self._subscribers:
+            on_added(agent)
+
+    def _remove(self, agent: Agent) -> None:
+        del self._agents[agent.packet_address]
+        self._present_count -= agent.is_present
+        for members in self._by_service.values():
+            members.pop(agent.packet_address, None)
+        if self._by_peer.get(agent.peer_address) is agent:
+            del self._by_peer[agent.peer_address]
+        for _, on_removed in self._subscribers:
+            on_removed(agent)
 
     def _index(self, agent: Agent) -> None:
         for endpoint in agent.member.endpoints:
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -34,33 +34,46 @@
             questions, in which each agent is asked once.
         last_packet_at: When the caller's latest packet arrived.
         acknowledged: The caller's latest acknowledgement number.
+        possible_owners: Agents that have not said that they do not own it.
+        to_ask: Those of them that were not asked in the latest round.
         datagram: The packet that is sent along with questions.
         asked_at: When each agent was first asked.
-        asked_in_round: Agents that were asked in the latest round.
-        additions_covered: Number of agents added to the directory when the latest round
-            had reached all of them.
-        not_owners: Members that have said that they do not own it.
+        denied: Number of agents that have said that they do not own it.
         buffered: Packets that are held back until the owner is known.
     """
 
     last_asked_at: float
     last_packet_at: float
     acknowledged: int
+    possible_owners: dict[identifiers.MemberId, directory.Agent]
+    to_ask: dict[identifiers.MemberId, directory.Agent]
     datagram: bytes = b""
     asked_at: dict[identifiers.MemberId, float] = msgspec.field(default_factory=dict)
-    asked_in_round: set[identifiers.MemberId] = msgspec.field(default_factory=set)
-    additions_covered: int = -1
-    not_owners: set[identifiers.MemberId] = msgspec.field(default_factory=set)
+    denied: int = 0
     buffered: list[bytes] = msgspec.field(default_factory=list)
 
     @property
     def first_asked_at(self) -> float:
         """When an agent was first asked; infinite where none was."""
-        return min(self.asked_at.values(), default=float("inf"))
+        return next(iter(self.asked_at.values()), float("inf"))
+
+    def add_agent(self, agent: directory.Agent) -> None:
+        """Add an agent that may own the flow."""
+        self.possible_owners[agent.member.id] = agent
+        self.to_ask[agent.member.id] = agent
+
+    def remove_agent(self, member: identifiers.MemberId) -> bool:
+        """Remove an agent, and return whether it could own the flow until now."""
+        self.to_ask.pop(member, None)
+        return self.possible_owners.pop(member, None) is not None
 
 
 class Lookups:
-    """All flows whose owner is being looked up."""
+    """All flows whose owner is being looked up.
+
+    The agents that matter to a lookup change with messages and with the directory, so
+    that a tick costs little for a lookup that only waits for answers.
+    """
 
     def __init__(self, view: cluster_view.ClusterView) -> None:
         """Start without lookups.
@@ -70,6 +83,7 @@
         """
         self._view = view
         self._flows: dict[packets.FlowId, Lookup] = {}
+        view.agents.subscribe(self._add_agent, self._remove_agent)
 
     def __len__(self) -> int:
         """Return the number of flows that are being looked up."""
@@ -90,7 +104,8 @@
 
     def start(self, flow_id: packets.FlowId, acknowledged: int, now: float) -> Lookup:
         """Add a lookup; agents are asked when the flow's next packet arrives."""
-        lookup = Lookup(float("-inf"), now, acknowledged)
+        owners = self._possible_owners(flow_id)
+        lookup = Lookup(float("-inf"), now, acknowledged, owners, dict(owners))
         self._flows[flow_id] = lookup
         return lookup
 
@@ -123,15 +138,19 @@
         self, flow_id: packets.FlowId, member: identifiers.MemberId
     ) -> None:
         """Record that a member does not own a flow."""
-        if (lookup := self._flows.get(flow_id)) is not None:
-            lookup.not_owners.add(member)
+        lookup = self._flows.get(flow_id)
+        if lookup is not None and lookup.remove_agent(member):
+            lookup.denied += 1
 
     def tick(self, now: float) -> list[actions.Action]:
         """Continue rounds of questions and reset flows that have no owner."""
         decided: list[actions.Action] = []
+        is_complete = self._view.is_complete
+        if not is_complete:
+            return decided
         for flow_id, lookup in list(self._flows.items()):
-            if self._view.is_complete and not _has_paused(lookup, now):
-                decided += self._ask_next(flow_id, lookup, now)
+            if lookup.to_ask and lookup.datagram and not _has_paused(lookup, now):
+                decided += self._ask_next(lookup, now)
             decided += self.reset_if_unowned(flow_id, now)
         return decided
 
@@ -143,7 +162,7 @@
         table = self._view.evidence
         if lookup is None or table is None or not self._view.is_complete:
             return []
-        evidence = self._no_owner_evidence(flow_id, lookup, table, now)
+        evidence = self._no_owner_evidence(lookup, table, now)
         if evidence is None:
             return []
         del self._flows[flow_id]
@@ -156,6 +175,14 @@
             if lookup.last_packet_at < before:
                 del self._flows[flow_id]
 
+    def _add_agent(self, agent: directory.Agent) -> None:
+        for lookup in self._flows.values():
+            lookup.add_agent(agent)
+
+    def _remove_agent(self, agent: directory.Agent) -> None:
+        for lookup in self._flows.values():
+            lookup.remove_agent(agent.member.id)
+
     def _ask(
         self, packet: packets.Packet, lookup: Lookup, now: float
     ) -> list[actions.Action]:
@@ -163,45 +190,30 @@
         is_first = not lookup.datagram
         lookup.last_asked_at = now
         lookup.datagram = packet.datagram
-        decided = self._ask_next(packet.flow, lookup, now)
+        decided = self._ask_next(lookup, now)
         if is_first:
-            known = len(self._view.agents.agents)
-            started = actions.RecordLookupStarted(packet.flow, len(decided), known)
+            known = self._view.agents.counts
+            started = actions.RecordLookupStarted(
+                packet.flow, len(decided), known.present + known.gone
+            )
             return [*decided, started]
         if decided:
             return decided
-        lookup.asked_in_round.clear()
-        lookup.additions_covered = -1
-        return self._ask_next(packet.flow, lookup, now)
+        lookup.to_ask = dict(lookup.possible_owners)
+        return self._ask_next(lookup, now)
 
-    def _ask_next(
-        self, flow_id: packets.FlowId, lookup: Lookup, now: float
-    ) -> list[actions.Action]:
+    def _ask_next(self, lookup: Lookup, now: float) -> list[actions.Action]:
         """Ask the next agents of the latest round."""
-        additions = self._view.agents.additions
-        if not lookup.datagram or lookup.additions_covered == additions:
-            return []
-        left = [
-            agent
-            for agent in self._possible_owners(flow_id)
-            if agent.member.id not in lookup.not_owners
-            and agent.member.id not in lookup.asked_in_round
-        ]
-        if len(left) <= MAX_ASKED_AT_ONCE:
-            lookup.additions_covered = additions
-        return [
-            self._ask_agent(agent, lookup, now) for agent in left[:MAX_ASKED_AT_ONCE]
-        ]
-
-    def _ask_agent(
-        self, agent: directory.Agent, lookup: Lookup, now: float
-    ) -> actions.SendMessage:
-        lookup.asked_in_round.add(agent.member.id)
-        lookup.asked_at.setdefault(agent.member.id, now)
-        request = messages.LookupRequest(lookup.datagram)
-        return actions.SendMessage(agent.peer_address, request)
-
-    def _possible_owners(self, flow_id: packets.FlowId) -> list[directory.Agent]:
+        decided: list[actions.Action] = []
+        while lookup.to_ask and len(decided) < MAX_ASKED_AT_ONCE:
+            agent = lookup.to_ask.pop(next(iter(lookup.to_ask)))
+            if not agent.has_no_flows:
+                decided.append(_ask_agent(agent, lookup, now))
+        return decided
+
+    def _possible_owners(
+        self, flow_id: packets.FlowId
+    ) -> dict[identifiers.MemberId, directory.Agent]:
         """Return all agents that may hold flows, the likely owners first.
 
         Agents that are gone are among them. The route may have led to another service
@@ -210,13 +222,13 @@
         known = self._view.agents
         route = self._view.route_table.find(flow_id)
         services = [share.service for share in route.shares] if route else []
-        likely = {a.member.id: a for s in services for a in known.of_service(s)}
-        others = [a for a in known.agents if a.member.id not in likely]
-        return [a for a in (*likely.values(), *others) if not a.has_no_flows]
+        owners = {a.member.id: a for s in services for a in known.of_service(s)}
+        for agent in known.agents:
+            owners.setdefault(agent.member.id, agent)
+        return owners
 
     def _no_owner_evidence(
         self,
-        flow_id: packets.FlowId,
         lookup: Lookup,
         table: completeness.Evidence,
         now: float,
@@ -227,16 +239,19 @@
         that are gone were asked as well and had time to answer, because an agent may
         be believed dead wrongly.
         """
-        owners = self._possible_owners(flow_id)
-        silent = [a for a in owners if a.member.id not in lookup.not_owners]
-        if not self._view.agents.agents:
-            return None
-        if not all(_is_gone_without_answer(agent, lookup, now) for agent in silent):
+        if not self._view.agents.has_agents:
             return None
+        silent = 0
+        for agent in lookup.possible_owners.values():
+            if agent.has_no_flows:
+                continue
+            if not _is_gone_without_answer(agent, lookup, now):
+                return None
+            silent += 1
         known = self._view.agents.counts
         return actions.NoOwnerEvidence(
-            denied=len(owners) - len(silent),
-            gone=len(silent),
+            denied=lookup.denied,
+            gone=silent,
             asked_seconds=now - lookup.first_asked_at,
             known_present=known.present,
             known_gone=known.gone,
@@ -247,6 +262,14 @@
         )
 
 
+def _ask_agent(
+    agent: directory.Agent, lookup: Lookup, now: float
+) -> actions.SendMessage:
+    lookup.asked_at.setdefault(agent.member.id, now)
+    request = messages.LookupRequest(lookup.datagram)
+    return actions.SendMessage(agent.peer_address, request)
+
+
 def _has_paused(lookup: Lookup, now: float) -> bool:
     """Return whether the caller has ended the flow or sends through another entry."""
     return now - lookup.last_packet_at > CALLER_PAUSE_SECONDS
--- a/tests/core/flows/test_lookups.py
+++ b/tests/core/flows/test_lookups.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cactushall_core.flows import actions, cluster_view, lookups
+from cactushall_core.flows import actions, cluster_view, directory, lookups
 from cactushall_core.membership import records
 from tests.core.flows import builders
 
@@ -137,6 +137,26 @@
     assert first in asked
 
 
+@pytest.mark.parametrize("count", [64, 300])
+def test_tick_does_not_visit_each_agent_of_a_lookup_that_waits(
+    found, view, count, monkeypatch
+):
+    add_agents(view, range(4, count + 1))
+    found.handle_packet(builders.packet(), SETTLED)
+    for tick in range(10):
+        found.tick(SETTLED + 0.01 * tick)
+    visited = []
+    original = directory.Agent.is_present.fget
+
+    def is_present(self):
+        visited.append(self.member.id)
+        return original(self)
+
+    monkeypatch.setattr(directory.Agent, "is_present", property(is_present))
+    assert found.tick(SETTLED + 1.0) == []
+    assert len(visited) <= 2
+
+
 def test_flow_is_not_reset_while_one_of_many_agents_is_silent(found, view):
     count = 3 * lookups.MAX_ASKED_AT_ONCE
     add_agents(view, range(4, count + 1))
--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -299,19 +299,20 @@
     first_owners = {}
 
     def possible_owners(self, flow_id):
-        known = {agent.member.id for agent in original(self, flow_id)}
-        first = first_owners.setdefault((self, flow_id), known)
-        return [a for a in original(self, flow_id) if a.member.id in first]
+        owners = original(self, flow_id)
+        first = first_owners.setdefault((self, flow_id), set(owners))
+        return {member: owners[member] for member in owners if member in first}
 
     patch.setattr(lookups.Lookups, "_possible_owners", possible_owners)
+    patch.setattr(lookups.Lookup, "add_agent", lambda *_: None)
 
 
 def agents_that_appear_during_a_lookup_are_not_asked(patch):
     original = lookups.Lookups._ask_next
 
-    def ask_next(self, flow_id, lookup, now):
+    def ask_next(self, lookup, now):
         is_start_of_round = lookup.last_asked_at == now
-        return original(self, flow_id, lookup, now) if is_start_of_round else []
+        return original(self, lookup, now) if is_start_of_round else []
 
     patch.setattr(lookups.Lookups, "_ask_next", ask_next)
 
@@ -325,11 +326,15 @@
     patch.setattr(cluster_view.ClusterView, "evidence", evidence)
 
 
+def _first_agents(owners):
+    return dict(list(owners.items())[: lookups.MAX_ASKED_AT_ONCE])
+
+
 def only_the_first_agents_count(patch):
     original = lookups.Lookups._possible_owners
 
     def possible_owners(self, flow_id):
-        return original(self, flow_id)[: lookups.MAX_ASKED_AT_ONCE]
+        return _first_agents(original(self, flow_id))
 
     patch.setattr(lookups.Lookups, "_possible_owners", possible_owners)
 
@@ -337,11 +342,11 @@
 def only_the_first_agents_are_asked(patch):
     original = lookups.Lookups._ask_next
 
-    def ask_next(self, flow_id, lookup, now):
-        owners = self._possible_owners(flow_id)[: lookups.MAX_ASKED_AT_ONCE]
-        first = {agent.peer_address for agent in owners}
-        asked = original(self, flow_id, lookup, now)
-        return [action for action in asked if action.address in first]
+    def ask_next(self, lookup, now):
+        if len(lookup.possible_owners) > lookups.MAX_ASKED_AT_ONCE:
+            owners = _first_agents(self._possible_owners(builders.FLOW))
+            lookup.to_ask = {m: a for m, a in lookup.to_ask.items() if m in owners}
+        return original(self, lookup, now)
 
     patch.setattr(lookups.Lookups, "_ask_next", ask_next)
 
