Lookups ask agents without the packet, which choked the links of small entries

Ruled out: wrong members (the entry's table was complete and 65 agents known), denials by the owner (none logged), processor time (none charged).

Change: agents are asked with the flow's id alone. Those that track the flow, or are certain that they do not hold it, answer at once; one that cannot tell asks for the packet (PacketNeeded), and gets it as before. The owner gets the caller's packets once it has answered. The rule for a reset is the same.

Test first: test_questions_to_all_agents_are_small failed before.

Members of older versions do not know the new question: flows that move to a new entry are not found at an old agent during an upgrade.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -170,6 +170,19 @@
         self._meter.handle_caller_packet(flow.progress, packet, now)
         return [actions.DeliverToServer(packet.datagram)]
 
+    def handle_query(
+        self, flow_id: packets.FlowId, entry: addresses.Address
+    ) -> list[actions.Action]:
+        """Answer an entry whether the backend server holds a flow."""
+        flow = self._flows.get(flow_id)
+        if flow is not None and flow.state is State.ESTABLISHED:
+            confirmed = messages.OwnershipConfirmed(flow_id)
+            return [actions.SendMessage(entry, confirmed)]
+        basis = self._denial_basis(flow_id) if flow is None else None
+        if basis is not None:
+            return [_deny(flow_id, entry, basis)]
+        return [actions.SendMessage(entry, messages.PacketNeeded(flow_id))]
+
     def handle_lookup(
         self, packet: packets.Packet, entry: addresses.Address, now: float
     ) -> list[actions.Action]:
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -154,7 +154,9 @@
             return self._handle_owned(agent, message.flow, now)
         if isinstance(message, messages.OwnershipDenied):
             return self._handle_not_owned(agent, message.flow, now)
-        if isinstance(message, messages.LookupRequest):
+        if isinstance(message, messages.PacketNeeded):
+            return self._lookups.handle_packet_needed(message.flow, agent, now)
+        if isinstance(message, messages.LookupRequest | messages.OwnershipQuery):
             return []
         agent.update_load(message.load, now)
         if isinstance(message, messages.Declined):
@@ -241,7 +243,8 @@
             return []
         self._owned[flow_id] = OwnedFlow(address, None, now)
         decided: list[actions.Action] = [
-            actions.Forward(address, datagram) for datagram in lookup.buffered
+            actions.Forward(address, datagram)
+            for datagram in lookup.undelivered_to(agent.member.id)
         ]
         if lookup.asked_at:
             asked_seconds = now - lookup.first_asked_at
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -1,7 +1,8 @@
 """Lookups of flows whose owner an entry does not know.
 
-The entry asks all agents and sends the packet along, so that the owner can deliver it
-at once. A flow is reset only when it is certain that no agent owns it.
+The entry asks all agents. Questions are small, because they go to all agents through
+links that may be slow; only an agent that cannot tell without a packet gets one. A flow
+is reset only when it is certain that no agent owns it.
 """
 
 from __future__ import annotations
@@ -36,7 +37,8 @@
         acknowledged: The caller's latest acknowledgement number.
         possible_owners: Agents that have not said that they do not own it.
         to_ask: Those of them that were not asked in the latest round.
-        datagram: The packet that is sent along with questions.
+        datagram: The packet that agents get which cannot tell without one.
+        probed: Agents that got it.
         asked_at: When each agent was first asked.
         denied: Number of agents that have said that they do not own it.
         buffered: Packets that are held back until the owner is known.
@@ -48,6 +50,7 @@
     possible_owners: dict[identifiers.MemberId, directory.Agent]
     to_ask: dict[identifiers.MemberId, directory.Agent]
     datagram: bytes = b""
+    probed: set[identifiers.MemberId] = msgspec.field(default_factory=set)
     asked_at: dict[identifiers.MemberId, float] = msgspec.field(default_factory=dict)
     denied: int = 0
     buffered: list[bytes] = msgspec.field(default_factory=list)
@@ -57,6 +60,12 @@
         """When an agent was first asked; infinite where none was."""
         return next(iter(self.asked_at.values()), float("inf"))
 
+    def undelivered_to(self, owner: identifiers.MemberId) -> list[bytes]:
+        """Return the packets that the owner has not got yet."""
+        if owner in self.probed or not self.datagram:
+            return self.buffered
+        return [self.datagram, *self.buffered]
+
     def add_agent(self, agent: directory.Agent) -> None:
         """Add an agent that may own the flow."""
         self.possible_owners[agent.member.id] = agent
@@ -118,7 +127,7 @@
         del self._flows[next(iter(self._flows))]
 
     def handle_packet(self, packet: packets.Packet, now: float) -> list[actions.Action]:
-        """Handle a packet of a flow: ask agents with it, or buffer it."""
+        """Handle a packet of a flow: ask agents about the flow, or buffer it."""
         flow_id = packet.flow
         lookup = self._flows.get(flow_id) or self.start(flow_id, 0, now)
         if _has_paused(lookup, now):
@@ -142,6 +151,20 @@
         if lookup is not None and lookup.remove_agent(member):
             lookup.denied += 1
 
+    def handle_packet_needed(
+        self, flow_id: packets.FlowId, agent: directory.Agent, now: float
+    ) -> list[actions.Action]:
+        """Send an agent the packet without which it cannot tell whether it owns it.
+
+        A packet of a caller that has gone on through another entry is not sent.
+        """
+        lookup = self._flows.get(flow_id)
+        if lookup is None or not lookup.datagram or _has_paused(lookup, now):
+            return []
+        lookup.probed.add(agent.member.id)
+        request = messages.LookupRequest(lookup.datagram)
+        return [actions.SendMessage(agent.peer_address, request)]
+
     def tick(self, now: float) -> list[actions.Action]:
         """Continue rounds of questions and reset flows that have no owner."""
         decided: list[actions.Action] = []
@@ -150,7 +173,7 @@
             return decided
         for flow_id, lookup in list(self._flows.items()):
             if lookup.to_ask and lookup.datagram and not _has_paused(lookup, now):
-                decided += self._ask_next(lookup, now)
+                decided += self._ask_next(flow_id, lookup, now)
             decided += self.reset_if_unowned(flow_id, now)
         return decided
 
@@ -187,28 +210,34 @@
         self, packet: packets.Packet, lookup: Lookup, now: float
     ) -> list[actions.Action]:
         """Ask the next agents of the latest round, or begin a new one."""
+        flow_id = packet.flow
         is_first = not lookup.datagram
         lookup.last_asked_at = now
         lookup.datagram = packet.datagram
-        decided = self._ask_next(lookup, now)
+        lookup.probed.clear()
+        decided = self._ask_next(flow_id, lookup, now)
         if is_first:
             known = self._view.agents.counts
             started = actions.RecordLookupStarted(
-                packet.flow, len(decided), known.present + known.gone
+                flow_id, len(decided), known.present + known.gone
             )
             return [*decided, started]
         if decided:
             return decided
         lookup.to_ask = dict(lookup.possible_owners)
-        return self._ask_next(lookup, now)
+        return self._ask_next(flow_id, lookup, now)
 
-    def _ask_next(self, lookup: Lookup, now: float) -> list[actions.Action]:
+    def _ask_next(
+        self, flow_id: packets.FlowId, lookup: Lookup, now: float
+    ) -> list[actions.Action]:
         """Ask the next agents of the latest round."""
         decided: list[actions.Action] = []
         while lookup.to_ask and len(decided) < MAX_ASKED_AT_ONCE:
             agent = lookup.to_ask.pop(next(iter(lookup.to_ask)))
             if not agent.has_no_flows:
-                decided.append(_ask_agent(agent, lookup, now))
+                lookup.asked_at.setdefault(agent.member.id, now)
+                query = messages.OwnershipQuery(flow_id)
+                decided.append(actions.SendMessage(agent.peer_address, query))
         return decided
 
     def _possible_owners(
@@ -262,14 +291,6 @@
         )
 
 
-def _ask_agent(
-    agent: directory.Agent, lookup: Lookup, now: float
-) -> actions.SendMessage:
-    lookup.asked_at.setdefault(agent.member.id, now)
-    request = messages.LookupRequest(lookup.datagram)
-    return actions.SendMessage(agent.peer_address, request)
-
-
 def _has_paused(lookup: Lookup, now: float) -> bool:
     """Return whether the caller has ended the flow or sends through another entry."""
     return now - lookup.last_packet_at > CALLER_PAUSE_SECONDS
--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -39,7 +39,7 @@
 
 
 class LookupRequest(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """Asks an agent to deliver a packet and reply if it owns the packet's flow.
+    """Asks an agent to deliver a packet and reply whether it owns the packet's flow.
 
     Attributes:
         datagram: The packet.
@@ -96,6 +96,18 @@
     load: Load
 
 
+class OwnershipQuery(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Asks an agent whether it owns a flow."""
+
+    flow: packets.FlowId
+
+
+class PacketNeeded(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """The sender needs a packet of the flow to find out whether it owns the flow."""
+
+    flow: packets.FlowId
+
+
 Message = (
     LookupRequest
     | OwnershipConfirmed
@@ -103,6 +115,8 @@
     | Accepted
     | Declined
     | LoadReport
+    | OwnershipQuery
+    | PacketNeeded
 )
 
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -160,6 +160,8 @@
         sockets.send(self._server_socket, datagram, server, self._node.counters)
 
     def _on_message(self, sender: addresses.Address, message: messages.Message) -> None:
+        if isinstance(message, messages.OwnershipQuery):
+            self._execute(self._flows.handle_query(message.flow, sender))
         if not isinstance(message, messages.LookupRequest):
             return
         packet = self._count_malformed(layout.decode_from_caller(message.datagram))
--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -435,8 +435,7 @@
             elif isinstance(action, actions.Forward):
                 self._send_to_agent(process, action.address, action.datagram.packet)
             elif isinstance(action, actions.SendMessage):
-                packet = action.message.datagram.packet
-                self._send_to_agent(process, action.address, packet)
+                self._ask_agent(process, action.address, action.message.flow)
 
     def _report_unknown_sender(self, process, address):
         membership = process.membership
@@ -451,12 +450,30 @@
     def _send_to_agent(self, sender, address, packet):
         self._schedule(lambda: self._answer(sender, address, packet))
 
-    def _answer(self, sender, address, packet):
-        """Answer an entry as the agent at an address, if one runs there."""
+    def _ask_agent(self, sender, address, flow_id):
+        self._schedule(lambda: self._answer_query(sender, address, flow_id))
+
+    def _reachable_agent(self, sender, address):
+        """Return the agent at an address that an entry reaches, if one runs there."""
         agent = self.running.get(address.host)
         if agent is None or agent.flows is not None or self.now < agent.answers_from:
+            return None
+        return None if self._is_message_lost(sender, agent) else agent
+
+    def _answer_query(self, sender, address, flow_id):
+        """Answer whether the agent at an address owns a flow."""
+        agent = self._reachable_agent(sender, address)
+        if agent is None:
             return
-        if self._is_message_lost(sender, agent):
+        is_owner = self.callers[flow_id].owner is agent
+        confirmed = messages.OwnershipConfirmed(flow_id)
+        answer = confirmed if is_owner else messages.OwnershipDenied(flow_id)
+        self._schedule_message(agent, sender, answer)
+
+    def _answer(self, sender, address, packet):
+        """Answer a packet as the agent at an address, if one runs there."""
+        agent = self._reachable_agent(sender, address)
+        if agent is None:
             return
         caller = self.callers[packet.flow]
         answer = messages.OwnershipDenied(packet.flow)
--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -14,7 +14,7 @@
 import random
 
 from cactushall_core import addresses
-from cactushall_core.flows import actions, agent, entry, packets, servers
+from cactushall_core.flows import actions, agent, entry, messages, packets, servers
 from cactushall_core.membership import records
 from tests.core.flows import builders
 
@@ -327,8 +327,7 @@
                     own, action.address.host, action.datagram, is_lookup=False
                 )
             elif isinstance(action, actions.SendMessage):
-                datagram = action.message.datagram
-                self.send_to_agent(own, action.address.host, datagram, is_lookup=True)
+                self.send_message_to_agent(own, action)
 
     def send_to_agent(self, own, host_address, datagram, *, is_lookup):
         """Send a packet or a lookup request to an agent."""
@@ -346,6 +345,23 @@
 
         self.schedule(NETWORK_DELAY_SECONDS, arrive)
 
+    def send_message_to_agent(self, own, action):
+        """Send an entry's message to an agent."""
+        message = action.message
+        if isinstance(message, messages.LookupRequest):
+            self.send_to_agent(
+                own, action.address.host, message.datagram, is_lookup=True
+            )
+            return
+        host = self.hosts[int(action.address.host.rpartition(".")[2]) - 1]
+
+        def arrive():
+            if host.agent is not None:
+                answer = host.agent.handle_query(message.flow, own)
+                self.execute_agent_actions(host, answer)
+
+        self.schedule(NETWORK_DELAY_SECONDS, arrive)
+
     def execute_agent_actions(self, host, decided):
         """Carry out an agent's actions."""
         for action in decided:
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -200,6 +200,37 @@
     assert again == [denial(actions.DenialBasis.SERVER_DENIED)]
 
 
+def ask(flows):
+    """Ask an agent whether it owns FLOW, and return the answer."""
+    (told,) = flows.handle_query(builders.FLOW, builders.ENTRY)
+    return told
+
+
+def test_owner_confirms_without_a_packet(flows):
+    open_flow(flows)
+    assert ask(flows).message == messages.OwnershipConfirmed(builders.FLOW)
+
+
+def test_agent_that_has_seen_all_flows_denies_without_a_packet(flows):
+    assert ask(flows) == denial(actions.DenialBasis.NEVER_TRACKED)
+
+
+def test_restarted_agent_needs_a_packet_until_its_server_has_answered(restarted):
+    needed = messages.PacketNeeded(builders.FLOW)
+    assert ask(restarted).message == needed
+    packet = builders.packet()
+    restarted.handle_lookup(packet, builders.ENTRY, 1.0)
+    assert ask(restarted).message == needed
+    restarted.handle_server_packet(builders.bounced_packet(packet), 1.0)
+    assert ask(restarted) == denial(actions.DenialBasis.SERVER_DENIED)
+
+
+def test_agent_needs_a_packet_until_the_caller_has_chosen_a_server(flows):
+    flows.handle_caller_packet(builders.opening_packet(), builders.ENTRY, 1.0)
+    flows.handle_server_packet(builders.opening_answer(), 1.0)
+    assert ask(flows).message == messages.PacketNeeded(builders.FLOW)
+
+
 def test_owner_confirms_a_lookup(flows):
     open_flow(flows)
     delivered, told = flows.handle_lookup(builders.packet(), builders.ENTRY, 1.1)
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -59,7 +59,7 @@
     """Send a packet of FLOW, whose owner is unknown; return the agents asked."""
     decided = flows.handle_packet(builders.packet(), now)
     told = [action for action in decided if isinstance(action, actions.SendMessage)]
-    assert all(isinstance(action.message, messages.LookupRequest) for action in told)
+    assert all(isinstance(action.message, messages.OwnershipQuery) for action in told)
     for action in decided[len(told) :]:
         assert isinstance(action, actions.RecordLookupStarted)
         assert action.asked == len(told)
@@ -420,7 +420,7 @@
 # Flows with unknown owner.
 
 
-def test_lookup_sends_the_packet_to_every_agent(flows):
+def test_lookup_asks_every_agent(flows):
     assert look_up(flows) == {peer_address_of(number) for number in (1, 2, 3)}
 
 
@@ -434,6 +434,7 @@
     address = packet_address_of(builders.agent_record(2))
     seconds = pytest.approx(0.02)
     assert decided == [
+        actions.Forward(address, builders.packet().datagram),
         actions.Forward(address, later.datagram),
         actions.RecordOwnerFound(builders.FLOW, address, seconds, 3),
     ]
@@ -441,6 +442,47 @@
     assert sent.address == address
 
 
+def need_packet(flows, number, now):
+    """Let an agent need a packet of FLOW, and return what it gets."""
+    needed = messages.PacketNeeded(builders.FLOW)
+    return flows.handle_message(peer_address_of(number), needed, now)
+
+
+def test_only_an_agent_that_needs_a_packet_to_tell_gets_it_and_once(flows):
+    look_up(flows)
+    (probe,) = need_packet(flows, 2, SETTLED + 0.01)
+    request = messages.LookupRequest(builders.packet().datagram)
+    assert probe == actions.SendMessage(peer_address_of(2), request)
+    confirmed = messages.OwnershipConfirmed(builders.FLOW)
+    (found,) = flows.handle_message(peer_address_of(2), confirmed, SETTLED + 0.02)
+    assert isinstance(found, actions.RecordOwnerFound)
+
+
+def test_agent_that_needs_a_packet_has_not_denied(flows):
+    look_up(flows)
+    need_packet(flows, 2, SETTLED)
+    assert deny(flows, (1, 3), SETTLED) == []
+    (reset,) = deny(flows, (2,), SETTLED)
+    assert reset.reason is actions.Reason.NO_OWNER
+
+
+def test_old_packet_is_not_sent_to_an_agent_that_answers_late(flows):
+    look_up(flows)
+    late = SETTLED + lookups.CALLER_PAUSE_SECONDS + 0.1
+    assert need_packet(flows, 2, late) == []
+
+
+def test_newer_packet_is_delivered_although_an_older_one_was_probed(flows):
+    look_up(flows)
+    need_packet(flows, 2, SETTLED)
+    newer = builders.packet(length=7)
+    flows.handle_packet(newer, SETTLED + lookups.RETRY_INTERVAL_SECONDS)
+    confirmed = messages.OwnershipConfirmed(builders.FLOW)
+    decided = flows.handle_message(peer_address_of(2), confirmed, SETTLED + 0.2)
+    sent = [a.datagram for a in decided if isinstance(a, actions.Forward)]
+    assert sent == [newer.datagram]
+
+
 def test_flow_that_all_agents_deny_is_reset_immediately(flows):
     look_up(flows)
     assert deny(flows, (1, 2), SETTLED) == []
--- a/tests/core/flows/test_lookups.py
+++ b/tests/core/flows/test_lookups.py
@@ -4,11 +4,14 @@
 
 import pytest
 
-from cactushall_core.flows import actions, cluster_view, directory, lookups
+from cactushall_core import keys
+from cactushall_core.flows import actions, cluster_view, directory, lookups, messages
 from cactushall_core.membership import records
 from tests.core.flows import builders
 
 SETTLED = 10.0
+KEY = keys.make_key(bytes(32))
+MAX_QUESTION_BYTES = 64
 DECIDED = SETTLED + 5.0
 
 
@@ -88,6 +91,19 @@
     assert evidence.gone == 1
 
 
+def test_questions_to_all_agents_are_small(found, view):
+    add_agents(view, range(4, 137))
+    packet = builders.packet(length=1200)._replace(datagram=bytes(1200))
+    authenticator = messages.make_authenticator((KEY,))
+    asked = found.handle_packet(packet, SETTLED)
+    for tick in range(3):
+        asked += found.tick(SETTLED + 0.01 * tick)
+    sent = [a.message for a in asked if isinstance(a, actions.SendMessage)]
+    assert len(sent) == 136
+    size = sum(len(messages.encode(authenticator, message)) for message in sent)
+    assert size <= 136 * MAX_QUESTION_BYTES
+
+
 def test_agents_of_all_services_are_asked_at_any_number(found, view):
     others = range(4, 4 + 2 * lookups.MAX_ASKED_AT_ONCE)
     add_agents(view, others, service=builders.OTHER_SERVICE)
--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -310,9 +310,9 @@
 def agents_that_appear_during_a_lookup_are_not_asked(patch):
     original = lookups.Lookups._ask_next
 
-    def ask_next(self, lookup, now):
+    def ask_next(self, flow_id, lookup, now):
         is_start_of_round = lookup.last_asked_at == now
-        return original(self, lookup, now) if is_start_of_round else []
+        return original(self, flow_id, lookup, now) if is_start_of_round else []
 
     patch.setattr(lookups.Lookups, "_ask_next", ask_next)
 
@@ -342,11 +342,10 @@
 def only_the_first_agents_are_asked(patch):
     original = lookups.Lookups._ask_next
 
-    def ask_next(self, lookup, now):
-        if len(lookup.possible_owners) > lookups.MAX_ASKED_AT_ONCE:
-            owners = _first_agents(self._possible_owners(builders.FLOW))
-            lookup.to_ask = {m: a for m, a in lookup.to_ask.items() if m in owners}
-        return original(self, lookup, now)
+    def ask_next(self, flow_id, lookup, now):
+        owners = _first_agents(self._possible_owners(flow_id))
+        lookup.to_ask = {m: a for m, a in lookup.to_ask.items() if m in owners}
+        return original(self, flow_id, lookup, now)
 
     patch.setattr(lookups.Lookups, "_ask_next", ask_next)
 
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -504,9 +504,7 @@
                 packet = action.datagram.packet
                 self._to_agent(index, own, host, packet, asks=False)
             elif isinstance(action, actions.SendMessage):
-                host = action.address.host
-                packet = action.message.datagram.packet
-                self._to_agent(index, own, host, packet, asks=True)
+                self._message_to_agent(index, own, action)
 
     def _at_reset(self, action):
         flow = self._flows.get(action.flow)
@@ -524,6 +522,22 @@
 
         self.schedule(self._latency(index, number), arrive)
 
+    def _message_to_agent(self, index, own, action):
+        message = action.message
+        host = action.address.host
+        if isinstance(message, messages.LookupRequest):
+            self._to_agent(index, own, host, message.datagram.packet, asks=True)
+            return
+        number = int(host.rpartition(".")[2])
+
+        def arrive():
+            made = self._agents.get(number)
+            if made is not None:
+                answer = made.handle_query(message.flow, own)
+                self._execute_agent_actions(number, answer)
+
+        self.schedule(self._latency(index, number), arrive)
+
     def _latency(self, index, number):
         is_same_zone = index % ZONES == number % ZONES
         return IN_ZONE_LATENCY_SECONDS if is_same_zone else CROSS_ZONE_LATENCY_SECONDS
