Agents register long flows with two entries, which are asked for the owner first

Change: an agent registers a flow that has been open for 0.3 s with two entries, found by consistent hashing over the entries that it knows, 50 flows a message, and again with an entry that starts or takes over (registrations, registrars, known_entries, which moves to the core). An entry that does not know a flow's owner asks its two registrars and sends the packet to the agent they name. Where they know nothing, are silent for 60 ms, or the named agent denies or is silent, all agents are asked as before. What is registered is a hint: the rule for a reset is the same, and a new mutant of the model takes it for more (only_the_registered_owner_counts).

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -200,16 +200,18 @@
 
 
 class RecordLookupStarted(typing.NamedTuple):
-    """Record that agents were asked for the owner of a flow for the first time.
+    """Record that the owner of a flow is looked up.
 
     Attributes:
         flow: The flow.
-        asked: Number of agents that were asked.
+        registrars: Number of entries that were asked first.
+        agents: Number of agents that were asked at once.
         known: Number of agents that the entry knows, including those that are gone.
     """
 
     flow: packets.FlowId
-    asked: int
+    registrars: int
+    agents: int
     known: int
 
 
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -10,12 +10,15 @@
 from cactushall_core.flows import (
     actions,
     admission,
+    known_entries,
     messages,
     packets,
+    registrations,
     requests,
     routes,
     servers,
 )
+from cactushall_core.membership import records
 
 CLOSED_RETENTION_SECONDS = 5.0
 UNANSWERED_RETENTION_SECONDS = 1.0
@@ -108,6 +111,8 @@
         self._awaiting_request: dict[packets.FlowId, float] = {}
         self._queue: dict[packets.FlowId, QueuedOpening] = {}
         self._meter = requests.RequestMeter()
+        self._entries = known_entries.KnownEntries()
+        self._registrations = registrations.Registrations(self._entries)
         # Whether the agent has seen all flows since the backend server started, so that
         # a flow that it does not track cannot be one of them.
         self._has_seen_all_flows = False
@@ -128,11 +133,20 @@
         """How many flows are tracked."""
         return len(self._flows)
 
+    @property
+    def entries(self) -> known_entries.KnownEntries:
+        """The entries that are believed to run."""
+        return self._entries
+
     @property
     def has_routes(self) -> bool:
         """Whether a configuration has been received."""
         return self._routes.is_known
 
+    def update_member(self, record: records.Record) -> None:
+        """Apply a membership update."""
+        self._entries.update(record)
+
     def update_routes(
         self, table: routes.RouteTable, now: float
     ) -> list[actions.Action]:
@@ -158,7 +172,7 @@
         flow.last_packet_at = now
         flow.acknowledged = packet.acknowledgement
         if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
-            flow.is_closing = True
+            self._mark_closing(packet.flow, flow)
             self._meter.record_end(flow.progress)
         if flow.state is State.OPENING_ANSWERED and not self._chose_this_server(
             flow, packet
@@ -166,7 +180,7 @@
             self._forget(packet.flow)
             return [_deny(packet.flow, entry, actions.DenialBasis.OTHER_CHOSEN)]
         if flow.state is State.OPENING_ANSWERED:
-            flow.state = State.ESTABLISHED
+            self._mark_established(packet.flow, flow, now)
         self._meter.handle_caller_packet(flow.progress, packet, now)
         return [actions.DeliverToServer(packet.datagram)]
 
@@ -208,8 +222,8 @@
         flow.last_packet_at = now
         seconds = self._meter.handle_server_packet(flow.progress, packet, now)
         if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
-            flow.is_closing = True
-        decided = self._notify_entry(packet, flow)
+            self._mark_closing(packet.flow, flow)
+        decided = self._notify_entry(packet, flow, now)
         decided.append(actions.SendToCaller(packet.flow, packet.datagram))
         if seconds is not None:
             answered = actions.Latency.REQUEST_ANSWERED
@@ -235,11 +249,14 @@
             self._forget_all()
         return outcome
 
-    def tick(self, now: float) -> None:
-        """Forget flows that have expired, and requests that have timed out."""
+    def tick(self, now: float) -> list[actions.Action]:
+        """Register flows; forget expired flows and requests that have timed out."""
         self._expire_awaiting_request(now)
-        if now < self._next_sweep_at:
-            return
+        if now >= self._next_sweep_at:
+            self._sweep(now)
+        return self._registrations.tick(now)
+
+    def _sweep(self, now: float) -> None:
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
         expired = [
             flow_id
@@ -319,7 +336,9 @@
         message = messages.Declined(flow_id, refusal, self._routes.revision, self.load)
         return actions.SendMessage(entry, message)
 
-    def _notify_entry(self, packet: packets.Packet, flow: Flow) -> list[actions.Action]:
+    def _notify_entry(
+        self, packet: packets.Packet, flow: Flow, now: float
+    ) -> list[actions.Action]:
         """Notify the entry when a packet shows that the backend server has the flow."""
         if flow.state is State.OPENING_DELIVERED and packet.flags & packets.Flags.SYN:
             flow.state = State.OPENING_ANSWERED
@@ -328,7 +347,7 @@
             return [actions.SendMessage(flow.entry, message)]
         is_opening_answer = bool(packet.flags & packets.Flags.SYN)
         if flow.state is State.PROBED and not is_opening_answer:
-            flow.state = State.ESTABLISHED
+            self._mark_established(packet.flow, flow, now)
             return [
                 actions.SendMessage(
                     flow.entry, messages.OwnershipConfirmed(packet.flow)
@@ -336,6 +355,17 @@
             ]
         return []
 
+    def _mark_established(
+        self, flow_id: packets.FlowId, flow: Flow, now: float
+    ) -> None:
+        flow.state = State.ESTABLISHED
+        if not flow.is_closing:
+            self._registrations.add(flow_id, now)
+
+    def _mark_closing(self, flow_id: packets.FlowId, flow: Flow) -> None:
+        flow.is_closing = True
+        self._registrations.remove(flow_id)
+
     def _chose_this_server(self, flow: Flow, packet: packets.Packet) -> bool:
         """Return whether the caller took this server's answer, not another's."""
         if not packet.flags & packets.Flags.ACK:
@@ -436,6 +466,7 @@
 
     def _forget(self, flow_id: packets.FlowId) -> None:
         flow = self._flows.pop(flow_id, None)
+        self._registrations.remove(flow_id)
         if flow is not None:
             self._meter.record_end(flow.progress)
             if len(self._forgotten) >= MAX_FLOWS:
--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -1,20 +1,21 @@
-"""An entry's view of routes and agents, and whether that view is complete."""
+"""An entry's view of the cluster, and whether that view is complete."""
 
 from __future__ import annotations
 
 from cactushall_core import identifiers
-from cactushall_core.flows import directory, packets, routes
+from cactushall_core.flows import directory, known_entries, packets, routes
 from cactushall_core.membership import completeness
 
 STALE_AFTER_PAUSE_SECONDS = 0.1
 
 
 class ClusterView:
-    """Routes and agents, and the evidence that no newer ones exist."""
+    """Routes, agents and entries, and the evidence that no other agents exist."""
 
     def __init__(self) -> None:
-        """Start without routes and agents."""
+        """Start without routes and members."""
         self._agents = directory.AgentDirectory()
+        self._entries = known_entries.KnownEntries()
         self._route_table = routes.EMPTY
         self._newest_revision = routes.EMPTY.revision
         self._evidence: completeness.Evidence | None = None
@@ -32,6 +33,11 @@
         """All agents."""
         return self._agents
 
+    @property
+    def entries(self) -> known_entries.KnownEntries:
+        """The other entries."""
+        return self._entries
+
     @property
     def route_table(self) -> routes.RouteTable:
         """The current routes."""
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -19,6 +19,7 @@
     messages,
     packets,
     pending_flows,
+    registered_owners,
     routes,
 )
 from cactushall_core.membership import completeness, records
@@ -70,7 +71,8 @@
         """
         self._view = cluster_view.ClusterView()
         self._pending = pending_flows.PendingFlows(self._view, zone, rng)
-        self._lookups = lookups.Lookups(self._view)
+        self._registered = registered_owners.RegisteredOwners()
+        self._lookups = lookups.Lookups(self._view, self._registered)
         self._owned: dict[packets.FlowId, OwnedFlow] = {}
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
 
@@ -107,6 +109,7 @@
     def update_member(self, record: records.Record, now: float) -> list[actions.Action]:
         """Apply a membership update."""
         self._view.agents.update(record, now)
+        self._view.entries.update(record)
         return self.tick(now)
 
     def update_completeness(
@@ -145,7 +148,12 @@
     def handle_message(
         self, sender: addresses.Address, message: messages.Message, now: float
     ) -> list[actions.Action]:
-        """Handle an agent's message."""
+        """Handle a message of an agent or of another entry."""
+        if isinstance(message, messages.RegisterFlows):
+            self._registered.put(message.flows, sender, now)
+            return []
+        if isinstance(message, messages.EntryMessage):
+            return self._handle_entry_message(sender, message, now)
         agent = self._view.agents.by_peer_address(sender)
         if agent is None:
             return [actions.ReportUnknownSender(sender)]
@@ -156,8 +164,14 @@
             return self._handle_not_owned(agent, message.flow, now)
         if isinstance(message, messages.PacketNeeded):
             return self._lookups.handle_packet_needed(message.flow, agent, now)
-        if isinstance(message, messages.LookupRequest | messages.OwnershipQuery):
-            return []
+        return self._handle_load_message(agent, message, now)
+
+    def _handle_load_message(
+        self,
+        agent: directory.Agent,
+        message: messages.Accepted | messages.Declined | messages.LoadReport,
+        now: float,
+    ) -> list[actions.Action]:
         agent.update_load(message.load, now)
         if isinstance(message, messages.Declined):
             return self._pending.handle_declined(agent, message, now)
@@ -183,6 +197,7 @@
             flow.last_packet_at = now
             return [actions.Forward(flow.agent, packet.datagram)]
         self._forget(packet.flow, keeps_pending=True)
+        self._registered.remove(packet.flow)
         self._evict_if_full()
         return self._pending.handle_packet(packet, now)
 
@@ -222,6 +237,25 @@
 
     # Flows with unknown owner.
 
+    def _handle_entry_message(
+        self, sender: addresses.Address, message: messages.EntryMessage, now: float
+    ) -> list[actions.Action]:
+        if isinstance(message, messages.OwnerQuery):
+            owner = self._probable_owner(message.flow)
+            answer = messages.OwnerAnswer(message.flow, owner)
+            return [actions.SendMessage(sender, answer)]
+        if isinstance(message, messages.OwnerAnswer):
+            return self._lookups.handle_owner_answer(sender, message, now)
+        return []
+
+    def _probable_owner(self, flow_id: packets.FlowId) -> addresses.Address | None:
+        """Return the address of the agent that this entry takes for the owner."""
+        flow = self._owned.get(flow_id)
+        if flow is None:
+            return self._registered.find(flow_id)
+        agent = self._view.agents.by_packet_address(flow.agent)
+        return agent.peer_address if agent is not None else None
+
     def _look_up(self, packet: packets.Packet, now: float) -> list[actions.Action]:
         if packet.flags & packets.Flags.RST:
             return [actions.Drop(packet.flow, actions.Reason.STRAY_RESET)]
@@ -265,7 +299,8 @@
             del self._owned[flow_id]
             self._lookups.start(flow_id, flow.acknowledged, now)
         self._lookups.record_not_owner(flow_id, agent.member.id)
-        return self._lookups.reset_if_unowned(flow_id, now)
+        asked = self._lookups.ask_all_if_due(flow_id, now)
+        return asked or self._lookups.reset_if_unowned(flow_id, now)
 
     # Removal of flows.
 
@@ -305,6 +340,7 @@
             del self._owned[flow_id]
         self._pending.expire(now)
         self._lookups.expire(now - idle)
+        self._registered.expire(now)
         self._view.agents.remove_gone(now - GONE_AGENT_RETENTION_SECONDS)
 
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/known_entries.py
+++ b/packages/cactushall-core/cactushall_core/flows/known_entries.py
@@ -1,8 +1,9 @@
-"""The entries that an agent sends reports and changes to."""
+"""The entries that are believed to run."""
 
 from __future__ import annotations
 
 from cactushall_core import addresses
+from cactushall_core.flows import packets, registrars
 from cactushall_core.membership import records
 
 
@@ -12,6 +13,13 @@
     def __init__(self) -> None:
         """Start without entries."""
         self._members: dict[addresses.Address, records.Member] = {}
+        self._ring = registrars.RegistrarRing()
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """How often an entry has started or is gone."""
+        return self._version
 
     @property
     def control_addresses(self) -> list[addresses.Address]:
@@ -23,6 +31,12 @@
         """Addresses at which they receive gossip."""
         return [member.gossip_address for member in self._members.values()]
 
+    def registrars_of(
+        self, flow_id: packets.FlowId
+    ) -> tuple[registrars.Registrar, ...]:
+        """Return the entries with which the owner of a flow registers it."""
+        return self._ring.find(flow_id)
+
     def update(self, record: records.Record) -> None:
         """Apply a membership update.
 
@@ -36,6 +50,14 @@
         if known is not None and known.id > member.id:
             return
         if record.is_present:
-            self._members[member.control_address] = member
+            self._add(member, known)
         elif known is not None and known.id == member.id:
             del self._members[member.control_address]
+            self._ring.remove(member.control_address)
+            self._version += 1
+
+    def _add(self, member: records.Member, known: records.Member | None) -> None:
+        self._members[member.control_address] = member
+        if known is None or known.id != member.id:
+            self._ring.add(registrars.Registrar(member.control_address, member.id))
+            self._version += 1
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -1,25 +1,31 @@
 """Lookups of flows whose owner an entry does not know.
 
-The entry asks all agents. Questions are small, because they go to all agents through
-links that may be slow; only an agent that cannot tell without a packet gets one. A flow
-is reset only when it is certain that no agent owns it.
+Agents register long flows with two entries, which are asked first, so that most
+lookups cost the same at any size. Where they know nothing, all agents are asked. Those
+questions are small, because links may be slow; only an agent that cannot tell without
+a packet gets one. A flow is reset only when it is certain that no agent owns it, which
+registrations never show.
 """
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
-from cactushall_core import identifiers
+from cactushall_core import addresses, identifiers
 from cactushall_core.flows import (
     actions,
     cluster_view,
     directory,
     messages,
     packets,
+    registered_owners,
 )
 from cactushall_core.membership import completeness, records
 
 RETRY_INTERVAL_SECONDS = 0.15
+REGISTRAR_TIMEOUT_SECONDS = 0.06
 CALLER_PAUSE_SECONDS = 1.7
 DEAD_GRACE_SECONDS = 1.0
 SUCCESSOR_GRACE_SECONDS = 5.0
@@ -27,32 +33,57 @@
 MAX_ASKED_AT_ONCE = 64
 
 
+class Stage(enum.Enum):
+    """Stage of a lookup.
+
+    NEW: Nobody has been asked.
+    REGISTRARS: The entries with which the owner may have registered the flow are asked.
+    REGISTERED_OWNER: The agent that has registered the flow is asked.
+    ALL: All agents are asked.
+    """
+
+    NEW = "new"
+    REGISTRARS = "registrars"
+    REGISTERED_OWNER = "registered-owner"
+    ALL = "all"
+
+
 class Lookup(msgspec.Struct):
     """A flow whose owner is being looked up.
 
     Attributes:
-        last_asked_at: When a packet of the caller last began or continued a round of
-            questions, in which each agent is asked once.
         last_packet_at: When the caller's latest packet arrived.
         acknowledged: The caller's latest acknowledgement number.
-        possible_owners: Agents that have not said that they do not own it.
-        to_ask: Those of them that were not asked in the latest round.
+        stage: Who is asked.
+        stage_ends_at: When all agents are asked in place of those of the stage.
+        registrars: Registrars that have not answered.
+        last_asked_at: When a packet of the caller last began or continued a round of
+            questions, in which each agent is asked once.
         datagram: The packet that agents get which cannot tell without one.
         probed: Agents that got it.
         asked_at: When each agent was first asked.
-        denied: Number of agents that have said that they do not own it.
+        not_owners: Agents that have said that they do not own it.
+        possible_owners: All other agents, once all are asked.
+        to_ask: Those of them that were not asked in the latest round.
         buffered: Packets that are held back until the owner is known.
     """
 
-    last_asked_at: float
     last_packet_at: float
     acknowledged: int
-    possible_owners: dict[identifiers.MemberId, directory.Agent]
-    to_ask: dict[identifiers.MemberId, directory.Agent]
+    stage: Stage = Stage.NEW
+    stage_ends_at: float = float("inf")
+    registrars: set[addresses.Address] = msgspec.field(default_factory=set)
+    last_asked_at: float = float("-inf")
     datagram: bytes = b""
     probed: set[identifiers.MemberId] = msgspec.field(default_factory=set)
     asked_at: dict[identifiers.MemberId, float] = msgspec.field(default_factory=dict)
-    denied: int = 0
+    not_owners: set[identifiers.MemberId] = msgspec.field(default_factory=set)
+    possible_owners: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
+        default_factory=dict
+    )
+    to_ask: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
+        default_factory=dict
+    )
     buffered: list[bytes] = msgspec.field(default_factory=list)
 
     @property
@@ -71,10 +102,10 @@
         self.possible_owners[agent.member.id] = agent
         self.to_ask[agent.member.id] = agent
 
-    def remove_agent(self, member: identifiers.MemberId) -> bool:
-        """Remove an agent, and return whether it could own the flow until now."""
+    def remove_agent(self, member: identifiers.MemberId) -> None:
+        """Remove an agent that does not own the flow, or that is not known any more."""
         self.to_ask.pop(member, None)
-        return self.possible_owners.pop(member, None) is not None
+        self.possible_owners.pop(member, None)
 
 
 class Lookups:
@@ -84,13 +115,19 @@
     that a tick costs little for a lookup that only waits for answers.
     """
 
-    def __init__(self, view: cluster_view.ClusterView) -> None:
+    def __init__(
+        self,
+        view: cluster_view.ClusterView,
+        registered: registered_owners.RegisteredOwners,
+    ) -> None:
         """Start without lookups.
 
         Args:
-            view: Routes and agents.
+            view: Routes, agents and entries.
+            registered: Owners that are registered with this entry.
         """
         self._view = view
+        self._registered = registered
         self._flows: dict[packets.FlowId, Lookup] = {}
         view.agents.subscribe(self._add_agent, self._remove_agent)
 
@@ -112,9 +149,8 @@
         return max(0.0, now - oldest)
 
     def start(self, flow_id: packets.FlowId, acknowledged: int, now: float) -> Lookup:
-        """Add a lookup; agents are asked when the flow's next packet arrives."""
-        owners = self._possible_owners(flow_id)
-        lookup = Lookup(float("-inf"), now, acknowledged, owners, dict(owners))
+        """Add a lookup; it asks when the flow's next packet arrives."""
+        lookup = Lookup(now, acknowledged)
         self._flows[flow_id] = lookup
         return lookup
 
@@ -127,7 +163,7 @@
         del self._flows[next(iter(self._flows))]
 
     def handle_packet(self, packet: packets.Packet, now: float) -> list[actions.Action]:
-        """Handle a packet of a flow: ask agents about the flow, or buffer it."""
+        """Handle a packet of a flow: ask about the flow, or buffer it."""
         flow_id = packet.flow
         lookup = self._flows.get(flow_id) or self.start(flow_id, 0, now)
         if _has_paused(lookup, now):
@@ -136,20 +172,41 @@
         lookup.last_packet_at = now
         lookup.acknowledged = packet.acknowledgement
         is_due = now - lookup.last_asked_at >= RETRY_INTERVAL_SECONDS
-        if is_due or not lookup.datagram:
+        if is_due or lookup.stage is Stage.NEW:
             return self._ask(packet, lookup, now)
         if len(lookup.buffered) >= MAX_BUFFERED_PACKETS:
             return [actions.Drop(flow_id, actions.Reason.BUFFER_FULL)]
         lookup.buffered.append(packet.datagram)
         return []
 
+    def handle_owner_answer(
+        self, sender: addresses.Address, answer: messages.OwnerAnswer, now: float
+    ) -> list[actions.Action]:
+        """Handle the answer of a registrar."""
+        lookup = self._flows.get(answer.flow)
+        if lookup is None or sender not in lookup.registrars:
+            return []
+        lookup.registrars.remove(sender)
+        if lookup.stage is not Stage.REGISTRARS:
+            return []
+        agent = self._registered_agent(answer.owner, lookup)
+        if agent is not None:
+            return self._ask_registered_owner(agent, lookup, now)
+        if lookup.registrars:
+            return []
+        return self._ask_all(answer.flow, lookup, now)
+
     def record_not_owner(
         self, flow_id: packets.FlowId, member: identifiers.MemberId
     ) -> None:
         """Record that a member does not own a flow."""
         lookup = self._flows.get(flow_id)
-        if lookup is not None and lookup.remove_agent(member):
-            lookup.denied += 1
+        if lookup is None:
+            return
+        lookup.not_owners.add(member)
+        lookup.remove_agent(member)
+        if lookup.stage is Stage.REGISTERED_OWNER:
+            lookup.stage_ends_at = float("-inf")
 
     def handle_packet_needed(
         self, flow_id: packets.FlowId, agent: directory.Agent, now: float
@@ -161,22 +218,30 @@
         lookup = self._flows.get(flow_id)
         if lookup is None or not lookup.datagram or _has_paused(lookup, now):
             return []
-        lookup.probed.add(agent.member.id)
-        request = messages.LookupRequest(lookup.datagram)
-        return [actions.SendMessage(agent.peer_address, request)]
+        return [_send_packet(agent, lookup)]
 
     def tick(self, now: float) -> list[actions.Action]:
         """Continue rounds of questions and reset flows that have no owner."""
         decided: list[actions.Action] = []
         is_complete = self._view.is_complete
-        if not is_complete:
-            return decided
         for flow_id, lookup in list(self._flows.items()):
-            if lookup.to_ask and lookup.datagram and not _has_paused(lookup, now):
+            decided += self.ask_all_if_due(flow_id, now)
+            if not is_complete:
+                continue
+            if lookup.to_ask and not _has_paused(lookup, now):
                 decided += self._ask_next(flow_id, lookup, now)
             decided += self.reset_if_unowned(flow_id, now)
         return decided
 
+    def ask_all_if_due(
+        self, flow_id: packets.FlowId, now: float
+    ) -> list[actions.Action]:
+        """Ask all agents if those that were asked first did not know the owner."""
+        lookup = self._flows.get(flow_id)
+        if lookup is None or now < lookup.stage_ends_at or _has_paused(lookup, now):
+            return []
+        return self._ask_all(flow_id, lookup, now)
+
     def reset_if_unowned(
         self, flow_id: packets.FlowId, now: float
     ) -> list[actions.Action]:
@@ -185,6 +250,8 @@
         table = self._view.evidence
         if lookup is None or table is None or not self._view.is_complete:
             return []
+        if lookup.stage is not Stage.ALL:
+            return []
         evidence = self._no_owner_evidence(lookup, table, now)
         if evidence is None:
             return []
@@ -200,31 +267,92 @@
 
     def _add_agent(self, agent: directory.Agent) -> None:
         for lookup in self._flows.values():
-            lookup.add_agent(agent)
+            if lookup.stage is Stage.ALL:
+                lookup.add_agent(agent)
 
     def _remove_agent(self, agent: directory.Agent) -> None:
         for lookup in self._flows.values():
             lookup.remove_agent(agent.member.id)
 
+    # Questions.
+
     def _ask(
         self, packet: packets.Packet, lookup: Lookup, now: float
     ) -> list[actions.Action]:
-        """Ask the next agents of the latest round, or begin a new one."""
-        flow_id = packet.flow
-        is_first = not lookup.datagram
+        """Ask about a flow with a packet that has just arrived."""
+        is_first = lookup.stage is Stage.NEW
         lookup.last_asked_at = now
         lookup.datagram = packet.datagram
         lookup.probed.clear()
-        decided = self._ask_next(flow_id, lookup, now)
         if is_first:
-            known = self._view.agents.counts
-            started = actions.RecordLookupStarted(
-                flow_id, len(decided), known.present + known.gone
-            )
-            return [*decided, started]
+            return self._begin(packet.flow, lookup, now)
+        if lookup.stage is not Stage.ALL:
+            return self._ask_all(packet.flow, lookup, now)
+        decided = self._ask_next(packet.flow, lookup, now)
         if decided:
             return decided
         lookup.to_ask = dict(lookup.possible_owners)
+        return self._ask_next(packet.flow, lookup, now)
+
+    def _begin(
+        self, flow_id: packets.FlowId, lookup: Lookup, now: float
+    ) -> list[actions.Action]:
+        """Ask those who are most likely to know."""
+        known = self._view.agents.counts
+        registrars = self._view.entries.registrars_of(flow_id)
+        agent = self._registered_agent(self._registered.find(flow_id), lookup)
+        decided: list[actions.Action]
+        asked_registrars = 0
+        if agent is not None:
+            decided = self._ask_registered_owner(agent, lookup, now)
+        elif registrars:
+            lookup.stage = Stage.REGISTRARS
+            lookup.stage_ends_at = now + REGISTRAR_TIMEOUT_SECONDS
+            lookup.registrars = {registrar.address for registrar in registrars}
+            asked_registrars = len(registrars)
+            query = messages.OwnerQuery(flow_id)
+            decided = [actions.SendMessage(r.address, query) for r in registrars]
+        else:
+            decided = self._ask_all(flow_id, lookup, now)
+        started = actions.RecordLookupStarted(
+            flow_id,
+            registrars=asked_registrars,
+            agents=len(lookup.asked_at),
+            known=known.present + known.gone,
+        )
+        return [*decided, started]
+
+    def _registered_agent(
+        self, address: addresses.Address | None, lookup: Lookup
+    ) -> directory.Agent | None:
+        """Return the agent that is registered as the owner, if it may be the owner."""
+        if address is None:
+            return None
+        agent = self._view.agents.by_peer_address(address)
+        if agent is None or agent.member.id in lookup.not_owners:
+            return None
+        return agent if agent.is_present else None
+
+    def _ask_registered_owner(
+        self, agent: directory.Agent, lookup: Lookup, now: float
+    ) -> list[actions.Action]:
+        lookup.stage = Stage.REGISTERED_OWNER
+        lookup.stage_ends_at = now + RETRY_INTERVAL_SECONDS
+        lookup.asked_at.setdefault(agent.member.id, now)
+        return [_send_packet(agent, lookup)]
+
+    def _ask_all(
+        self, flow_id: packets.FlowId, lookup: Lookup, now: float
+    ) -> list[actions.Action]:
+        lookup.stage = Stage.ALL
+        lookup.stage_ends_at = float("inf")
+        owners = self._possible_owners(flow_id)
+        lookup.possible_owners = {
+            member: agent
+            for member, agent in owners.items()
+            if member not in lookup.not_owners
+        }
+        lookup.to_ask = dict(lookup.possible_owners)
         return self._ask_next(flow_id, lookup, now)
 
     def _ask_next(
@@ -279,7 +407,7 @@
             silent += 1
         known = self._view.agents.counts
         return actions.NoOwnerEvidence(
-            denied=lookup.denied,
+            denied=len(lookup.not_owners),
             gone=silent,
             asked_seconds=now - lookup.first_asked_at,
             known_present=known.present,
@@ -291,6 +419,12 @@
         )
 
 
+def _send_packet(agent: directory.Agent, lookup: Lookup) -> actions.SendMessage:
+    lookup.probed.add(agent.member.id)
+    request = messages.LookupRequest(lookup.datagram)
+    return actions.SendMessage(agent.peer_address, request)
+
+
 def _has_paused(lookup: Lookup, now: float) -> bool:
     """Return whether the caller has ended the flow or sends through another entry."""
     return now - lookup.last_packet_at > CALLER_PAUSE_SECONDS
--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cactushall_core import keys, signed_datagram
+from cactushall_core import addresses, keys, signed_datagram
 from cactushall_core.flows import packets
 
 VERSION = 3
@@ -108,16 +108,41 @@
     flow: packets.FlowId
 
 
-Message = (
-    LookupRequest
-    | OwnershipConfirmed
+class RegisterFlows(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Registers flows that the sender owns with an entry, which others may ask."""
+
+    flows: tuple[packets.FlowId, ...]
+
+
+class OwnerQuery(msgspec.Struct, frozen=True, array_like=True, tag=10):
+    """Asks an entry which agent owns a flow."""
+
+    flow: packets.FlowId
+
+
+class OwnerAnswer(msgspec.Struct, frozen=True, array_like=True, tag=11):
+    """Tells an entry which agent probably owns a flow.
+
+    Attributes:
+        flow: The flow.
+        owner: The agent's address for messages, None where the sender knows no owner.
+    """
+
+    flow: packets.FlowId
+    owner: addresses.Address | None
+
+
+AgentMessage = (
+    OwnershipConfirmed
     | OwnershipDenied
     | Accepted
     | Declined
     | LoadReport
-    | OwnershipQuery
     | PacketNeeded
+    | RegisterFlows
 )
+EntryMessage = LookupRequest | OwnershipQuery | OwnerQuery | OwnerAnswer
+Message = AgentMessage | EntryMessage
 
 _decoder = msgspec.msgpack.Decoder(Message)
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -21,7 +21,7 @@
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, gossip, logs, sockets
 from cactushall_daemon.config import packet_schema
-from cactushall_daemon.packets import executor, known_entries, node
+from cactushall_daemon.packets import executor, node
 from cactushall_platform import calls
 from cactushall_platform import packets as layout
 from cactushall_rpc import http as http_calls
@@ -44,7 +44,6 @@
         self._settings = settings
         self._loop = asyncio.get_running_loop()
         now = self._loop.time()
-        self._entries = known_entries.KnownEntries()
         self._load_reporter = reports.LoadReporter(now)
         self._packet_socket: socket.socket | None = None
         self._server_socket: socket.socket | None = None
@@ -57,7 +56,7 @@
         self._node = node.Node(
             settings,
             node.make_member(settings, records.Role.AGENT, self._build_endpoints()),
-            gossip.Callbacks(self._entries.update),
+            gossip.Callbacks(self._on_member_changed),
             on_routes=self._on_routes,
             on_message=self._on_message,
             gauges=self._read_gauges,
@@ -107,7 +106,7 @@
 
     def _tick(self) -> None:
         now = self._loop.time()
-        self._flows.tick(now)
+        self._execute(self._flows.tick(now))
         if self._server.tick(now):
             log.warning(events.Event.SERVER_UNRESPONSIVE, service=self._server.service)
             self._publish_server_state()
@@ -214,7 +213,7 @@
             service=self._server.service,
             state=self._server.state.value,
         )
-        recipients = self._entries.gossip_addresses[:MAX_DIRECT_UPDATES]
+        recipients = self._flows.entries.gossip_addresses[:MAX_DIRECT_UPDATES]
         self._node.gossip.update(
             structs.replace(member, endpoints=endpoints), recipients
         )
@@ -240,6 +239,9 @@
 
     # Other nodes.
 
+    def _on_member_changed(self, record: records.Record) -> None:
+        self._flows.update_member(record)
+
     def _on_routes(self, route_table: routes.RouteTable) -> None:
         is_first = not self._flows.has_routes
         self._execute(self._flows.update_routes(route_table, self._loop.time()))
@@ -250,7 +252,7 @@
         load = self._flows.load
         if not self._load_reporter.is_due(load, now):
             return
-        for entry in self._entries.control_addresses:
+        for entry in self._flows.entries.control_addresses:
             self._node.send_message(entry, messages.LoadReport(load))
 
     def _handle_readiness_call(
--- a/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
@@ -160,7 +160,8 @@
     log.info(
         events.Event.FLOW_LOOKUP_STARTED,
         flow=str(action.flow),
-        asked=action.asked,
+        registrars=action.registrars,
+        agents=action.agents,
         known=action.known,
     )
 
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -114,5 +114,21 @@
     return records.Record(member, incarnation, status)
 
 
+def entry_record(number, status=records.Status.ALIVE, start=1):
+    """Return the record of the entry on a numbered VM."""
+    member = records.Member(
+        id=identifiers.MemberId(start << 32 | number),
+        name=identifiers.NodeName(f"entry-{number}"),
+        role=records.Role.ENTRY,
+        zone=ZONE,
+        host=f"10.0.0.{number}",
+        gossip_port=7720,
+        control_port=7735,
+        tunnel_port=8172,
+        endpoints=(),
+    )
+    return records.Record(member, 1, status)
+
+
 def announcement(number=1, server_id="s1", started=100, is_draining=False):
     return servers.Announcement(server_id, started, number, SERVICE, 1, is_draining)
--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -435,7 +435,7 @@
             elif isinstance(action, actions.Forward):
                 self._send_to_agent(process, action.address, action.datagram.packet)
             elif isinstance(action, actions.SendMessage):
-                self._ask_agent(process, action.address, action.message.flow)
+                self._send_message(process, action)
 
     def _report_unknown_sender(self, process, address):
         membership = process.membership
@@ -450,8 +450,19 @@
     def _send_to_agent(self, sender, address, packet):
         self._schedule(lambda: self._answer(sender, address, packet))
 
-    def _ask_agent(self, sender, address, flow_id):
-        self._schedule(lambda: self._answer_query(sender, address, flow_id))
+    def _send_message(self, sender, action):
+        """Send an entry's message to another entry or to an agent."""
+        message = action.message
+        if isinstance(message, messages.LookupRequest):
+            self._send_to_agent(sender, action.address, message.datagram.packet)
+        elif isinstance(message, messages.OwnershipQuery):
+            self._schedule(
+                lambda: self._answer_query(sender, action.address, message.flow)
+            )
+        else:
+            receiver = self.running.get(action.address.host)
+            if receiver is not None and receiver.flows is not None:
+                self._schedule_message(sender, receiver, message)
 
     def _reachable_agent(self, sender, address):
         """Return the agent at an address that an entry reaches, if one runs there."""
--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -79,6 +79,7 @@
         self.ports = itertools.count(1000)
         self.hosts = [ServerHost(number) for number in range(1, SERVERS + 1)]
         self.entries = []
+        self.entry_records = {}
         self.callers = []
         self.counts = collections.Counter()
         self.all_killed_at = float("-inf")
@@ -101,7 +102,7 @@
                 self.execute_entry_actions(index, one.tick(self.now))
             for host in self.hosts:
                 if host.agent is not None:
-                    host.agent.tick(self.now)
+                    self.execute_agent_actions(host, host.agent.tick(self.now))
             if self.now < faults_end and self.rng.random() < fault_share:
                 self.inject_fault()
             if self.now < faults_end and self.rng.random() < 0.2:
@@ -145,6 +146,10 @@
         made = entry.EntryFlows(builders.ZONE, random.Random(index), self.now)
         self.entries[index] = made
         made.update_routes(self.table, self.now)
+        self.entry_records[index] = builders.entry_record(
+            index, start=next(self.start_numbers)
+        )
+        self.publish_entry(index)
         for host in self.hosts:
             if host.agent is not None:
                 self.publish_member(host, records.Status.ALIVE, recipient=made)
@@ -153,6 +158,30 @@
                 self.publish_member(host, records.Status.DEAD, recipient=made)
         self.schedule(COMPLETE_SECONDS, lambda: self.complete_view(index, made))
 
+    def publish_entry(self, index):
+        """Let all members learn of an entry, and that entry of all others."""
+        record = self.entry_records[index]
+        for host in self.hosts:
+            if host.agent is not None:
+                self.deliver_entry_record(host.agent, record)
+        for other, one in enumerate(self.entries):
+            known = self.entry_records.get(other)
+            if one is None or known is None or other == index:
+                continue
+            self.schedule_record(other, record)
+            self.schedule_record(index, known)
+
+    def deliver_entry_record(self, receiver, record):
+        """Deliver the record of an entry to an agent after a delay."""
+        self.schedule(DISCOVERY_SECONDS, lambda: receiver.update_member(record))
+
+    def schedule_record(self, index, record):
+        """Deliver a record to an entry after a delay."""
+        one = self.entries[index]
+        self.schedule(
+            DISCOVERY_SECONDS, lambda: self.deliver_record(index, one, record)
+        )
+
     def complete_view(self, index, one):
         """Tell an entry that it knows all agents, unless it has been restarted."""
         if self.entries[index] is one:
@@ -181,6 +210,8 @@
         server = servers.Server(builders.SERVICE, 1.2)
         host.agent = agent.AgentFlows(server, self.now)
         host.agent.update_routes(self.table, self.now)
+        for record in self.entry_records.values():
+            self.deliver_entry_record(host.agent, record)
         if not host.is_alive:
             self.start_server(host)
         self.announce(host)
@@ -327,7 +358,7 @@
                     own, action.address.host, action.datagram, is_lookup=False
                 )
             elif isinstance(action, actions.SendMessage):
-                self.send_message_to_agent(own, action)
+                self.send_message(own, action)
 
     def send_to_agent(self, own, host_address, datagram, *, is_lookup):
         """Send a packet or a lookup request to an agent."""
@@ -345,9 +376,12 @@
 
         self.schedule(NETWORK_DELAY_SECONDS, arrive)
 
-    def send_message_to_agent(self, own, action):
-        """Send an entry's message to an agent."""
+    def send_message(self, own, action):
+        """Send an entry's message to another entry or to an agent."""
         message = action.message
+        if isinstance(message, messages.OwnerQuery | messages.OwnerAnswer):
+            self.send_to_entry(own, action)
+            return
         if isinstance(message, messages.LookupRequest):
             self.send_to_agent(
                 own, action.address.host, message.datagram, is_lookup=True
@@ -377,13 +411,13 @@
             elif isinstance(action, actions.Reset):
                 self.reset_caller(action)
             elif isinstance(action, actions.SendMessage):
-                self.send_to_entry(host, action)
+                peer = builders.agent_record(host.number).member.control_address
+                self.send_to_entry(peer, action)
 
-    def send_to_entry(self, host, action):
-        """Send an agent's message to an entry."""
+    def send_to_entry(self, peer, action):
+        """Send a member's message to an entry."""
         index = int(action.address.host.rpartition(".")[2])
         one = self.entries[index]
-        peer = builders.agent_record(host.number).member.control_address
 
         def arrive():
             if self.entries[index] is one:
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from cactushall_core.flows import actions, agent, messages, packets, servers
+from cactushall_core.flows import (
+    actions,
+    agent,
+    messages,
+    packets,
+    registrations,
+    servers,
+)
 from tests.core.flows import builders
 
 HEARTBEAT_SECONDS = 1.2
@@ -541,3 +548,24 @@
     flows.handle_caller_packet(again, builders.ENTRY, 3.0)
     told, _ = flows.handle_server_packet(builders.opening_answer(sequence=555_000), 3.0)
     assert told.message.sequence == 555_000
+
+
+def test_long_flow_is_registered_until_it_closes(flows):
+    for number in (1, 2):
+        flows.update_member(builders.entry_record(number))
+    open_flow(flows, 1.0)
+    registration = messages.RegisterFlows((builders.FLOW,))
+    told = flows.tick(1.1 + registrations.MIN_AGE_SECONDS)
+    assert [action.message for action in told] == [registration] * 2
+    packet = builders.packet(packets.Flags.FIN | packets.Flags.ACK)
+    flows.handle_caller_packet(packet, builders.ENTRY, 2.0)
+    flows.update_member(builders.entry_record(1, start=2))
+    assert flows.tick(2.1) == []
+
+
+def test_restarted_agent_registers_flows_that_its_server_holds(restarted):
+    restarted.update_member(builders.entry_record(1))
+    restarted.handle_lookup(builders.packet(), builders.ENTRY, 1.0)
+    restarted.handle_server_packet(builders.packet(length=5), 1.0)
+    (told,) = restarted.tick(1.1 + registrations.MIN_AGE_SECONDS)
+    assert told.message == messages.RegisterFlows((builders.FLOW,))
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -62,7 +62,7 @@
     assert all(isinstance(action.message, messages.OwnershipQuery) for action in told)
     for action in decided[len(told) :]:
         assert isinstance(action, actions.RecordLookupStarted)
-        assert action.asked == len(told)
+        assert action.agents == len(told)
     return {action.address for action in told}
 
 
--- a/tests/daemon/packets/test_known_entries.py
+++ b/tests/core/flows/test_known_entries.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from cactushall_core import identifiers
+from cactushall_core.flows import known_entries
 from cactushall_core.membership import records
-from cactushall_daemon.packets import known_entries
 from tests.core import builders
 
 DEAD = records.Status.DEAD
--- a/tests/core/flows/test_lookups.py
+++ b/tests/core/flows/test_lookups.py
@@ -5,7 +5,14 @@
 import pytest
 
 from cactushall_core import keys
-from cactushall_core.flows import actions, cluster_view, directory, lookups, messages
+from cactushall_core.flows import (
+    actions,
+    cluster_view,
+    directory,
+    lookups,
+    messages,
+    registered_owners,
+)
 from cactushall_core.membership import records
 from tests.core.flows import builders
 
@@ -28,7 +35,7 @@
 @pytest.fixture
 def found(view):
     """Lookups at an entry with that view."""
-    return lookups.Lookups(view)
+    return lookups.Lookups(view, registered_owners.RegisteredOwners())
 
 
 def add_agents(view, numbers, now=0.0, **details):
@@ -188,15 +195,17 @@
 def test_start_is_reported_once_after_the_agents_are_asked(found):
     decided = found.handle_packet(builders.packet(), SETTLED)
     assert [type(action) for action in decided[:-1]] == [actions.SendMessage] * 3
-    assert decided[-1] == actions.RecordLookupStarted(builders.FLOW, 3, 3)
+    assert decided[-1] == actions.RecordLookupStarted(builders.FLOW, 0, 3, 3)
     later = SETTLED + lookups.RETRY_INTERVAL_SECONDS
     assert starts_in(found.handle_packet(builders.packet(), later)) == []
 
 
 def test_start_is_reported_where_no_agent_is_known():
-    found = lookups.Lookups(cluster_view.ClusterView())
+    found = lookups.Lookups(
+        cluster_view.ClusterView(), registered_owners.RegisteredOwners()
+    )
     decided = found.handle_packet(builders.packet(), SETTLED)
-    assert decided == [actions.RecordLookupStarted(builders.FLOW, 0, 0)]
+    assert decided == [actions.RecordLookupStarted(builders.FLOW, 0, 0, 0)]
 
 
 def test_start_tells_agents_that_were_known_and_not_asked_yet(found, view):
@@ -205,7 +214,7 @@
     decided = found.handle_packet(builders.packet(), SETTLED)
     known = 3 + lookups.MAX_ASKED_AT_ONCE
     assert decided[-1] == actions.RecordLookupStarted(
-        builders.FLOW, lookups.MAX_ASKED_AT_ONCE, known
+        builders.FLOW, 0, lookups.MAX_ASKED_AT_ONCE, known
     )
 
 
--- a/tests/core/flows/test_model.py
+++ b/tests/core/flows/test_model.py
@@ -50,6 +50,10 @@
     patch.setattr(lookups.Lookups, "_no_owner_evidence", lambda *_: denied)
 
 
+def only_the_registered_owner_counts(patch):
+    patch.setattr(lookups.Lookups, "_possible_owners", lambda *_: {})
+
+
 def entries_decide_before_they_know_all_agents(patch):
     evidence = property(lambda _: builders.COMPLETE)
     patch.setattr(cluster_view.ClusterView, "evidence", evidence)
@@ -88,6 +92,7 @@
     [
         no_grace_period_for_dead_agents,
         silence_counts_as_denial,
+        only_the_registered_owner_counts,
         entries_decide_before_they_know_all_agents,
         agents_assume_to_have_seen_all_flows,
         drains_are_ignored,
--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -24,6 +24,8 @@
 ADDED_AGENTS = 12
 # Other entries place flows on an agent only once they know it.
 AGENT_KNOWN_SECONDS = 0.5
+# Soon after it, an entry that was isolated may not know yet who has joined.
+RECONNECTED_SECONDS = 0.3
 SHORT_SILENCE_SECONDS = 0.4
 LONG_SILENCE_SECONDS = 1.0
 
@@ -178,7 +180,7 @@
     joined = start_agents(members, PAUSE_SECONDS)
     members.run(AGENT_KNOWN_SECONDS)
     members.reconnect(isolated)
-    add_callers(members, joined, isolated)
+    add_callers(members, joined, isolated, RECONNECTED_SECONDS)
     check_answers(members)
 
 
--- a/tests/daemon/packets/test_executor.py
+++ b/tests/daemon/packets/test_executor.py
@@ -99,11 +99,12 @@
 
 
 def test_start_of_a_lookup_is_logged(execute, node):
-    (line,) = execute(actions.RecordLookupStarted(builders.FLOW, 64, 70))
+    (line,) = execute(actions.RecordLookupStarted(builders.FLOW, 2, 0, 70))
     assert line == {
         "event": events.Event.FLOW_LOOKUP_STARTED,
         "flow": str(builders.FLOW),
-        "asked": 64,
+        "registrars": 2,
+        "agents": 0,
         "known": 70,
     }
     assert counted(node) == {counters.Counter.FLOW_LOOKUPS_STARTED: 1}
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -340,7 +340,7 @@
     def _tick_agent(self, number, made):
         if self._agents.get(number) is not made:
             return
-        made.tick(self.now)
+        self._execute_agent_actions(number, made.tick(self.now))
         if self._reporters[number].is_due(made.load, self.now):
             for index in self._entries:
                 address = addresses.Address(f"10.0.0.{index}", 7735)
@@ -525,6 +525,8 @@
     def _message_to_agent(self, index, own, action):
         message = action.message
         host = action.address.host
+        if isinstance(message, messages.OwnerQuery | messages.OwnerAnswer):
+            return
         if isinstance(message, messages.LookupRequest):
             self._to_agent(index, own, host, message.datagram.packet, asks=True)
             return
