Membership is split by concern: failure detection, anti-entropy, exchange of tables, sending

The byte budget is a token bucket of its own, as others need one too. The present members are listed only while the table is incomplete, as before.

The tests are the same but for names. Members of the simulated fleets, which were shallow copies of one another, are made by their constructor from a copy of the table: a shallow copy would share what is now an object.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,7 +20,14 @@
 
 from bench import results
 from cactushall_core import configuration, identifiers, steering
-from cactushall_core.membership import messages, records, state, table
+from cactushall_core.membership import (
+    member_actions,
+    messages,
+    records,
+    state,
+    table,
+    timing,
+)
 from tests.core import builders
 
 MEMBER_COUNT = 6_300
@@ -52,7 +59,7 @@
 def make_membership(record: records.Record) -> state.Membership:
     """Return the state of a member that has just started."""
     return state.Membership(
-        record.member, builders.RING, state.Timing(), random.Random(1), 0.0
+        record.member, builders.RING, timing.Timing(), random.Random(1), 0.0
     )
 
 
@@ -85,7 +92,7 @@
 
 def merge_reply(
     asking: state.Membership, source: records.Member, reply: bytes
-) -> list[state.Action]:
+) -> list[member_actions.Action]:
     """Let a member handle the encoded answer to its request for a table."""
     decoded_reply = messages.decode_table_reply(EXCHANGE_AUTHENTICATOR, reply)
     return asking.handle_table_reply(source.control_address, decoded_reply, 0.0)
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -10,7 +10,14 @@
 import time
 
 from cactushall_core import addresses, exceptions, identifiers, keys, pauses
-from cactushall_core.membership import completeness, messages, records, state
+from cactushall_core.membership import (
+    completeness,
+    member_actions,
+    messages,
+    records,
+    state,
+    timing,
+)
 from cactushall_daemon import counters, events, logs, sockets, tasks
 
 log = logs.get_logger(__name__)
@@ -75,7 +82,7 @@
         callbacks: Callbacks,
         exchange: Exchange,
         background_tasks: tasks.Tasks,
-        timing: state.Timing | None = None,
+        intervals: timing.Timing | None = None,
         *,
         may_change_id: bool = False,
     ) -> None:
@@ -89,7 +96,7 @@
             exchange: Sends a request for a table to a member's control address and
                 returns the answer; raises CactushallError where there is none.
             background_tasks: Runs requests for tables.
-            timing: Intervals and byte budget; the defaults if None.
+            intervals: Intervals and byte budget; the defaults if None.
             may_change_id: Whether the member may take a higher id than that of a
                 predecessor at its address.
         """
@@ -105,7 +112,7 @@
         self._membership = state.Membership(
             member,
             key_ring,
-            timing or state.Timing(),
+            intervals or timing.Timing(),
             random.Random(),
             self._loop.time(),
             may_change_id=may_change_id,
@@ -219,23 +226,23 @@
         self._counters.add(counters.Counter.GOSSIP_REJECTED)
         log.debug(events.Event.GOSSIP_REJECTED, why=str(error), **fields)
 
-    def _execute(self, actions: list[state.Action]) -> None:
+    def _execute(self, actions: list[member_actions.Action]) -> None:
         for action in actions:
-            if isinstance(action, state.Send):
+            if isinstance(action, member_actions.Send):
                 self._send(action)
-            elif isinstance(action, state.MemberChanged):
+            elif isinstance(action, member_actions.MemberChanged):
                 _log_change(action.record)
                 self._callbacks.on_member_changed(action.record)
-            elif isinstance(action, state.CompletenessChanged):
+            elif isinstance(action, member_actions.CompletenessChanged):
                 self._handle_completeness(action.evidence)
-            elif isinstance(action, state.NewestRevisionChanged):
+            elif isinstance(action, member_actions.NewestRevisionChanged):
                 self._callbacks.on_newest_revision_changed(action.revision)
-            elif isinstance(action, state.RequestTable):
+            elif isinstance(action, member_actions.RequestTable):
                 self._tasks.spawn(self._request_table(action))
             else:
                 self._callbacks.on_revision_seen(action.member, action.revision)
 
-    async def _request_table(self, action: state.RequestTable) -> None:
+    async def _request_table(self, action: member_actions.RequestTable) -> None:
         data = messages.encode_exchange(self._authenticator, action.request)
         address = action.address
         try:
@@ -268,7 +275,7 @@
             )
         self._callbacks.on_completeness_changed(evidence)
 
-    def _send(self, action: state.Send) -> None:
+    def _send(self, action: member_actions.Send) -> None:
         if self._socket is not None:
             sockets.send(self._socket, action.datagram, action.address, self._counters)
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -15,7 +15,10 @@
 
 from cactushall_core import addresses, adoption, exceptions, identifiers
 from cactushall_core.flows import messages, routes
-from cactushall_core.membership import records, state
+from cactushall_core.membership import (
+    records,
+    timing,
+)
 from cactushall_daemon import (
     configuration_follower,
     contacts,
@@ -36,7 +39,7 @@
 
 log = logs.get_logger(__name__)
 
-TIMING = state.Timing(
+TIMING = timing.Timing(
     probe_interval=0.5,
     probe_timeout=0.2,
     suspicion_factor=1.5,
--- a/tests/core/flows/fleet.py
+++ b/tests/core/flows/fleet.py
@@ -25,7 +25,7 @@
     reports,
     routes,
 )
-from cactushall_core.membership import records, state
+from cactushall_core.membership import member_actions, records, state
 from cactushall_daemon.packets import node
 from tests.core import builders as member_builders
 from tests.core import network
@@ -277,7 +277,8 @@
     def _begin_amid_probe_round(self, known, members):
         """Let a member be anywhere in its round, as in a fleet that has run long."""
         others = [m.id for m in members if m.id != known.member.id]
-        known._probe_order = self.rng.sample(others, self.rng.randrange(len(others)))
+        order = self.rng.sample(others, self.rng.randrange(len(others)))
+        known._failures._probe_order = order
 
     def _start(self, member, seeds):
         return self._run_process(
@@ -416,13 +417,13 @@
             return
         for action in actions:
             decided = []
-            if isinstance(action, state.MemberChanged):
+            if isinstance(action, member_actions.MemberChanged):
                 decided = process.flows.update_member(action.record, self.now)
-            elif isinstance(action, state.CompletenessChanged):
+            elif isinstance(action, member_actions.CompletenessChanged):
                 decided = process.flows.update_completeness(action.evidence, self.now)
-            elif isinstance(action, state.NewestRevisionChanged):
+            elif isinstance(action, member_actions.NewestRevisionChanged):
                 process.flows.record_revision(action.revision)
-            elif isinstance(action, state.FetchConfiguration):
+            elif isinstance(action, member_actions.FetchConfiguration):
                 self._fetch_routes(process, action.member)
             self._execute_flow_actions(process, decided)
 
--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cactushall_core.flows import cluster_view, lookups
-from cactushall_core.membership import completeness, state
+from cactushall_core.membership import completeness, state, table_exchange
 from tests.core.flows import builders, fleet
 
 AGENTS = 64
@@ -285,7 +285,7 @@
 
 
 def silence_does_not_make_incomplete(patch):
-    patch.setattr(state, "ISOLATION_PROBE_INTERVALS", float("inf"))
+    patch.setattr(table_exchange, "ISOLATION_PROBE_INTERVALS", float("inf"))
 
 
 def silence_counts_as_denial(patch):
--- a/tests/core/network.py
+++ b/tests/core/network.py
@@ -7,7 +7,13 @@
 import random
 
 from cactushall_core import identifiers
-from cactushall_core.membership import completeness, messages, records, state
+from cactushall_core.membership import (
+    member_actions,
+    messages,
+    records,
+    state,
+    timing,
+)
 from tests.core import builders
 
 STEP_SECONDS = 0.05
@@ -22,21 +28,23 @@
         member: Description of the other member.
         seed: Seed of its random choices.
     """
-    copied = copy.copy(node)
-    copied._member = member
-    copied._table = node.table.copy()
-    copied._broadcasts = copy.deepcopy(node._broadcasts)
-    copied._rng = random.Random(seed)
-    copied._completeness = completeness.Completeness(copied._rng, 0.0)
-    copied._reported_evidence = None
-    copied._probes = {}
-    copied._suspected_at = {}
-    copied._probe_order = []
-    copied._next_probe_at = copied._rng.random() * node._timing.probe_interval
-    copied._next_gossip_at = copied._rng.random() * node._timing.gossip_interval
-    copied._next_digest_at = copied._rng.random() * node._timing.digest_interval
-    interval = node._timing.dead_probe_interval
-    copied._next_dead_probe_at = copied._rng.random() * interval
+    rng = random.Random(seed)
+    copied = state.Membership(
+        member,
+        builders.RING,
+        node._timing,
+        rng,
+        0.0,
+        may_change_id=node._may_change_id,
+        known=node.table.copy(),
+    )
+    copied._incarnation = node._incarnation
+    copied._transmitter.revision = node._transmitter.revision
+    copied._transmitter.broadcasts = copy.deepcopy(node._transmitter.broadcasts)
+    copied._next_probe_at = rng.random() * node._timing.probe_interval
+    copied._next_gossip_at = rng.random() * node._timing.gossip_interval
+    copied._next_digest_at = rng.random() * node._timing.digest_interval
+    copied._next_dead_probe_at = rng.random() * node._timing.dead_probe_interval
     return copied
 
 
@@ -53,14 +61,14 @@
         self,
         count,
         seed=1,
-        timing=None,
+        intervals=None,
         step_seconds=STEP_SECONDS,
         may_change_ids=False,
     ):
         self.now = 0.0
         self.step_seconds = step_seconds
         self.rng = random.Random(seed)
-        self.timing = timing or state.Timing()
+        self.timing = intervals or timing.Timing()
         self.may_change_ids = may_change_ids
         self.nodes = {}
         self.cut = set()
@@ -199,13 +207,13 @@
         """Queue what a member sends and record configuration fetches."""
         source = node.member.gossip_address
         for action in actions:
-            if isinstance(action, state.Send):
+            if isinstance(action, member_actions.Send):
                 self.in_flight.append((source, action.address, action.datagram))
                 self.sent_bytes[source] += len(action.datagram)
                 self.received_bytes[action.address] += len(action.datagram)
-            elif isinstance(action, state.RequestTable):
+            elif isinstance(action, member_actions.RequestTable):
                 self.requests.append((node, action))
-            elif isinstance(action, state.FetchConfiguration):
+            elif isinstance(action, member_actions.FetchConfiguration):
                 self.fetches.append((node, action))
 
     def node(self, number):
--- a/tests/core/test_member_ids.py
+++ b/tests/core/test_member_ids.py
@@ -8,7 +8,11 @@
 import pytest
 
 from cactushall_core import identifiers
-from cactushall_core.membership import records, state
+from cactushall_core.membership import (
+    records,
+    state,
+    timing,
+)
 from tests.core import builders, network
 
 ALIVE = records.Status.ALIVE
@@ -43,7 +47,7 @@
     return state.Membership(
         msgspec.structs.replace(member, id=identifiers.MemberId(member_id)),
         builders.RING,
-        state.Timing(),
+        timing.Timing(),
         random.Random(seed),
         0.0,
         may_change_id=may_change_id,
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -8,7 +8,14 @@
 from hypothesis import strategies
 
 from cactushall_core import exceptions, identifiers
-from cactushall_core.membership import broadcasts, messages, records, state, table
+from cactushall_core.membership import (
+    broadcasts,
+    member_actions,
+    messages,
+    records,
+    state,
+    table,
+)
 from cactushall_daemon.packets import node as packet_node
 from tests.core import builders, network
 
@@ -73,7 +80,7 @@
 @pytest.mark.parametrize("seed", range(8))
 @pytest.mark.parametrize("seconds_in_round", [1, 13])
 def test_death_of_a_newcomer_is_known_as_soon_as_that_of_others(seconds_in_round, seed):
-    fleet = make_network(53, seed=seed, timing=packet_node.TIMING)
+    fleet = make_network(53, seed=seed, intervals=packet_node.TIMING)
     fleet.run(seconds_in_round)
     newcomer = fleet.add(60 + seed)
     fleet.join(newcomer, fleet.node(seed))
@@ -102,7 +109,7 @@
 
 def _next_probed_id(node, now):
     """Let a member start a probe, and return the id of its target."""
-    (probe,) = node._start_probe(now)
+    (probe,) = node._failures.start_probe(now)
     authenticator = messages.make_authenticator(builders.RING)
     return messages.decode(authenticator, probe.datagram).body.target
 
@@ -179,7 +186,7 @@
 
 def test_member_is_told_of_each_newer_revision_once():
     fleet = make_network(6)
-    told = record_actions(fleet, state.NewestRevisionChanged)
+    told = record_actions(fleet, member_actions.NewestRevisionChanged)
     fleet.node(0).set_revision(identifiers.Revision(7))
     fleet.run(2)
     assert len(told) == 5
@@ -192,7 +199,7 @@
         node.set_revision(identifiers.Revision(7))
     fleet.run(10)
     started = fleet.add(50)
-    kinds = (state.NewestRevisionChanged, state.CompletenessChanged)
+    kinds = (member_actions.NewestRevisionChanged, member_actions.CompletenessChanged)
     told = record_actions(fleet, *kinds)
     started.set_contacts([fleet.node(0).member.control_address])
     fleet.run(2)
@@ -210,8 +217,12 @@
     reply, _ = contact.handle_table_request(request, fleet.now)
     source = contact.member.control_address
     decided = started.handle_table_reply(source, reply, fleet.now)
-    expected = state.FetchConfiguration(contact.member, identifiers.Revision(7))
-    assert [a for a in decided if isinstance(a, state.FetchConfiguration)] == [expected]
+    expected = member_actions.FetchConfiguration(
+        contact.member, identifiers.Revision(7)
+    )
+    assert [a for a in decided if isinstance(a, member_actions.FetchConfiguration)] == [
+        expected
+    ]
 
 
 def test_reply_of_an_older_version_is_understood():
@@ -386,7 +397,9 @@
     original = fleet.execute
 
     def execute(node, actions):
-        requests.extend(a for a in actions if isinstance(a, state.RequestTable))
+        requests.extend(
+            a for a in actions if isinstance(a, member_actions.RequestTable)
+        )
         original(node, actions)
 
     fleet.execute = execute
@@ -402,7 +415,9 @@
     node = network.Network(1).node(0)
     node.set_contacts([node.member.control_address])
     actions = [action for tick in range(20) for action in node.tick(tick * 0.1)]
-    assert not any(isinstance(action, state.RequestTable) for action in actions)
+    assert not any(
+        isinstance(action, member_actions.RequestTable) for action in actions
+    )
 
 
 def test_record_sent_directly_is_known_after_one_datagram():
--- a/tests/core/test_table_exchange.py
+++ b/tests/core/test_table_exchange.py
@@ -7,10 +7,19 @@
 from hypothesis import strategies
 
 from cactushall_core import exceptions
-from cactushall_core.membership import messages, records, state, table
+from cactushall_core.membership import (
+    messages,
+    records,
+    table,
+    table_exchange,
+    timing,
+    transmitter,
+)
 from tests.core import builders, network
 
-ISOLATION_SECONDS = state.ISOLATION_PROBE_INTERVALS * state.Timing().probe_interval
+ISOLATION_SECONDS = (
+    table_exchange.ISOLATION_PROBE_INTERVALS * timing.Timing().probe_interval
+)
 RECOVERY_SECONDS = 2.0
 MERGE_SECONDS = 60.0
 
@@ -72,7 +81,8 @@
 def test_answer_holds_all_records_whatever_the_byte_budget():
     fleet = make_network(500)
     node = fleet.node(0)
-    node._budget_bytes = 2 * state.MIN_BUDGET_BYTES
+    budget = node._transmitter._byte_budget
+    budget.spend(budget.tokens - 2 * transmitter.MIN_BUDGET_BYTES)
     reply = reply_of(node, request_of(fleet.add(600)))
     assert numbers_in(reply) == set(range(500))
 
