--- a/packages/cactushall-rpc/cactushall_rpc/http.py
+++ b/packages/cactushall-rpc/cactushall_rpc/http.py
@@ -6,6 +6,7 @@
 import collections.abc
 import http
 import socket
+import types
 import typing
 
 import h11
@@ -52,11 +53,13 @@
         status: HTTP status code.
         body: Body, empty if there is none.
         content_type: Media type of the body; sent, but not read from responses.
+        headers: Headers of a received response, by name in lower case; not sent.
     """
 
     status: int = http.HTTPStatus.OK
     body: bytes = b""
     content_type: str = JSON_CONTENT_TYPE
+    headers: collections.abc.Mapping[str, str] = types.MappingProxyType({})
 
 
 Handler = collections.abc.Callable[
@@ -204,7 +207,8 @@
             self.close()
         else:
             self._state.start_next_cycle()
-        return Response(head.status_code, response_body)
+        headers = {name.decode(): value.decode() for name, value in head.headers}
+        return Response(head.status_code, response_body, headers=headers)
 
     def _encode_request(
         self, state: h11.Connection, method: str, target: str, body: bytes
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -133,3 +133,47 @@
     server.fault = None
     assert (await client.get_prefix(b"x/")).entries == ()
     assert client.calls == 2
+
+
+async def test_a_watch_ends_when_the_store_has_come_back_from_a_copy(server, client):
+    server.put("op/config", b"old")
+    copied = server.make_copy()
+    snapshot = await client.get_prefix(KEY)
+    changes = client.watch(KEY, snapshot.revision + 1)
+    waiting = asyncio.create_task(next_entry(changes))
+    await asyncio.sleep(0.05)
+    server.come_back_from(copied)
+    server.put("op/config", b"new")
+    with pytest.raises(exceptions.StoreUnavailableError, match="copy"):
+        await waiting
+
+
+async def test_a_lease_from_before_a_copy_has_expired_although_its_id_is_used_again(
+    server, client
+):
+    copied = server.make_copy()
+    lease = await client.grant(30)
+    await client.keep_alive(lease)
+    server.come_back_from(copied)
+    server.leases.add(lease)
+    with pytest.raises(store.LeaseExpiredError):
+        await client.keep_alive(lease)
+
+
+async def test_a_lease_of_the_copy_itself_is_claimed_again(server, client):
+    lease = await client.grant(30)
+    server.come_back_from(server.make_copy())
+    with pytest.raises(store.LeaseExpiredError):
+        await client.keep_alive(lease)
+    renewed = await client.grant(30)
+    await client.keep_alive(renewed)
+
+
+async def test_a_store_that_tells_no_era_is_understood(server, client):
+    server.era = None
+    lease = await client.grant(30)
+    await client.keep_alive(lease)
+    server.put("op/config", b"old")
+    changes = client.watch(KEY, 1)
+    assert (await next_entry(changes)).value == b"old"
+    await changes.aclose()
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import copy
 import itertools
 
 from aiohttp import web
@@ -22,6 +23,8 @@
         leases: Ids of the leases that have not ended.
         lease_ids: Source of new lease ids.
         changed: Set at the next change, and then replaced by a new event.
+        era: How often the store came back from a copy, as all answers tell; None for
+            a store that does not tell.
         fault: A fault to inject, or None: `silent` never answers, `lost` drops the
             connection after a call was carried out, a status refuses each call.
     """
@@ -35,6 +38,7 @@
         self.leases = set()
         self.lease_ids = itertools.count(1)
         self.changed = asyncio.Event()
+        self.era = 1
         self.fault = None
         self._runner = None
 
@@ -90,6 +94,18 @@
         for key in [k for k, item in self.items.items() if item["lease"] == lease]:
             self.remove(key)
 
+    def make_copy(self):
+        """Return a copy of what the store holds."""
+        return copy.deepcopy((self.revision, self.items, self.history, self.leases))
+
+    def come_back_from(self, copied):
+        """Hold what a copy holds, as after a loss; lease ids are given out again."""
+        self.revision, self.items, self.history, self.leases = copy.deepcopy(copied)
+        self.lease_ids = itertools.count(max(self.leases, default=0) + 1)
+        self.era += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def compact(self):
         """Make the history before the current revision unavailable to watches."""
         self.compacted_revision = self.revision
@@ -106,6 +122,8 @@
         if self.fault in (429, 503):
             return web.Response(status=self.fault)
         answer = await handler(request)
+        if self.era is not None:
+            answer.headers["Store-Era"] = str(self.era)
         if self.fault == "lost":
             request.transport.abort()
         return answer
@@ -125,7 +143,7 @@
     async def _watch(self, request):
         after = int(request.query["after"])
         prefix = request.query["prefix"]
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             return web.Response(status=410)
         deadline = asyncio.get_running_loop().time() + (
             int(request.query["wait_ms"]) / 1000
