--- a/bench/lookups.py
+++ b/bench/lookups.py
@@ -40,6 +40,8 @@
 FILTER_BITS_PER_FLOW = 10
 FLOWS_PER_AGENT = 1600
 LOOKED_UP_AT = 10.0
+FIRST_RETRANSMISSION_SECONDS = 0.2
+MAX_RETRANSMISSION_SECONDS = 1.6
 
 RESTARTED_ENTRIES = 17
 RESTART_AGENTS = 47
@@ -196,10 +198,14 @@
             registration = messages.RegisterFlows((builders.FLOW,))
             made.handle_message(owner, registration, LOOKED_UP_AT)
     flows = members.entries[asker]
-    members.execute(
-        asker, flows.handle_packet(make_packet(builders.FLOW), LOOKED_UP_AT)
-    )
+    sent_at = LOOKED_UP_AT
+    interval = FIRST_RETRANSMISSION_SECONDS
     while builders.FLOW not in members.found_at:
+        if members.now >= sent_at:
+            packet = make_packet(builders.FLOW)
+            members.execute(asker, flows.handle_packet(packet, members.now))
+            sent_at += interval
+            interval = min(2 * interval, MAX_RETRANSMISSION_SECONDS)
         members.run(members.now + TICK_SECONDS)
         members.execute(asker, flows.tick(members.now))
     members.run(members.now + 1.0)
