--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -112,6 +112,36 @@
     check_answers(members)
 
 
+def started_members_know_each_other_while_their_seed_is_silent(seed):
+    """Three entries and an agent start at once, more than the seeds that are silent."""
+    members = make_fleet(seed)
+    known = members.entries[0]
+    owners = members.agents
+    members.pause(known)
+    first = members.start_entry([known.address])
+    started = [members.start_entry([first.address, known.address]) for _ in range(2)]
+    members.start_agent([first.address])
+    first.membership.set_contacts([known.address, *(p.address for p in started)])
+    add_callers(members, owners, started[0], SHORT_SILENCE_SECONDS)
+    members.run(SHORT_SILENCE_SECONDS)
+    members.resume(known)
+    check_answers(members)
+
+
+def seed_has_missed_agents_that_joined(seed):
+    """The only seed of an entry was cut off, too shortly to count as incomplete."""
+    members = make_fleet(seed)
+    known = members.entries[0]
+    far = [process.address for process in members.agents[-3:]]
+    members.isolate(known)
+    joined = start_agents(members, SHORT_PAUSE_SECONDS, far)
+    members.run(SHORT_SILENCE_SECONDS)
+    members.reconnect(known)
+    started = members.start_entry([known.address])
+    add_callers(members, joined, started, SHORT_PAUSE_SECONDS)
+    check_answers(members)
+
+
 def entry_starts_while_agents_join_elsewhere(seed):
     """Agents join through others than the seed of the entry; datagrams are lost."""
     members = make_fleet(seed)
@@ -228,6 +258,8 @@
 SCENARIOS = [
     entry_starts,
     entries_start_while_their_seed_is_silent,
+    started_members_know_each_other_while_their_seed_is_silent,
+    seed_has_missed_agents_that_joined,
     packets_come_once_while_the_seed_is_silent,
     entry_starts_while_agents_join_elsewhere,
     entry_is_paused_while_agents_join,
@@ -376,7 +408,7 @@
 
 MUTANTS = [
     (answers_of_incomplete_members_count, entries_start_while_their_seed_is_silent),
-    (sender_need_not_be_known, entry_starts_while_agents_join_elsewhere),
+    (sender_need_not_be_known, seed_has_missed_agents_that_joined),
     (
         own_question_counts_as_known_through_others,
         entry_starts_while_agents_join_elsewhere,
@@ -397,7 +429,10 @@
     (only_the_first_agents_count, route_led_to_another_service),
     (only_the_first_agents_are_asked, route_led_to_another_service),
     (nobody_is_complete_by_time, all_start_at_once),
-    (time_completes_at_once, entries_start_while_their_seed_is_silent),
+    (
+        time_completes_at_once,
+        started_members_know_each_other_while_their_seed_is_silent,
+    ),
     (silent_contacts_are_not_asked_again, entries_start_while_their_seed_is_silent),
 ]
 
