Lookups are split by job; a registration of an unknown agent shows that the table is incomplete

A registration of an agent that the entry does not know was stored without a sign. Like any other message of an unknown agent it is now reported, so that the table counts as incomplete until that agent has answered. Test first: test_registration_of_an_agent_that_is_not_known_yet_counts_once_it_is demanded no action before, and failed with the new expectation.

--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -149,15 +149,16 @@
         self, sender: addresses.Address, message: messages.Message, now: float
     ) -> list[actions.Action]:
         """Handle a message of an agent or of another entry."""
-        if isinstance(message, messages.RegisterFlows):
-            self._registered.put(message.flows, sender, now)
-            return []
         if isinstance(message, messages.EntryMessage):
             return self._handle_entry_message(sender, message, now)
+        if isinstance(message, messages.RegisterFlows):
+            self._registered.put(message.flows, sender, now)
         agent = self._view.agents.by_peer_address(sender)
         if agent is None:
             return [actions.ReportUnknownSender(sender)]
         agent.last_message_at = now
+        if isinstance(message, messages.RegisterFlows):
+            return []
         if isinstance(message, messages.OwnershipConfirmed):
             return self._handle_owned(agent, message.flow, now)
         if isinstance(message, messages.OwnershipDenied):
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -9,118 +9,24 @@
 
 from __future__ import annotations
 
-import collections
-import enum
-
-import msgspec
-
-from cactushall_core import addresses, identifiers, token_bucket
+from cactushall_core import addresses, identifiers
 from cactushall_core.flows import (
     actions,
     cluster_view,
     directory,
+    lookup_state,
     messages,
     packets,
+    query_queue,
     registered_owners,
 )
 from cactushall_core.membership import completeness, records
 
 RETRY_INTERVAL_SECONDS = 0.15
-QUERIES_PER_SECOND = 1280.0
-QUERY_BURST = 64
 REGISTRAR_TIMEOUT_SECONDS = 0.06
-CALLER_PAUSE_SECONDS = 1.7
 DEAD_GRACE_SECONDS = 1.0
 SUCCESSOR_GRACE_SECONDS = 5.0
 MAX_BUFFERED_PACKETS = 16
-MAX_FLOWS_PER_QUERY = 50
-
-
-class Stage(enum.Enum):
-    """Stage of a lookup.
-
-    NEW: Nobody has been asked.
-    REGISTRARS: The entries with which the owner may have registered the flow are asked.
-    REGISTERED_OWNER: The agent that has registered the flow is asked.
-    ALL: All agents are asked.
-    """
-
-    NEW = "new"
-    REGISTRARS = "registrars"
-    REGISTERED_OWNER = "registered-owner"
-    ALL = "all"
-
-
-class Lookup(msgspec.Struct):
-    """A flow whose owner is being looked up.
-
-    Attributes:
-        last_packet_at: When the caller's latest packet arrived.
-        acknowledged: The caller's latest acknowledgement number.
-        stage: Who is asked.
-        stage_ends_at: When all agents are asked in place of those of the stage.
-        registrars: Registrars that have not answered.
-        last_asked_at: When a packet of the caller last began or continued a round of
-            questions, in which each agent is asked once.
-        datagram: The packet that agents get which cannot tell without one.
-        probed: Agents that got it.
-        asked_at: When each agent was first asked.
-        not_owners: Agents that have said that they do not own it.
-        possible_owners: All other agents, once all are asked.
-        to_ask: Those of them that were not asked in the latest round.
-        buffered: Packets that are held back until the owner is known.
-    """
-
-    last_packet_at: float
-    acknowledged: int
-    stage: Stage = Stage.NEW
-    stage_ends_at: float = float("inf")
-    registrars: set[addresses.Address] = msgspec.field(default_factory=set)
-    last_asked_at: float = float("-inf")
-    datagram: bytes = b""
-    probed: set[identifiers.MemberId] = msgspec.field(default_factory=set)
-    asked_at: dict[identifiers.MemberId, float] = msgspec.field(default_factory=dict)
-    not_owners: set[identifiers.MemberId] = msgspec.field(default_factory=set)
-    possible_owners: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
-        default_factory=dict
-    )
-    to_ask: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
-        default_factory=dict
-    )
-    buffered: list[bytes] = msgspec.field(default_factory=list)
-
-    @property
-    def first_asked_at(self) -> float:
-        """When an agent was first asked; infinite where none was."""
-        return next(iter(self.asked_at.values()), float("inf"))
-
-    def undelivered_to(self, owner: identifiers.MemberId) -> list[bytes]:
-        """Return the packets that the owner has not got yet."""
-        if owner in self.probed or not self.datagram:
-            return self.buffered
-        return [self.datagram, *self.buffered]
-
-    def add_agent(self, agent: directory.Agent) -> None:
-        """Add an agent that may own the flow."""
-        self.possible_owners[agent.member.id] = agent
-        self.to_ask[agent.member.id] = agent
-
-    def remove_agent(self, member: identifiers.MemberId) -> None:
-        """Remove an agent that does not own the flow, or that is not known any more."""
-        self.to_ask.pop(member, None)
-        self.possible_owners.pop(member, None)
-
-
-class UnsentQuery(msgspec.Struct):
-    """Flows about which an agent has not been asked yet.
-
-    Attributes:
-        agent: The agent.
-        flow_ids: The flows; some of them may not be looked up any more.
-    """
-
-    agent: directory.Agent
-    flow_ids: collections.deque[packets.FlowId]
 
 
 class Lookups:
@@ -143,11 +49,8 @@
         """
         self._view = view
         self._registered = registered
-        self._flows: dict[packets.FlowId, Lookup] = {}
-        self._unsent: dict[identifiers.MemberId, UnsentQuery] = {}
-        self._queries = token_bucket.TokenBucket(
-            QUERIES_PER_SECOND, QUERY_BURST, float("-inf")
-        )
+        self._flows: dict[packets.FlowId, lookup_state.Lookup] = {}
+        self._queries = query_queue.QueryQueue(self._take_question)
         view.agents.subscribe(self._add_agent, self._remove_agent)
 
     def __len__(self) -> int:
@@ -167,13 +70,15 @@
         oldest = min((x.first_asked_at for x in self._flows.values()), default=now)
         return max(0.0, now - oldest)
 
-    def start(self, flow_id: packets.FlowId, acknowledged: int, now: float) -> Lookup:
+    def start(
+        self, flow_id: packets.FlowId, acknowledged: int, now: float
+    ) -> lookup_state.Lookup:
         """Add a lookup; it asks when the flow's next packet arrives."""
-        lookup = Lookup(now, acknowledged)
+        lookup = lookup_state.Lookup(now, acknowledged)
         self._flows[flow_id] = lookup
         return lookup
 
-    def remove(self, flow_id: packets.FlowId) -> Lookup | None:
+    def remove(self, flow_id: packets.FlowId) -> lookup_state.Lookup | None:
         """Remove and return the lookup of a flow."""
         return self._flows.pop(flow_id, None)
 
@@ -185,13 +90,13 @@
         """Handle a packet of a flow: ask about the flow, or buffer it."""
         flow_id = packet.flow
         lookup = self._flows.get(flow_id) or self.start(flow_id, 0, now)
-        if _has_paused(lookup, now):
+        if lookup.has_paused(now):
             # The caller may have opened a new flow from the same port meanwhile.
             lookup = self.start(flow_id, 0, now)
         lookup.last_packet_at = now
         lookup.acknowledged = packet.acknowledgement
         is_due = now - lookup.last_asked_at >= RETRY_INTERVAL_SECONDS
-        if is_due or lookup.stage is Stage.NEW:
+        if is_due or lookup.stage is lookup_state.Stage.NEW:
             return self._ask(packet, lookup, now)
         if len(lookup.buffered) >= MAX_BUFFERED_PACKETS:
             return [actions.Drop(flow_id, actions.Reason.BUFFER_FULL)]
@@ -206,7 +111,7 @@
         if lookup is None or sender not in lookup.registrars:
             return []
         lookup.registrars.remove(sender)
-        if lookup.stage is not Stage.REGISTRARS:
+        if lookup.stage is not lookup_state.Stage.REGISTRARS:
             return []
         agent = self._registered_agent(answer.owner, lookup)
         if agent is not None:
@@ -224,7 +129,7 @@
             return
         lookup.not_owners.add(member)
         lookup.remove_agent(member)
-        if lookup.stage is Stage.REGISTERED_OWNER:
+        if lookup.stage is lookup_state.Stage.REGISTERED_OWNER:
             lookup.stage_ends_at = float("-inf")
 
     def handle_undecided(
@@ -235,7 +140,7 @@
         A packet of a caller that has gone on through another entry is not sent.
         """
         lookup = self._flows.get(flow_id)
-        if lookup is None or not lookup.datagram or _has_paused(lookup, now):
+        if lookup is None or not lookup.datagram or lookup.has_paused(now):
             return []
         return [_send_packet(agent, lookup)]
 
@@ -245,14 +150,14 @@
         for flow_id in list(self._flows):
             decided += self.ask_all_if_due(flow_id, now)
             decided += self.reset_if_unowned(flow_id, now)
-        return decided + self._send_queries(now)
+        return decided + self._queries.send(now)
 
     def ask_all_if_due(
         self, flow_id: packets.FlowId, now: float
     ) -> list[actions.Action]:
         """Ask all agents if those that were asked first did not know the owner."""
         lookup = self._flows.get(flow_id)
-        if lookup is None or now < lookup.stage_ends_at or _has_paused(lookup, now):
+        if lookup is None or now < lookup.stage_ends_at or lookup.has_paused(now):
             return []
         return self._ask_all(flow_id, lookup, now)
 
@@ -264,7 +169,7 @@
         table = self._view.evidence
         if lookup is None or table is None or not self._view.is_complete:
             return []
-        if lookup.stage is not Stage.ALL:
+        if lookup.stage is not lookup_state.Stage.ALL:
             return []
         evidence = self._no_owner_evidence(lookup, table, now)
         if evidence is None:
@@ -281,35 +186,35 @@
 
     def _add_agent(self, agent: directory.Agent) -> None:
         for flow_id, lookup in self._flows.items():
-            if lookup.stage is Stage.ALL:
+            if lookup.stage is lookup_state.Stage.ALL:
                 lookup.add_agent(agent)
-                self._queue_query(agent, flow_id)
+                self._queries.add(agent, flow_id)
 
     def _remove_agent(self, agent: directory.Agent) -> None:
-        self._unsent.pop(agent.member.id, None)
+        self._queries.remove_agent(agent.member.id)
         for lookup in self._flows.values():
             lookup.remove_agent(agent.member.id)
 
     # Questions.
 
     def _ask(
-        self, packet: packets.Packet, lookup: Lookup, now: float
+        self, packet: packets.Packet, lookup: lookup_state.Lookup, now: float
     ) -> list[actions.Action]:
         """Ask about a flow with a packet that has just arrived."""
-        is_first = lookup.stage is Stage.NEW
+        is_first = lookup.stage is lookup_state.Stage.NEW
         lookup.last_asked_at = now
         lookup.datagram = packet.datagram
         lookup.probed.clear()
         if is_first:
             return self._begin(packet.flow, lookup, now)
-        if lookup.stage is not Stage.ALL:
+        if lookup.stage is not lookup_state.Stage.ALL:
             return self._ask_all(packet.flow, lookup, now)
         if not lookup.to_ask:
             self._begin_round(packet.flow, lookup)
-        return self._send_queries(now)
+        return self._queries.send(now)
 
     def _begin(
-        self, flow_id: packets.FlowId, lookup: Lookup, now: float
+        self, flow_id: packets.FlowId, lookup: lookup_state.Lookup, now: float
     ) -> list[actions.Action]:
         """Ask those who are most likely to know."""
         known = self._view.agents.counts
@@ -320,7 +225,7 @@
         if agent is not None:
             decided = self._ask_registered_owner(agent, lookup, now)
         elif registrars:
-            lookup.stage = Stage.REGISTRARS
+            lookup.stage = lookup_state.Stage.REGISTRARS
             lookup.stage_ends_at = now + REGISTRAR_TIMEOUT_SECONDS
             lookup.registrars = {registrar.address for registrar in registrars}
             asked_registrars = len(registrars)
@@ -337,7 +242,7 @@
         return [*decided, started]
 
     def _registered_agent(
-        self, address: addresses.Address | None, lookup: Lookup
+        self, address: addresses.Address | None, lookup: lookup_state.Lookup
     ) -> directory.Agent | None:
         """Return the agent that is registered as the owner, if it may be the owner."""
         if address is None:
@@ -348,17 +253,17 @@
         return agent if agent.is_present else None
 
     def _ask_registered_owner(
-        self, agent: directory.Agent, lookup: Lookup, now: float
+        self, agent: directory.Agent, lookup: lookup_state.Lookup, now: float
     ) -> list[actions.Action]:
-        lookup.stage = Stage.REGISTERED_OWNER
+        lookup.stage = lookup_state.Stage.REGISTERED_OWNER
         lookup.stage_ends_at = now + RETRY_INTERVAL_SECONDS
         lookup.asked_at.setdefault(agent.member.id, now)
         return [_send_packet(agent, lookup)]
 
     def _ask_all(
-        self, flow_id: packets.FlowId, lookup: Lookup, now: float
+        self, flow_id: packets.FlowId, lookup: lookup_state.Lookup, now: float
     ) -> list[actions.Action]:
-        lookup.stage = Stage.ALL
+        lookup.stage = lookup_state.Stage.ALL
         lookup.stage_ends_at = float("inf")
         owners = self._possible_owners(flow_id)
         lookup.possible_owners = {
@@ -367,58 +272,26 @@
             if member not in lookup.not_owners
         }
         self._begin_round(flow_id, lookup)
-        return self._send_queries(now)
+        return self._queries.send(now)
 
-    def _begin_round(self, flow_id: packets.FlowId, lookup: Lookup) -> None:
+    def _begin_round(
+        self, flow_id: packets.FlowId, lookup: lookup_state.Lookup
+    ) -> None:
         lookup.to_ask = dict(lookup.possible_owners)
         for agent in lookup.to_ask.values():
-            self._queue_query(agent, flow_id)
+            self._queries.add(agent, flow_id)
 
-    def _queue_query(self, agent: directory.Agent, flow_id: packets.FlowId) -> None:
-        member = agent.member.id
-        if member not in self._unsent:
-            self._unsent[member] = UnsentQuery(agent, collections.deque())
-        self._unsent[member].flow_ids.append(flow_id)
-
-    def _send_queries(self, now: float) -> list[actions.Action]:
-        """Ask agents in turn, each about all flows that have waited for it.
-
-        The rate of messages is bounded, so that few lookups ask at once and many share
-        messages.
-        """
-        self._queries.refill(now)
-        decided: list[actions.Action] = []
-        while self._unsent and self._queries.tokens >= 1:
-            member, unsent = next(iter(self._unsent.items()))
-            del self._unsent[member]
-            flow_ids = self._take_flows(unsent, now)
-            if unsent.flow_ids:
-                self._unsent[member] = unsent
-            if flow_ids:
-                query = messages.OwnershipQuery(flow_ids)
-                address = unsent.agent.peer_address
-                decided.append(actions.SendMessage(address, query))
-                self._queries.spend(1)
-        return decided
-
-    def _take_flows(
-        self, unsent: UnsentQuery, now: float
-    ) -> tuple[packets.FlowId, ...]:
-        """Take the next flows for one question to an agent."""
-        member = unsent.agent.member.id
-        taken: dict[packets.FlowId, None] = {}
-        while unsent.flow_ids and len(taken) < MAX_FLOWS_PER_QUERY:
-            flow_id = unsent.flow_ids.popleft()
-            lookup = self._flows.get(flow_id)
-            if lookup is None or member not in lookup.to_ask:
-                continue
-            if _has_paused(lookup, now):
-                continue
-            del lookup.to_ask[member]
-            if not unsent.agent.has_no_flows:
-                lookup.asked_at.setdefault(member, now)
-                taken[flow_id] = None
-        return tuple(taken)
+    def _take_question(
+        self, flow_id: packets.FlowId, agent: directory.Agent, now: float
+    ) -> bool:
+        """Return whether an agent has to be asked about a flow, and record it."""
+        lookup = self._flows.get(flow_id)
+        if lookup is None or lookup.has_paused(now):
+            return False
+        if lookup.to_ask.pop(agent.member.id, None) is None or agent.has_no_flows:
+            return False
+        lookup.asked_at.setdefault(agent.member.id, now)
+        return True
 
     def _possible_owners(
         self, flow_id: packets.FlowId
@@ -438,7 +311,7 @@
 
     def _no_owner_evidence(
         self,
-        lookup: Lookup,
+        lookup: lookup_state.Lookup,
         table: completeness.Evidence,
         now: float,
     ) -> actions.NoOwnerEvidence | None:
@@ -471,18 +344,17 @@
         )
 
 
-def _send_packet(agent: directory.Agent, lookup: Lookup) -> actions.SendMessage:
+def _send_packet(
+    agent: directory.Agent, lookup: lookup_state.Lookup
+) -> actions.SendMessage:
     lookup.probed.add(agent.member.id)
     request = messages.LookupRequest(lookup.datagram)
     return actions.SendMessage(agent.peer_address, request)
 
 
-def _has_paused(lookup: Lookup, now: float) -> bool:
-    """Return whether the caller has ended the flow or sends through another entry."""
-    return now - lookup.last_packet_at > CALLER_PAUSE_SECONDS
-
-
-def _is_gone_without_answer(agent: directory.Agent, lookup: Lookup, now: float) -> bool:
+def _is_gone_without_answer(
+    agent: directory.Agent, lookup: lookup_state.Lookup, now: float
+) -> bool:
     """Return whether an agent is gone and did not answer the question either."""
     asked_at = lookup.asked_at.get(agent.member.id, now)
     return now - asked_at >= RETRY_INTERVAL_SECONDS and is_confirmed_gone(agent, now)
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -13,6 +13,7 @@
     admission,
     cluster_view,
     entry,
+    lookup_state,
     lookups,
     messages,
     packets,
@@ -468,7 +469,7 @@
 
 def test_old_packet_is_not_sent_to_an_agent_that_answers_late(flows):
     look_up(flows)
-    late = SETTLED + lookups.CALLER_PAUSE_SECONDS + 0.1
+    late = SETTLED + lookup_state.CALLER_PAUSE_SECONDS + 0.1
     assert need_packet(flows, 2, late) == []
 
 
@@ -661,7 +662,7 @@
 def test_denials_are_not_kept_for_a_later_flow_from_the_same_port(flows):
     look_up(flows)
     deny(flows, (1, 2), SETTLED)
-    later = SETTLED + lookups.CALLER_PAUSE_SECONDS + 0.1
+    later = SETTLED + lookup_state.CALLER_PAUSE_SECONDS + 0.1
     assert look_up(flows, later) == {peer_address_of(number) for number in (1, 2, 3)}
     assert deny(flows, (3,), later) == []
 
--- a/tests/core/flows/test_lookups.py
+++ b/tests/core/flows/test_lookups.py
@@ -13,6 +13,7 @@
     directory,
     lookups,
     messages,
+    query_queue,
     registered_owners,
 )
 from cactushall_core.membership import records
@@ -21,7 +22,7 @@
 SETTLED = 10.0
 KEY = keys.make_key(bytes(32))
 MAX_QUESTION_BYTES = 64
-REFILL_SECONDS = 1.01 * lookups.QUERY_BURST / lookups.QUERIES_PER_SECOND
+REFILL_SECONDS = 1.01 * query_queue.QUERY_BURST / query_queue.QUERIES_PER_SECOND
 DECIDED = SETTLED + 5.0
 
 
@@ -115,10 +116,10 @@
 
 
 def test_agents_of_all_services_are_asked_at_any_number(found, view):
-    others = range(4, 4 + 2 * lookups.QUERY_BURST)
+    others = range(4, 4 + 2 * query_queue.QUERY_BURST)
     add_agents(view, others, service=builders.OTHER_SERVICE)
     asked = found.handle_packet(builders.packet(), SETTLED)[:-1]
-    assert len(asked) == lookups.QUERY_BURST
+    assert len(asked) == query_queue.QUERY_BURST
     likely = [builders.agent_record(n).member.control_address for n in (1, 2, 3)]
     assert [action.address for action in asked[:3]] == likely
     for tick in range(3):
@@ -138,7 +139,7 @@
 
 
 def test_all_agents_are_asked_while_some_may_be_unknown(found, view):
-    count = 2 * lookups.QUERY_BURST + 10
+    count = 2 * query_queue.QUERY_BURST + 10
     add_agents(view, range(4, count + 1))
     view.update_evidence(None)
     decided = found.handle_packet(builders.packet(), SETTLED)
@@ -170,9 +171,9 @@
     queries = look_up_many(found, 100)
     asked = collections.Counter(f for query in queries for f in query.flows)
     assert asked == {flow(number): 3 for number in range(100)}
-    assert max(len(query.flows) for query in queries) <= lookups.MAX_FLOWS_PER_QUERY
-    batched = 3 * 100 / lookups.MAX_FLOWS_PER_QUERY
-    assert len(queries) <= lookups.QUERY_BURST + batched
+    assert max(len(query.flows) for query in queries) <= query_queue.MAX_FLOWS_PER_QUERY
+    batched = 3 * 100 / query_queue.MAX_FLOWS_PER_QUERY
+    assert len(queries) <= query_queue.QUERY_BURST + batched
 
 
 def test_questions_at_once_are_bounded_at_any_number_of_lookups(found, view):
@@ -181,11 +182,11 @@
         found.handle_packet(builders.packet(flow=flow(number)), SETTLED)
     for tick in range(1, 20):
         now = SETTLED + REFILL_SECONDS * tick
-        assert len(queries_in(found.tick(now))) <= lookups.QUERY_BURST
+        assert len(queries_in(found.tick(now))) <= query_queue.QUERY_BURST
 
 
 def test_flow_whose_owner_is_found_is_not_asked_about_any_more(found, view):
-    add_agents(view, range(4, 4 + lookups.QUERY_BURST))
+    add_agents(view, range(4, 4 + query_queue.QUERY_BURST))
     found.handle_packet(builders.packet(), SETTLED)
     found.remove(builders.FLOW)
     assert found.tick(SETTLED + REFILL_SECONDS) == []
@@ -233,7 +234,7 @@
 
 
 def test_flow_is_not_reset_while_one_of_many_agents_is_silent(found, view):
-    count = 3 * lookups.QUERY_BURST
+    count = 3 * query_queue.QUERY_BURST
     add_agents(view, range(4, count + 1))
     found.handle_packet(builders.packet(), SETTLED)
     deny(found, range(1, count))
@@ -261,12 +262,12 @@
 
 
 def test_start_tells_agents_that_were_known_and_not_asked_yet(found, view):
-    others = range(4, 4 + lookups.QUERY_BURST)
+    others = range(4, 4 + query_queue.QUERY_BURST)
     add_agents(view, others, service=builders.OTHER_SERVICE)
     decided = found.handle_packet(builders.packet(), SETTLED)
-    known = 3 + lookups.QUERY_BURST
+    known = 3 + query_queue.QUERY_BURST
     assert decided[-1] == actions.RecordLookupStarted(
-        builders.FLOW, 0, lookups.QUERY_BURST, known
+        builders.FLOW, 0, query_queue.QUERY_BURST, known
     )
 
 
--- a/tests/core/flows/test_registered_lookups.py
+++ b/tests/core/flows/test_registered_lookups.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from cactushall_core.flows import actions, entry, lookups, messages
+from cactushall_core.flows import actions, entry, lookup_state, lookups, messages
 from cactushall_core.membership import records
 from tests.core.flows import builders
 
@@ -176,7 +176,8 @@
 def test_registration_of_an_agent_that_is_not_known_yet_counts_once_it_is():
     flows = make_entry(agents=())
     registration = messages.RegisterFlows((builders.FLOW,))
-    assert flows.handle_message(agent_address(OWNER), registration, SETTLED) == []
+    decided = flows.handle_message(agent_address(OWNER), registration, SETTLED)
+    assert decided == [actions.ReportUnknownSender(agent_address(OWNER))]
     flows.update_member(builders.agent_record(OWNER), SETTLED + 0.1)
     assert send(flows, SETTLED + 0.2) == [probe_of(OWNER)]
 
@@ -231,5 +232,5 @@
 def test_packet_of_a_caller_that_has_gone_on_elsewhere_asks_nobody_later(flows):
     flows.update_completeness(None, SETTLED)
     send(flows)
-    late = SETTLED + lookups.CALLER_PAUSE_SECONDS + 0.1
+    late = SETTLED + lookup_state.CALLER_PAUSE_SECONDS + 0.1
     assert flows.tick(late) == []
--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from cactushall_core.flows import cluster_view, lookups
+from cactushall_core.flows import cluster_view, lookup_state, lookups, query_queue
 from cactushall_core.membership import completeness, state, table_exchange
 from tests.core.flows import builders, fleet
 
@@ -338,13 +338,13 @@
         return {member: owners[member] for member in owners if member in first}
 
     patch.setattr(lookups.Lookups, "_possible_owners", possible_owners)
-    patch.setattr(lookups.Lookup, "add_agent", lambda *_: None)
+    patch.setattr(lookup_state.Lookup, "add_agent", lambda *_: None)
 
 
 def agents_that_appear_during_a_lookup_are_not_asked(patch):
     def add_agent(self, agent):
         for lookup in self._flows.values():
-            if lookup.stage is lookups.Stage.ALL:
+            if lookup.stage is lookup_state.Stage.ALL:
                 lookup.possible_owners[agent.member.id] = agent
 
     patch.setattr(lookups.Lookups, "_add_agent", add_agent)
@@ -360,7 +360,7 @@
 
 
 def _first_agents(owners):
-    return dict(list(owners.items())[: lookups.QUERY_BURST])
+    return dict(list(owners.items())[: query_queue.QUERY_BURST])
 
 
 def only_the_first_agents_count(patch):
@@ -373,13 +373,13 @@
 
 
 def only_the_first_agents_are_asked(patch):
-    original = lookups.Lookups._queue_query
+    original = lookups.Lookups._take_question
 
-    def queue_query(self, agent, flow_id):
-        if agent.member.id in _first_agents(self._possible_owners(flow_id)):
-            original(self, agent, flow_id)
+    def take_question(self, flow_id, agent, now):
+        first = _first_agents(self._possible_owners(flow_id))
+        return agent.member.id in first and original(self, flow_id, agent, now)
 
-    patch.setattr(lookups.Lookups, "_queue_query", queue_query)
+    patch.setattr(lookups.Lookups, "_take_question", take_question)
 
 
 def nobody_is_complete_by_time(patch):
