Revert "An agent beside a backend server that does not listen denies all flows without a packet"

Traced: the server of that scenario runs and holds flows, but listens for no health checks; the restarted agent's check is refused, it takes the server for absent, and denies the flows until (and after) the first announcement.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -255,20 +255,11 @@
             return outcome
         self._meter.set_slots(announcement.slots)
         if latest_announcement is None:
-            is_first = announcement.number <= FIRST_ANNOUNCEMENT_NUMBER
-            self._has_seen_all_flows |= is_first
+            self._has_seen_all_flows = announcement.number <= FIRST_ANNOUNCEMENT_NUMBER
         elif not servers.is_same_start(announcement, latest_announcement):
             self._forget_all()
         return outcome
 
-    def handle_absent_server(self) -> None:
-        """Handle that nobody listens at the address of the backend server.
-
-        Where it was not seen before, all its flows will be opened through this agent.
-        """
-        if self._server.record_absence():
-            self._has_seen_all_flows = True
-
     def tick(self, now: float) -> list[actions.Action]:
         """Register flows; forget expired flows and requests that have timed out."""
         self._expire_awaiting_request(now)
--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -66,7 +66,6 @@
         self._service = service
         self._heartbeat_seconds = heartbeat_seconds
         self._state = State.UNKNOWN
-        self._is_absent = False
         self._latest_announcement: Announcement | None = None
         self._last_seen_at = float("-inf")
         self._unanswered = 0
@@ -84,9 +83,8 @@
 
     @property
     def has_certainly_stopped(self) -> bool:
-        """Whether no backend server runs here that could hold flows."""
-        has_announced_itself = self._latest_announcement is not None
-        return self._is_absent or (self._state is State.GONE and has_announced_itself)
+        """Whether the backend server that announced itself here has stopped."""
+        return self._state is State.GONE and self._latest_announcement is not None
 
     @property
     def latest_announcement(self) -> Announcement | None:
@@ -105,7 +103,6 @@
         ):
             return Outcome.STALE
         self._latest_announcement = announcement
-        self._is_absent = False
         self._service = announcement.service
         self._last_seen_at = now
         self._unanswered = 0
@@ -121,21 +118,10 @@
             self._state = State.GONE
             self._last_seen_at = now
 
-    def record_absence(self) -> bool:
-        """Record that nobody listens at its address.
-
-        Returns:
-            Whether that counts, as it was not seen before.
-        """
-        if self._state is State.UNKNOWN and self._latest_announcement is None:
-            self._is_absent = True
-        return self._is_absent
-
     def record_health_check_success(self, now: float) -> None:
         """Record a successful health check, which counts while its state is unknown."""
         if self._state is State.UNKNOWN:
             self._state = State.READY
-            self._is_absent = False
             self._last_seen_at = now
 
     def record_opening_sent(self, now: float) -> None:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -230,9 +230,6 @@
                 )
             except http_calls.RequestError as error:
                 log.debug(events.Event.HEALTH_CHECK_FAILED, why=str(error))
-                if isinstance(error, http_calls.NotListeningError):
-                    self._flows.handle_absent_server()
-                    self._publish_server_state()
             else:
                 if response.status == http.HTTPStatus.OK:
                     self._server.record_health_check_success(self._loop.time())
--- a/packages/cactushall-rpc/cactushall_rpc/http.py
+++ b/packages/cactushall-rpc/cactushall_rpc/http.py
@@ -28,10 +28,6 @@
     """A request got no complete response."""
 
 
-class NotListeningError(RequestError):
-    """Nobody listens at the address."""
-
-
 class Request(msgspec.Struct, frozen=True):
     """A received request.
 
@@ -182,8 +178,6 @@
             try:
                 async with asyncio.timeout(timeout):
                     return await self._request(method, target, body)
-            except ConnectionRefusedError as error:
-                raise NotListeningError(f"{method} {target}: {error!r}") from error
             except (OSError, TimeoutError, EOFError, h11.ProtocolError) as error:
                 self.close()
                 raise RequestError(f"{method} {target}: {error!r}") from error
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -253,48 +253,6 @@
     assert ask(flows)[0] == messages.OwnershipAnswer(undecided=(builders.FLOW,))
 
 
-def test_agent_beside_no_server_denies_all_flows_without_a_packet(server):
-    started = agent.AgentFlows(server, 0.0)
-    started.update_routes(builders.route_table(), 0.0)
-    assert ask(started)[0].undecided == (builders.FLOW,)
-    started.handle_absent_server()
-    _, record = ask(started)
-    assert record.denials == {builders.FLOW: actions.DenialBasis.SERVER_GONE}
-
-
-def test_agent_sees_all_flows_of_a_server_that_starts_after_it(server):
-    started = agent.AgentFlows(server, 0.0)
-    started.update_routes(builders.route_table(), 0.0)
-    started.handle_absent_server()
-    started.handle_announcement(builders.announcement(number=2), 3.0)
-    assert ask(started)[0].denied == (builders.FLOW,)
-    open_flow(started, 4.0)
-    assert ask(started)[0].owned == (builders.FLOW,)
-
-
-def test_server_that_begins_to_listen_after_its_agent_accepts_flows(server):
-    started = agent.AgentFlows(server, 0.0)
-    started.update_routes(builders.route_table(), 0.0)
-    started.handle_absent_server()
-    server.record_health_check_success(0.3)
-    assert server.state is servers.State.READY
-    assert not server.has_certainly_stopped
-    open_flow(started, 0.4)
-    assert ask(started)[0].owned == (builders.FLOW,)
-
-
-def test_server_that_was_heard_of_is_not_taken_for_absent(restarted):
-    restarted.handle_absent_server()
-    assert ask(restarted)[0].undecided == (builders.FLOW,)
-
-
-def test_server_that_answered_its_health_check_is_not_taken_for_absent(server):
-    started = agent.AgentFlows(server, 0.0)
-    server.record_health_check_success(0.0)
-    started.handle_absent_server()
-    assert ask(started)[0].undecided == (builders.FLOW,)
-
-
 def test_owner_confirms_a_lookup(flows):
     open_flow(flows)
     delivered, told = flows.handle_lookup(builders.packet(), builders.ENTRY, 1.1)
