Registrations: a new registration and one that follows the entries are two functions; test of logged answers

Read as a newcomer: one function did both by an empty argument. The log and the counters of an answer about many flows had no test of their own.

--- a/packages/cactushall-core/cactushall_core/flows/registrations.py
+++ b/packages/cactushall-core/cactushall_core/flows/registrations.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 
 import msgspec
@@ -23,6 +24,8 @@
 REPEAT_INTERVAL_SECONDS = 30.0
 MAX_FLOWS_PER_MESSAGE = 50
 
+DueFlows = collections.defaultdict[addresses.Address, list[packets.FlowId]]
+
 
 class Registration(msgspec.Struct):
     """A flow that is registered.
@@ -61,15 +64,15 @@
 
     def tick(self, now: float) -> list[actions.Action]:
         """Register flows that are old enough, and others again where it is needed."""
-        due: dict[addresses.Address, list[packets.FlowId]] = {}
+        due: DueFlows = collections.defaultdict(list)
         for flow_id in self._take_established(now):
-            self._register(flow_id, (), due, now)
+            self._register(flow_id, due, now)
         if self._entries_version != self._entries.version:
             self._entries_version = self._entries.version
-            for flow_id, known in list(self._registered.items()):
-                self._register(flow_id, known.registrars, due, now)
+            for flow_id, registration in self._registered.items():
+                self._follow_entries(flow_id, registration, due)
         for flow_id in self._due_for_repetition(now):
-            self._register(flow_id, (), due, now)
+            self._register(flow_id, due, now)
         return [
             actions.SendMessage(address, messages.RegisterFlows(flows))
             for address, flow_ids in due.items()
@@ -95,24 +98,24 @@
             due.append(flow_id)
         return due
 
-    def _register(
-        self,
-        flow_id: packets.FlowId,
-        told: tuple[registrars.Registrar, ...],
-        due: dict[addresses.Address, list[packets.FlowId]],
-        now: float,
+    def _register(self, flow_id: packets.FlowId, due: DueFlows, now: float) -> None:
+        """Register a flow with all its registrars, for the first time or again."""
+        self._registered.pop(flow_id, None)
+        found = self._entries.registrars_of(flow_id)
+        repeat_at = now + REPEAT_INTERVAL_SECONDS
+        self._registered[flow_id] = Registration(found, repeat_at)
+        for registrar in found:
+            due[registrar.address].append(flow_id)
+
+    def _follow_entries(
+        self, flow_id: packets.FlowId, registration: Registration, due: DueFlows
     ) -> None:
-        """Register a flow with those of its registrars that were not told of it."""
-        wanted = self._entries.registrars_of(flow_id)
-        if not told:
-            self._registered.pop(flow_id, None)
-            repeat_at = now + REPEAT_INTERVAL_SECONDS
-            self._registered[flow_id] = Registration(wanted, repeat_at)
-        else:
-            self._registered[flow_id].registrars = wanted
-        for registrar in wanted:
-            if registrar not in told:
-                due.setdefault(registrar.address, []).append(flow_id)
+        """Register a flow with those of its registrars that have appeared."""
+        found = self._entries.registrars_of(flow_id)
+        for registrar in found:
+            if registrar not in registration.registrars:
+                due[registrar.address].append(flow_id)
+        registration.registrars = found
 
 
 def _split(
--- a/tests/daemon/packets/test_executor.py
+++ b/tests/daemon/packets/test_executor.py
@@ -98,6 +98,24 @@
     }
 
 
+def test_answer_about_many_flows_is_counted_and_logged_flow_by_flow(execute, node):
+    others = [builders.FLOW._replace(caller_port=port) for port in (1, 2)]
+    denials = {
+        others[0]: actions.DenialBasis.SERVER_DENIED,
+        others[1]: actions.DenialBasis.NEVER_TRACKED,
+    }
+    lines = execute(actions.RecordAnswer(AGENT, (builders.FLOW,), denials))
+    told = [(line["flow"], line["is_held"], line.get("why")) for line in lines]
+    assert told == [
+        (str(builders.FLOW), True, None),
+        (str(others[0]), False, "server-denied"),
+    ]
+    assert counted(node) == {
+        counters.Counter.FLOW_LOOKUPS_HELD: 1,
+        counters.Counter.FLOW_LOOKUPS_DENIED: 2,
+    }
+
+
 def test_start_of_a_lookup_is_logged(execute, node):
     (line,) = execute(actions.RecordLookupStarted(builders.FLOW, 2, 0, 70))
     assert line == {
