Read again: one token bucket, a clearer name, no detours

The rate of log lines was a token bucket of its own beside the new one; it uses that now, for each event as before. Transmitter.sender, the id of this member, read as sender.sender at its callers: member_id. The agent passes its update_member to gossip itself; the records of agents and entries in tests share what they have in common; a counter that nothing read is gone from bench/lookups.py. Behaviour is the same.

--- a/bench/lookups.py
+++ b/bench/lookups.py
@@ -281,7 +281,6 @@
         self.known: dict[addresses.Address, known_entries.KnownEntries] = {}
         self.registered: dict[addresses.Address, registrations.Registrations] = {}
         self.agent_seconds = 0.0
-        self.starts = 0
         for record in self.agents:
             known = known_entries.KnownEntries()
             for other in self.first:
@@ -319,7 +318,6 @@
 
     def _start(self, number: int) -> None:
         record = entry_record(number, start=2)
-        self.starts += 1
         address = record.member.control_address
         made = make_entry(self.agents, self.first, self.members.now)
         made.update_completeness(None, self.members.now)
--- a/packages/cactushall-core/cactushall_core/membership/anti_entropy.py
+++ b/packages/cactushall-core/cactushall_core/membership/anti_entropy.py
@@ -25,7 +25,7 @@
     body = messages.Digest(members.digest())
     return [
         sender.send(target.member.gossip_address, body)
-        for target in members.sample(1, sender.sender, rng)
+        for target in members.sample(1, sender.member_id, rng)
     ]
 
 
--- a/packages/cactushall-core/cactushall_core/membership/failure_detector.py
+++ b/packages/cactushall-core/cactushall_core/membership/failure_detector.py
@@ -114,7 +114,7 @@
         self._probe_order = [
             record.member.id
             for record in self._members
-            if record.is_present and record.member.id != self._transmitter.sender
+            if record.is_present and record.member.id != self._transmitter.member_id
         ]
         self._rng.shuffle(self._probe_order)
         if not self._probe_order:
@@ -145,7 +145,7 @@
         """Acknowledge a probe, and introduce this member where it may be unknown."""
         extra: tuple[records.Update, ...] = ()
         is_known = self._members.get(sender_id) is not None
-        if body.target != self._transmitter.sender or not is_known:
+        if body.target != self._transmitter.member_id or not is_known:
             extra = (self._own_record(),)
         return [self._transmitter.send(sender, messages.Ack(body.sequence), extra)]
 
@@ -250,4 +250,4 @@
             self._suspected_at.pop(record.member.id, None)
 
     def _random_present(self, count: int) -> list[records.Record]:
-        return self._members.sample(count, self._transmitter.sender, self._rng)
+        return self._members.sample(count, self._transmitter.member_id, self._rng)
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -434,7 +434,7 @@
         random_bits = self._rng.getrandbits(ID_RANDOM_BITS)
         new = records.make_higher_id(latest.member.id, random_bits)
         self._member = structs.replace(self._member, id=new)
-        self._transmitter.sender = new
+        self._transmitter.member_id = new
         decided = self._announce(now)
         for member in (former, latest.member.id):
             decided += self._declare_dead(member, now)
--- a/packages/cactushall-core/cactushall_core/membership/transmitter.py
+++ b/packages/cactushall-core/cactushall_core/membership/transmitter.py
@@ -21,14 +21,14 @@
     """Encodes datagrams, and adds updates to them where there is room.
 
     Attributes:
-        sender: Id of this member.
+        member_id: Id of this member.
         revision: Revision of the service configuration that it has adopted.
         broadcasts: Updates to spread.
     """
 
     def __init__(
         self,
-        sender: identifiers.MemberId,
+        member_id: identifiers.MemberId,
         members: table.Table,
         key_ring: tuple[keys.Key, ...],
         intervals: timing.Timing,
@@ -37,13 +37,13 @@
         """Start with a full byte budget and no updates.
 
         Args:
-            sender: Id of this member.
+            member_id: Id of this member.
             members: Records of all known members.
             key_ring: Keys that authenticate datagrams.
             intervals: Intervals and byte budget.
             now: Current time in seconds.
         """
-        self.sender = sender
+        self.member_id = member_id
         self.revision = identifiers.Revision(0)
         self.broadcasts = broadcasts.BroadcastQueue()
         self._members = members
@@ -99,7 +99,7 @@
         if not extra and room_bytes > 0 and not isinstance(body, messages.Digest):
             limit = broadcasts.transmit_limit(self._members.present_count)
             updates = self.broadcasts.take(room_bytes, limit)
-        packet = messages.Packet(self.sender, self.revision, body, updates)
+        packet = messages.Packet(self.member_id, self.revision, body, updates)
         datagram = messages.encode(self._authenticator, packet)
         self._byte_budget.spend(len(datagram))
         self._sent_bytes += len(datagram)
--- a/packages/cactushall-daemon/cactushall_daemon/logs.py
+++ b/packages/cactushall-daemon/cactushall_daemon/logs.py
@@ -16,6 +16,7 @@
 
 import structlog
 
+from cactushall_core import token_bucket
 from cactushall_daemon import events
 
 LINES_PER_SECOND = 50.0
@@ -91,7 +92,7 @@
             clock: Returns the current time in seconds.
         """
         self._clock = clock
-        self._tokens: dict[object, tuple[float, float]] = {}
+        self._budgets: dict[object, token_bucket.TokenBucket] = {}
         self._suppressed: dict[object, int] = {}
 
     def __call__(
@@ -100,13 +101,15 @@
         """Pass on a line, or raise DropEvent if the event exceeds its rate."""
         event = event_dict.get("event")
         now = self._clock()
-        tokens, since = self._tokens.get(event, (BURST_LINES, now))
-        tokens = min(BURST_LINES, tokens + (now - since) * LINES_PER_SECOND)
-        if tokens < 1:
-            self._tokens[event] = (tokens, now)
+        budget = self._budgets.get(event)
+        if budget is None:
+            budget = token_bucket.TokenBucket(LINES_PER_SECOND, BURST_LINES, now)
+            self._budgets[event] = budget
+        budget.refill(now)
+        if budget.tokens < 1:
             self._suppressed[event] = self._suppressed.get(event, 0) + 1
             raise structlog.DropEvent
-        self._tokens[event] = (tokens - 1, now)
+        budget.spend(1)
         if suppressed := self._suppressed.pop(event, 0):
             event_dict["left_out"] = suppressed
         return event_dict
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -56,7 +56,7 @@
         self._node = node.Node(
             settings,
             node.make_member(settings, records.Role.AGENT, self._build_endpoints()),
-            gossip.Callbacks(self._on_member_changed),
+            gossip.Callbacks(self._flows.update_member),
             on_routes=self._on_routes,
             on_message=self._on_message,
             gauges=self._read_gauges,
@@ -239,9 +239,6 @@
 
     # Other nodes.
 
-    def _on_member_changed(self, record: records.Record) -> None:
-        self._flows.update_member(record)
-
     def _on_routes(self, route_table: routes.RouteTable) -> None:
         is_first = not self._flows.has_routes
         self._execute(self._flows.update_routes(route_table, self._loop.time()))
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -15,10 +15,7 @@
 
 from cactushall_core import addresses, adoption, exceptions, identifiers
 from cactushall_core.flows import messages, routes
-from cactushall_core.membership import (
-    records,
-    timing,
-)
+from cactushall_core.membership import records, timing
 from cactushall_daemon import (
     configuration_follower,
     contacts,
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from cactushall_core import addresses, identifiers
 from cactushall_core.flows import messages, packets, routes, servers
 from cactushall_core.membership import completeness, records
@@ -100,34 +102,30 @@
 ):
     """Return the record of the agent on a numbered VM."""
     endpoint = records.Endpoint(service, identifiers.HomeId(0), 2000, is_draining)
-    member = records.Member(
-        id=identifiers.MemberId(start << 32 | number),
-        name=identifiers.NodeName(f"agent-{number}"),
-        role=records.Role.AGENT,
-        zone=zone,
-        host=f"10.0.1.{number}",
-        gossip_port=7720,
-        control_port=7735,
-        tunnel_port=8172,
-        endpoints=(endpoint,) if has_server else (),
-    )
+    usual = _member(records.Role.AGENT, f"10.0.1.{number}", number, start)
+    endpoints = (endpoint,) if has_server else ()
+    member = msgspec.structs.replace(usual, zone=zone, endpoints=endpoints)
     return records.Record(member, incarnation, status)
 
 
 def entry_record(number, status=records.Status.ALIVE, start=1):
     """Return the record of the entry on a numbered VM."""
-    member = records.Member(
+    member = _member(records.Role.ENTRY, f"10.0.0.{number}", number, start)
+    return records.Record(member, 1, status)
+
+
+def _member(role, host, number, start):
+    return records.Member(
         id=identifiers.MemberId(start << 32 | number),
-        name=identifiers.NodeName(f"entry-{number}"),
-        role=records.Role.ENTRY,
+        name=identifiers.NodeName(f"{role.name.lower()}-{number}"),
+        role=role,
         zone=ZONE,
-        host=f"10.0.0.{number}",
+        host=host,
         gossip_port=7720,
         control_port=7735,
         tunnel_port=8172,
         endpoints=(),
     )
-    return records.Record(member, 1, status)
 
 
 def announcement(number=1, server_id="s1", started=100, is_draining=False):
