--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -21,12 +21,17 @@
         slots: Number of requests that it runs concurrently.
         service_seconds: Moving average of the time that a request takes in a slot, 0 if
             unknown.
+        failure_share: Moving average of the share of requests that it failed.
+        cold_allowance: Requests that it may still get at once while it is cold;
+            negative for no limit.
     """
 
     flows: int
     requests: int
     slots: int
     service_seconds: float
+    failure_share: float = 0.0
+    cold_allowance: float = -1.0
 
 
 class Refusal(enum.Enum):
--- a/packages/cactushall-core/cactushall_core/flows/routes.py
+++ b/packages/cactushall-core/cactushall_core/flows/routes.py
@@ -71,6 +71,18 @@
         return any(share.service == service for share in self.shares)
 
 
+class ColdLimit(msgspec.Struct, frozen=True):
+    """How many requests a backend server can bear shortly after its start.
+
+    Attributes:
+        seconds: How long it is cold after its start.
+        requests_per_second: Rate of requests that it can bear meanwhile.
+    """
+
+    seconds: float
+    requests_per_second: float
+
+
 class RouteTable(msgspec.Struct, frozen=True):
     """All routes at one revision.
 
@@ -79,6 +91,7 @@
         routes: Routes by service address.
         health_paths: Path of the health check of each service.
         idle_timeout_seconds: Time without packets after which a flow may be forgotten.
+        cold_limits: Limits of cold backend servers, of the services that have any.
     """
 
     revision: identifiers.Revision = identifiers.Revision(0)
@@ -87,6 +100,9 @@
         default_factory=dict
     )
     idle_timeout_seconds: float = DEFAULT_IDLE_TIMEOUT_SECONDS
+    cold_limits: typing.Mapping[identifiers.ServiceName, ColdLimit] = msgspec.field(
+        default_factory=dict
+    )
 
     @property
     def is_known(self) -> bool:
--- a/packages/cactushall-daemon/cactushall_daemon/config/options.py
+++ b/packages/cactushall-daemon/cactushall_daemon/config/options.py
@@ -176,6 +176,28 @@
 
 def seconds(minimum: float, maximum: float) -> Converter[float]:
     """Accept a duration in seconds from `minimum` to `maximum`."""
+    return _decimal(minimum, maximum, "seconds")
+
+
+def factor(minimum: float, maximum: float) -> Converter[float]:
+    """Accept a factor from `minimum` to `maximum`."""
+    return _decimal(minimum, maximum)
+
+
+def count(minimum: float, maximum: float, unit: str) -> Converter[float]:
+    """Accept a number of things, which need not be whole.
+
+    Args:
+        minimum: Smallest number.
+        maximum: Largest number.
+        unit: What is counted, for error messages.
+    """
+    return _decimal(minimum, maximum, unit)
+
+
+def _decimal(minimum: float, maximum: float, unit: str = "") -> Converter[float]:
+    kind = f"number of {unit}" if unit else "number"
+    suffix = f" {unit}" if unit else ""
 
     def convert(node: documents.Node, report: Report, key: str) -> float | None:
         value = _scalar(node, report, key)
@@ -184,10 +206,10 @@
         try:
             number = float(value)
         except ValueError:
-            report.error(node.line, key, f"{value!r} is not a number of seconds")
+            report.error(node.line, key, f"{value!r} is not a {kind}")
             return None
         if not minimum <= number <= maximum:
-            report.error(node.line, key, f"must be from {minimum} to {maximum} seconds")
+            report.error(node.line, key, f"must be from {minimum} to {maximum}{suffix}")
             return None
         return number
 
--- a/packages/cactushall-daemon/cactushall_daemon/config/packet_schema.py
+++ b/packages/cactushall-daemon/cactushall_daemon/config/packet_schema.py
@@ -7,6 +7,10 @@
 
 MAX_PORT = addresses.MAX_PORT
 NO_ADDRESSES: tuple[addresses.Address, ...] = ()
+MAX_EJECTED_PERCENT = 50
+MAX_HEDGING_PERCENT = 20
+MAX_COLD_OVERAGE = 10.0
+MAX_COLD_SLACK = 1000.0
 
 
 def hexadecimal_key() -> options.Converter[keys.Key]:
@@ -56,6 +60,8 @@
     """Settings of an entry."""
 
     grace_seconds = options.Option(options.seconds(0, 3600))
+    max_ejected_percent = options.Option(options.integer(0, MAX_EJECTED_PERCENT), 0)
+    hedging_percent = options.Option(options.integer(0, MAX_HEDGING_PERCENT), 0)
 
 
 class PacketAgentSettings(PacketSettings):
@@ -66,3 +72,5 @@
     from_server = options.Option(options.address())
     announcements = options.Option(options.address())
     heartbeat_milliseconds = options.Option(options.integer(1, 600_000))
+    cold_overage = options.Option(options.factor(1, MAX_COLD_OVERAGE), 1.0)
+    cold_slack = options.Option(options.count(0, MAX_COLD_SLACK, "requests"), 0.0)
