A stand-in for a server can be stopped twice

A scenario that failed after it had stopped a server left its site running, because the teardown stopped the server again and ended there; the scenarios after it then failed too. The test failed first (remove_reader on a closed socket).

--- a/tests/standins/packet_peers.py
+++ b/tests/standins/packet_peers.py
@@ -123,7 +123,13 @@
         self._heartbeat_task = asyncio.create_task(self._send_heartbeats())
 
     async def stop(self):
-        """Stop sending and receiving without notice, like a crash."""
+        """Stop sending and receiving without notice, like a crash.
+
+        Stopping twice is allowed: a site stops all its servers, also those that a
+        scenario has stopped before it failed.
+        """
+        if self._socket.fileno() < 0:
+            return
         self._heartbeat_task.cancel()
         asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
