Evacuation of an availability zone: store key to entries and agents

Operators create op/evacuate/ZONE in the store; entries leave out the agents of that zone and its agents decline openings as draining. One watch of the prefix op/ replaces that of op/config, so that the number of calls stays. Membership datagrams and table replies carry the state of zones in an appended field; the later (era, revision) wins.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -103,6 +103,7 @@
         """
         self._server = server
         self._routes = routes.EMPTY
+        self._is_evacuated = False
         self._flows: dict[packets.FlowId, Flow] = {}
         self._not_owned: dict[packets.FlowId, float] = {}
         # Flows that are not tracked any more, with the times of their latest packets;
@@ -143,6 +144,10 @@
         """Whether a configuration has been received."""
         return self._routes.is_known
 
+    def update_evacuated(self, is_evacuated: bool) -> None:
+        """Set whether the agent's own availability zone is evacuated."""
+        self._is_evacuated = is_evacuated
+
     def update_member(self, record: records.Record) -> None:
         """Apply a membership update."""
         self._entries.update(record)
@@ -291,6 +296,8 @@
         is_established = flow is not None and flow.state is State.ESTABLISHED
         if flow is not None and is_established and not _is_port_reused(flow, packet):
             return [self._confirm_owned(packet.flow, flow, entry)]
+        if self._is_evacuated and not _is_answered(flow, packet):
+            return [self._decline(packet.flow, entry, messages.Refusal.DRAINING)]
         if not self._routes.is_known and len(self._queue) < MAX_QUEUED_OPENINGS:
             self._queue[packet.flow] = QueuedOpening(packet, entry, now)
             return []
@@ -510,6 +517,13 @@
     return is_probed and bool(packet.flags & packets.Flags.RST)
 
 
+def _is_answered(flow: Flow | None, packet: packets.Packet) -> bool:
+    """Return whether the backend server has answered this opening packet."""
+    if flow is None or _is_port_reused(flow, packet):
+        return False
+    return flow.state is not State.OPENING_DELIVERED
+
+
 def _is_port_reused(flow: Flow, packet: packets.Packet) -> bool:
     """Return whether an opening packet reuses the port of a tracked flow."""
     if flow.state is State.PROBED:
--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -14,6 +14,8 @@
 
 OPEN_FLOW_WEIGHT = 0.05
 REMOTE_ZONE_PENALTY = 0.1
+# More than any server with capacity has waiting.
+HELD_BACK_PENALTY = 100.0
 
 
 def expected_wait(
@@ -38,6 +40,8 @@
     flows = load.flows + agent.unacknowledged_count(now)
     waiting = requests + OPEN_FLOW_WEIGHT * flows
     penalty = REMOTE_ZONE_PENALTY if agent.member.zone != zone else 0.0
+    if agent.held_back_until > now:
+        penalty += HELD_BACK_PENALTY
     return waiting / max(1, load.slots) * slowness + penalty
 
 
--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+import random
+
 from cactushall_core import identifiers
-from cactushall_core.flows import directory, known_entries, packets, routes
+from cactushall_core.flows import (
+    directory,
+    known_entries,
+    packets,
+    routes,
+    slow_start,
+)
 from cactushall_core.membership import completeness
 
 STALE_AFTER_PAUSE_SECONDS = 0.1
@@ -12,14 +20,20 @@
 class ClusterView:
     """Routes, agents and entries, and the evidence that no other agents exist."""
 
-    def __init__(self) -> None:
-        """Start without routes and members."""
+    def __init__(self, rng: random.Random) -> None:
+        """Start without routes and members.
+
+        Args:
+            rng: Source of random choices.
+        """
         self._agents = directory.AgentDirectory()
         self._entries = known_entries.KnownEntries()
         self._route_table = routes.EMPTY
         self._newest_revision = routes.EMPTY.revision
         self._evidence: completeness.Evidence | None = None
         self._stale_until = float("-inf")
+        self._evacuated: frozenset[identifiers.ZoneName] = frozenset()
+        self._slow_start = slow_start.SlowStart(rng)
         # Service addresses of former revisions that have no route any more.
         self._dropped_addresses: set[routes.ServiceAddress] = set()
 
@@ -43,6 +57,34 @@
         """The current routes."""
         return self._route_table
 
+    @property
+    def evacuated(self) -> frozenset[identifiers.ZoneName]:
+        """The evacuated availability zones."""
+        return self._evacuated
+
+    def update_evacuated(
+        self, zones: frozenset[identifiers.ZoneName], now: float
+    ) -> None:
+        """Replace the evacuated zones; those that return get new flows gradually."""
+        self._slow_start.update(self._evacuated - zones, zones, now)
+        self._evacuated = zones
+
+    def tick(self, now: float) -> None:
+        """Increase the load of zones that have returned to service."""
+        self._slow_start.tick(now)
+
+    def accepting(self, service: identifiers.ServiceName) -> list[directory.Agent]:
+        """Return the agents that may get new flows of a service now.
+
+        Agents of evacuated zones are left out; those of zones that have returned
+        recently are held back from some of the flows.
+        """
+        accepting = self._agents.accepting(service)
+        if self._evacuated:
+            accepting = [a for a in accepting if a.member.zone not in self._evacuated]
+        self._slow_start.hold_back(accepting)
+        return accepting
+
     def update_routes(self, table: routes.RouteTable) -> None:
         """Replace the routes by a newer revision."""
         self._dropped_addresses |= self._route_table.routes.keys()
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -31,6 +31,8 @@
         unacknowledged: Flows sent to it that it has neither accepted nor declined,
             with the times when they were sent.
         full_until: End of the backoff after it declined a flow for lack of capacity.
+        held_back_until: Until when the next flow goes to it only if no other agent
+            has capacity.
     """
 
     member: records.Member
@@ -41,6 +43,7 @@
     load_at: float = float("-inf")
     unacknowledged: dict[packets.FlowId, float] = msgspec.field(default_factory=dict)
     full_until: float = float("-inf")
+    held_back_until: float = float("-inf")
 
     @property
     def packet_address(self) -> addresses.Address:
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -69,7 +69,7 @@
             rng: Source of random choices.
             now: Current time in seconds.
         """
-        self._view = cluster_view.ClusterView()
+        self._view = cluster_view.ClusterView(rng)
         self._pending = pending_flows.PendingFlows(self._view, zone, rng)
         self._registered = registered_owners.RegisteredOwners()
         self._lookups = lookups.Lookups(self._view, self._registered)
@@ -119,6 +119,22 @@
         self._view.update_evidence(evidence)
         return self.tick(now)
 
+    def update_evacuated(
+        self, zones: frozenset[identifiers.ZoneName], now: float
+    ) -> list[actions.Action]:
+        """Replace the availability zones that get no new flows."""
+        self._view.update_evacuated(zones, now)
+        return self.tick(now)
+
+    def reported_flows(self, zone: identifiers.ZoneName) -> int:
+        """Return how many flows the running agents of a zone have reported last."""
+        agents = self._view.agents.agents
+        return sum(
+            agent.load.flows
+            for agent in agents
+            if agent.is_present and agent.member.zone == zone
+        )
+
     def handle_pause(self, now: float) -> None:
         """Record that this process was paused until now, so that its view is old."""
         self._view.handle_pause(now)
@@ -183,6 +199,7 @@
 
     def tick(self, now: float) -> list[actions.Action]:
         """Make the decisions that had to be deferred when the packets arrived."""
+        self._view.tick(now)
         decided = self._pending.place_queued(now)
         decided += self._lookups.tick(now)
         if now >= self._next_sweep_at:
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -145,7 +145,7 @@
         if route is None:
             return self._queue_without_route(flow, now)
         self._without_route.discard(flow_id)
-        accepting = self._view.agents.accepting(route.service_of(flow_id))
+        accepting = self._view.accepting(route.service_of(flow_id))
         candidates = [a for a in accepting if a.packet_address not in flow.declined]
         if not candidates:
             timeout = 0.0 if self._view.is_complete else packets.OPENING_TIMEOUT_SECONDS
--- a/packages/cactushall-core/cactushall_core/membership/member_actions.py
+++ b/packages/cactushall-core/cactushall_core/membership/member_actions.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cactushall_core import addresses, identifiers
-from cactushall_core.membership import completeness, messages, records
+from cactushall_core.membership import completeness, messages, records, zone_states
 
 
 class Send(msgspec.Struct, frozen=True):
@@ -44,6 +44,18 @@
     evidence: completeness.Evidence | None
 
 
+class ZoneStatesReceived(msgspec.Struct, frozen=True):
+    """A member has sent states of availability zones that differ from the own ones.
+
+    Attributes:
+        source: The address that they came from.
+        states: The states.
+    """
+
+    source: addresses.Address
+    states: zone_states.ZoneStates
+
+
 class RequestTable(msgspec.Struct, frozen=True):
     """Ask the member at a control address for its table, over a connection.
 
@@ -61,5 +73,6 @@
     | FetchConfiguration
     | NewestRevisionChanged
     | CompletenessChanged
+    | ZoneStatesReceived
     | RequestTable
 )
--- a/packages/cactushall-core/cactushall_core/membership/messages.py
+++ b/packages/cactushall-core/cactushall_core/membership/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from cactushall_core import exceptions, identifiers, keys, signed_datagram
-from cactushall_core.membership import records
+from cactushall_core.membership import records, zone_states
 
 VERSION = 1
 
@@ -74,12 +74,14 @@
         revision: Revision of the sender's service configuration.
         body: The message.
         updates: Updates about members.
+        zone_states: States of availability zones, as far as there is room.
     """
 
     sender: identifiers.MemberId
     revision: identifiers.Revision
     body: Body
     updates: tuple[records.Update, ...] = ()
+    zone_states: zone_states.ZoneStates = ()
 
 
 class TableRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -104,12 +106,14 @@
         knew_sender: Whether that member had heard of the sender before the request.
         records: All records in the buckets whose hashes differ.
         revision: Revision of that member's service configuration; 0 where it has none.
+        zone_states: States of availability zones.
     """
 
     is_complete: bool
     knew_sender: bool
     records: tuple[records.Record, ...]
     revision: identifiers.Revision = identifiers.Revision(0)
+    zone_states: zone_states.ZoneStates = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -19,6 +19,7 @@
     table_exchange,
     timing,
     transmitter,
+    zone_states,
 )
 
 GOSSIP_FANOUT = 2
@@ -76,7 +77,8 @@
             self._own_record,
         )
         self._newest_revision = identifiers.Revision(0)
-        self._revision_rounds = 0
+        self._zone_states: zone_states.ZoneStates = ()
+        self._extra_rounds = 0
         self._next_probe_at = now
         self._next_gossip_at = now
         self._next_digest_at = now + rng.random() * intervals.digest_interval
@@ -136,7 +138,17 @@
     def set_revision(self, revision: identifiers.Revision) -> None:
         """Set the revision of the adopted service configuration and spread it."""
         self._transmitter.revision = revision
-        self._revision_rounds = broadcasts.transmit_limit(self._table.present_count)
+        self._start_extra_rounds()
+
+    def set_zone_states(self, states: zone_states.ZoneStates) -> None:
+        """Set the states of availability zones and spread them."""
+        self._zone_states = states
+        self._transmitter.zone_states = zone_states.select_for_datagram(states)
+        self._start_extra_rounds()
+
+    def _start_extra_rounds(self) -> None:
+        """Gossip for some rounds although there are no updates about members."""
+        self._extra_rounds = broadcasts.transmit_limit(self._table.present_count)
 
     def merge(
         self,
@@ -209,6 +221,7 @@
         decided += self._claim_address(now)
         record = self._table.get(packet.sender)
         sender_member = record.member if record is not None else None
+        decided += self._check_zone_states(sender, packet.zone_states)
         decided += self._check_revision(packet.revision, sender_member)
         return decided + self._handle_body(sender, packet, now)
 
@@ -254,6 +267,7 @@
             knew_sender=knew_sender,
             records=lacking,
             revision=self._transmitter.revision,
+            zone_states=self._zone_states,
         )
         decided = self.merge((request.sender,), now, is_broadcast=True)
         return reply, decided + self.merge(request.records, now)
@@ -269,6 +283,7 @@
             now: Current time in seconds.
         """
         decided = self._apply_records(reply.records, now)
+        decided += self._check_zone_states(source, reply.zone_states)
         decided += self._check_revision(reply.revision, self._member_at(source))
         self._exchange.handle_reply(source, reply, self._present_members(), now)
         decided += self._claim_address(now)
@@ -310,12 +325,12 @@
     # Dissemination.
 
     def _gossip(self) -> list[member_actions.Action]:
-        if not self._transmitter.broadcasts and not self._revision_rounds:
+        if not self._transmitter.broadcasts and not self._extra_rounds:
             return []
         if not self._transmitter.has_budget:
             return []
-        if self._revision_rounds:
-            self._revision_rounds -= 1
+        if self._extra_rounds:
+            self._extra_rounds -= 1
         return self._send_gossip(self._random_present(GOSSIP_FANOUT))
 
     def _send_gossip(
@@ -338,6 +353,14 @@
             decided.append(member_actions.FetchConfiguration(member, revision))
         return decided
 
+    def _check_zone_states(
+        self, source: addresses.Address, states: zone_states.ZoneStates
+    ) -> list[member_actions.Action]:
+        """Hand on the states of zones that another member has, where they differ."""
+        if not states or states in (self._zone_states, self._transmitter.zone_states):
+            return []
+        return [member_actions.ZoneStatesReceived(source, states)]
+
     # Changes of records.
 
     def _apply_records(
--- a/packages/cactushall-core/cactushall_core/membership/transmitter.py
+++ b/packages/cactushall-core/cactushall_core/membership/transmitter.py
@@ -10,6 +10,7 @@
     records,
     table,
     timing,
+    zone_states,
 )
 
 MAX_DATAGRAM_BYTES = 1200
@@ -24,6 +25,7 @@
         member_id: Id of this member.
         revision: Revision of the service configuration that it has adopted.
         broadcasts: Updates to spread.
+        zone_states: States of availability zones, as far as a datagram has room.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         self.member_id = member_id
         self.revision = identifiers.Revision(0)
         self.broadcasts = broadcasts.BroadcastQueue()
+        self.zone_states: zone_states.ZoneStates = ()
         self._members = members
         self._authenticator = messages.make_authenticator(key_ring)
         self._byte_budget = token_bucket.TokenBucket(
@@ -95,11 +98,14 @@
         """
         budget = min(MAX_DATAGRAM_BYTES, int(self._byte_budget.tokens))
         room_bytes = budget - PACKET_OVERHEAD_BYTES
+        room_bytes -= zone_states.encoded_size(self.zone_states)
         updates = extra
         if not extra and room_bytes > 0 and not isinstance(body, messages.Digest):
             limit = broadcasts.transmit_limit(self._members.present_count)
             updates = self.broadcasts.take(room_bytes, limit)
-        packet = messages.Packet(self.member_id, self.revision, body, updates)
+        packet = messages.Packet(
+            self.member_id, self.revision, body, updates, self.zone_states
+        )
         datagram = messages.encode(self._authenticator, packet)
         self._byte_budget.spend(len(datagram))
         self._sent_bytes += len(datagram)
--- a/packages/cactushall-core/cactushall_core/store.py
+++ b/packages/cactushall-core/cactushall_core/store.py
@@ -32,16 +32,48 @@
     mod_revision: int
 
 
+class UnreadableEntry(msgspec.Struct, frozen=True):
+    """A key whose value cannot be decoded.
+
+    Attributes:
+        key: The key.
+        mod_revision: Store revision of the last change of this key.
+    """
+
+    key: bytes
+    mod_revision: int
+
+
+class Removal(msgspec.Struct, frozen=True):
+    """A key that was removed.
+
+    Attributes:
+        key: The key.
+        mod_revision: Store revision of the removal.
+    """
+
+    key: bytes
+    mod_revision: int
+
+
+Change = Entry | UnreadableEntry | Removal
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """Entries and the store revision after which a watch misses no change.
 
     Attributes:
         entries: The entries; some may be newer than the revision.
         revision: The store revision when the read began.
+        era: How often the store had been restored from a copy; 0 where it does not
+            tell.
+        unreadable: Keys whose values cannot be decoded.
     """
 
     entries: tuple[Entry, ...]
     revision: int
+    era: int = 0
+    unreadable: tuple[UnreadableEntry, ...] = ()
 
 
 class Store(typing.Protocol):
@@ -87,6 +119,13 @@
         """
 
     def watch(
-        self, key: bytes, start_revision: int
-    ) -> collections.abc.AsyncIterator[Entry]:
-        """Yield each new entry of one key, starting at a store revision."""
+        self, prefix: bytes, start_revision: int, era: int | None = None
+    ) -> collections.abc.AsyncGenerator[Change, None]:
+        """Yield each change of the keys that start with a prefix.
+
+        Args:
+            prefix: The prefix.
+            start_revision: First store revision whose changes are included.
+            era: The era of that revision, None for the one last seen; the watch ends
+                where the store has been restored from a copy since.
+        """
--- a/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
+++ b/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import random
 import typing
 
@@ -17,6 +18,32 @@
 ConfigurationT = typing.TypeVar("ConfigurationT", bound=adoption.Versioned)
 
 
+class StoreObserver(typing.Protocol):
+    """Applies the keys beside the configuration that the same watch returns."""
+
+    @property
+    def next_read_at(self) -> float | None:
+        """When the store has to be read again, None for never."""
+
+    def handle_snapshot(self, snapshot: store.Snapshot) -> None:
+        """Apply a read of all keys."""
+
+    def handle_change(self, change: store.Change) -> None:
+        """Apply a change of a key."""
+
+
+class NoObserver:
+    """Observes nothing: the configuration is the only key."""
+
+    next_read_at = None
+
+    def handle_snapshot(self, snapshot: store.Snapshot) -> None:
+        """Do nothing."""
+
+    def handle_change(self, change: store.Change) -> None:
+        """Do nothing."""
+
+
 class ConfigurationFollower(typing.Generic[ConfigurationT]):
     """Keeps the configuration up to date, from the store or from other members."""
 
@@ -44,6 +71,9 @@
             process_counters: The process's counters.
         """
         self._store = client
+        self._prefix = key
+        self._observer: StoreObserver = NoObserver()
+        self._watch_timeout: asyncio.Timeout | None = None
         self._key = key
         self._adopter = adopter
         self._on_adopted = on_adopted
@@ -76,6 +106,21 @@
                 self.record_store_result(error)
             await asyncio.sleep(self._retry_seconds())
 
+    def observe(self, prefix: bytes, observer: StoreObserver) -> None:
+        """Watch more keys together with the configuration.
+
+        Args:
+            prefix: Prefix of all keys, that of the configuration included.
+            observer: Applies the other keys.
+        """
+        self._prefix = prefix
+        self._observer = observer
+
+    def schedule_read(self) -> None:
+        """End the watch when the observer needs the next read of the store."""
+        if self._watch_timeout is not None:
+            self._watch_timeout.reschedule(self._observer.next_read_at)
+
     def fetch_if_newer(
         self, member: records.Member, revision: identifiers.Revision
     ) -> None:
@@ -143,12 +188,33 @@
             log.warning(events.Event.STORE_UNAVAILABLE, why=str(error))
 
     async def _watch_store(self) -> None:
-        snapshot = await self._store.get_prefix(self._key)
+        snapshot = await self._store.get_prefix(self._prefix)
         self._failures = 0
         self.record_store_result(None)
+        # The observer comes first: its keys decide where these routes may lead.
+        self._observer.handle_snapshot(snapshot)
         for entry in snapshot.entries:
-            if entry.key == self._key:
-                self.offer(entry.value, "store")
-        changes = self._store.watch(self._key, snapshot.revision + 1)
-        async for entry in changes:
-            self.offer(entry.value, "store")
+            self._offer_change(entry)
+        try:
+            async with asyncio.timeout_at(self._observer.next_read_at) as watch_timeout:
+                self._watch_timeout = watch_timeout
+                await self._follow_changes(snapshot)
+        except TimeoutError:
+            # The observer needs another read.
+            return
+        finally:
+            self._watch_timeout = None
+
+    async def _follow_changes(self, snapshot: store.Snapshot) -> None:
+        first = snapshot.revision + 1
+        async with contextlib.aclosing(
+            self._store.watch(self._prefix, first, snapshot.era)
+        ) as changes:
+            async for change in changes:
+                self._observer.handle_change(change)
+                self._offer_change(change)
+                self.schedule_read()
+
+    def _offer_change(self, change: store.Change) -> None:
+        if isinstance(change, store.Entry) and change.key == self._key:
+            self.offer(change.value, "store")
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -17,6 +17,7 @@
     records,
     state,
     timing,
+    zone_states,
 )
 from cactushall_daemon import counters, events, logs, sockets, tasks
 
@@ -29,6 +30,9 @@
 NewestRevisionCallback = collections.abc.Callable[[identifiers.Revision], None]
 PauseCallback = collections.abc.Callable[[float], None]
 CompletenessCallback = collections.abc.Callable[[completeness.Evidence | None], None]
+ZoneStatesCallback = collections.abc.Callable[
+    [zone_states.ZoneStates, addresses.Address], None
+]
 Exchange = collections.abc.Callable[
     [addresses.Address, bytes], collections.abc.Awaitable[bytes]
 ]
@@ -50,6 +54,12 @@
     """Do nothing: the process does not depend on the newest configuration."""
 
 
+def ignore_zone_states(
+    _states: zone_states.ZoneStates, _source: addresses.Address
+) -> None:
+    """Do nothing: the process does not depend on states of availability zones."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Callbacks:
     """What a process does with changes of its membership table.
@@ -62,6 +72,8 @@
         on_newest_revision_changed: Called when a member has told of a configuration
             that is newer than all told of before.
         on_paused: Called with the current time when the process was paused until then.
+        on_zone_states: Called with states of availability zones that another member has
+            sent, and its address.
     """
 
     on_member_changed: MemberCallback
@@ -69,6 +81,7 @@
     on_completeness_changed: CompletenessCallback = ignore_completeness
     on_newest_revision_changed: NewestRevisionCallback = ignore_newest_revision
     on_paused: PauseCallback = ignore_pause
+    on_zone_states: ZoneStatesCallback = ignore_zone_states
 
 
 class GossipEndpoint:
@@ -237,6 +250,8 @@
                 self._handle_completeness(action.evidence)
             elif isinstance(action, member_actions.NewestRevisionChanged):
                 self._callbacks.on_newest_revision_changed(action.revision)
+            elif isinstance(action, member_actions.ZoneStatesReceived):
+                self._callbacks.on_zone_states(action.states, action.source)
             elif isinstance(action, member_actions.RequestTable):
                 self._tasks.spawn(self._request_table(action))
             else:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -21,7 +21,7 @@
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, gossip, logs, sockets
 from cactushall_daemon.config import packet_schema
-from cactushall_daemon.packets import executor, node
+from cactushall_daemon.packets import evacuation_follower, executor, node
 from cactushall_platform import calls
 from cactushall_platform import packets as layout
 from cactushall_rpc import http as http_calls
@@ -60,6 +60,8 @@
             on_routes=self._on_routes,
             on_message=self._on_message,
             gauges=self._read_gauges,
+            on_evacuated=self._on_evacuated,
+            count_flows=self._count_flows,
         )
 
     async def start(self) -> None:
@@ -102,8 +104,18 @@
             "requests_waiting": load.requests,
             "slots": load.slots,
             "service_seconds": load.service_seconds,
+            "flows_in_evacuated_zone": load.flows if self._is_evacuated() else 0,
         }
 
+    def _count_flows(self, zone: identifiers.ZoneName) -> int | None:
+        return self._flows.flow_count if zone == self._settings.zone else None
+
+    def _is_evacuated(self) -> bool:
+        return self._settings.zone in self._node.evacuated
+
+    def _on_evacuated(self, _zones: evacuation_follower.Zones) -> None:
+        self._flows.update_evacuated(self._is_evacuated())
+
     def _tick(self) -> None:
         now = self._loop.time()
         self._execute(self._flows.tick(now))
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -12,7 +12,7 @@
 from cactushall_core.membership import completeness, records
 from cactushall_daemon import counters, gossip, sockets
 from cactushall_daemon.config import packet_schema
-from cactushall_daemon.packets import executor, node
+from cactushall_daemon.packets import evacuation_follower, executor, node
 from cactushall_platform import calls
 from cactushall_platform import packets as layout
 from cactushall_rpc import http as http_calls
@@ -52,6 +52,8 @@
             on_routes=self._on_routes,
             on_message=self._on_message,
             gauges=self._read_gauges,
+            on_evacuated=self._on_evacuated,
+            count_flows=self._flows.reported_flows,
         )
         self._received_counter = self._node.counters.cell(counters.Counter.RECEIVED)
 
@@ -126,6 +128,9 @@
         self._has_been_complete |= evidence is not None
         self._execute(self._flows.update_completeness(evidence, self._loop.time()))
 
+    def _on_evacuated(self, zones: evacuation_follower.Zones) -> None:
+        self._execute(self._flows.update_evacuated(zones, self._loop.time()))
+
     def _on_routes(self, route_table: routes.RouteTable) -> None:
         self._execute(self._flows.update_routes(route_table, self._loop.time()))
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -15,7 +15,7 @@
 
 from cactushall_core import addresses, adoption, exceptions, identifiers
 from cactushall_core.flows import messages, routes
-from cactushall_core.membership import records, timing
+from cactushall_core.membership import completeness, records, timing, zone_states
 from cactushall_daemon import (
     configuration_follower,
     contacts,
@@ -31,7 +31,8 @@
     unreadable_entries,
 )
 from cactushall_daemon.config import packet_schema
-from cactushall_platform import configuration, store
+from cactushall_daemon.packets import evacuation_follower, evacuation_status
+from cactushall_platform import configuration, operator_keys, store
 from cactushall_rpc import http as http_calls
 
 log = logs.get_logger(__name__)
@@ -48,6 +49,7 @@
 TABLE_TIMEOUT_SECONDS = 0.5
 CONFIGURATION_PATH = "/configuration"
 MEMBERS_PATH = "/members"
+EVACUATIONS_PATH = "/evacuations"
 
 MessageCallback = collections.abc.Callable[[addresses.Address, messages.Message], None]
 RoutesCallback = collections.abc.Callable[[routes.RouteTable], None]
@@ -83,6 +85,10 @@
         on_routes: RoutesCallback,
         on_message: MessageCallback,
         gauges: metrics.Gauges,
+        on_evacuated: evacuation_follower.ZonesCallback = (
+            evacuation_follower.ignore_zones
+        ),
+        count_flows: evacuation_status.FlowCount = evacuation_status.count_no_flows,
     ) -> None:
         """Create the node without binding an address or sending anything.
 
@@ -94,7 +100,10 @@
             on_routes: Called when a newer route table is adopted.
             on_message: Called for each message about flows.
             gauges: Returns the gauges that only this role has, by name.
+            on_evacuated: Called with the evacuated zones when they have changed.
+            count_flows: Returns how many flows are open in a zone, None if unknown.
         """
+        self._count_flows = count_flows
         self._on_routes = on_routes
         self._on_message = on_message
         self._counters = counters.Counters()
@@ -111,6 +120,13 @@
         self._tasks = tasks.Tasks()
         self._socket: socket.socket | None = None
         self._http_servers: list[asyncio.Server] = []
+        self._evacuations = evacuation_follower.EvacuationFollower(
+            asyncio.get_running_loop().time,
+            lambda states: self._gossip.membership.set_zone_states(states),
+            on_evacuated,
+            self._known_zones,
+            self._report_unreadable,
+        )
         self._follower = configuration_follower.ConfigurationFollower(
             self._store,
             configuration.KEY,
@@ -121,12 +137,17 @@
             self._tasks,
             self._counters,
         )
+        self._follower.observe(operator_keys.PREFIX, self._evacuations)
+        self._on_completeness_changed = callbacks.on_completeness_changed
         self._gossip = gossip.GossipEndpoint(
             member,
             tuple(settings.keys),
             self._counters,
             dataclasses.replace(
-                callbacks, on_revision_seen=self._follower.fetch_if_newer
+                callbacks,
+                on_revision_seen=self._follower.fetch_if_newer,
+                on_completeness_changed=self._handle_completeness,
+                on_zone_states=self._handle_zone_states,
             ),
             _request_table,
             self._tasks,
@@ -253,8 +274,35 @@
         return self._role_gauges() | {
             "configuration_revision": self.route_table.revision,
             "members_present": self._gossip.membership.table.present_count,
+            "evacuated_zones": len(self._evacuations.evacuated),
         }
 
+    # Evacuations.
+
+    @property
+    def evacuated(self) -> evacuation_follower.Zones:
+        """The evacuated availability zones."""
+        return self._evacuations.evacuated
+
+    def _handle_zone_states(
+        self, states: zone_states.ZoneStates, source: addresses.Address
+    ) -> None:
+        self._evacuations.merge(states, str(source))
+        self._follower.schedule_read()
+
+    def _handle_completeness(self, evidence: completeness.Evidence | None) -> None:
+        self._on_completeness_changed(evidence)
+        self._evacuations.check_zones()
+
+    def _known_zones(self) -> evacuation_follower.Zones | None:
+        """Return the zones of all members, None where some may not be known."""
+        if not self._gossip.membership.is_complete:
+            return None
+        return frozenset(r.member.zone for r in self._gossip.membership.table)
+
+    def _render_evacuations(self) -> bytes:
+        return evacuation_status.render(self._evacuations.states, self._count_flows)
+
     # Configuration.
 
     def fetch_configuration_from(self, peer: addresses.Address) -> None:
@@ -271,6 +319,8 @@
     def _handle_peer_call(self, request: http_calls.Request) -> http_calls.Response:
         if request.path == CONFIGURATION_PATH:
             return http_calls.Response(body=self._follower.value)
+        if request.path == EVACUATIONS_PATH:
+            return http_calls.Response(body=self._render_evacuations())
         if request.path == MEMBERS_PATH:
             return self._handle_table_request(request)
         return http_calls.Response(http.HTTPStatus.NOT_FOUND)
--- a/packages/cactushall-rpc/cactushall_rpc/store.py
+++ b/packages/cactushall-rpc/cactushall_rpc/store.py
@@ -142,25 +142,28 @@
                 raise store.LeaseExpiredError(f"lease {lease} has expired")
 
     async def watch(
-        self, key: bytes, start_revision: int
-    ) -> collections.abc.AsyncIterator[store.Entry]:
-        """Yield each new entry of one key.
+        self, prefix: bytes, start_revision: int, era: int | None = None
+    ) -> collections.abc.AsyncGenerator[store.Change, None]:
+        """Yield each change of the keys that start with a prefix.
 
         Args:
-            key: The key.
+            prefix: The prefix.
             start_revision: First store revision whose changes are included.
+            era: Not used: this store does not tell of its copies.
         """
         async with self._call() as channel:
             stub = etcd_grpc.WatchStub(channel)
             async with stub.Watch.open() as stream:
                 create = etcd_pb2.WatchCreateRequest(
-                    key=key, start_revision=start_revision
+                    key=prefix,
+                    range_end=_prefix_end(prefix),
+                    start_revision=start_revision,
                 )
                 request = etcd_pb2.WatchRequest(create_request=create)
                 await stream.send_message(request)
                 async for response in stream:
-                    for entry in _watched_entries(response):
-                        yield entry
+                    for change in _watched_changes(response):
+                        yield change
             raise exceptions.StoreUnavailableError("watch ended")
 
     async def _get_range(self, request: etcd_pb2.RangeRequest) -> store.Snapshot:
@@ -212,9 +215,9 @@
     return store.Entry(kv.key, kv.value, kv.mod_revision)
 
 
-def _watched_entries(
+def _watched_changes(
     response: etcd_pb2.WatchResponse,
-) -> collections.abc.Iterator[store.Entry]:
+) -> collections.abc.Iterator[store.Change]:
     if response.canceled:
         raise exceptions.StoreUnavailableError(
             f"watch canceled: {response.cancel_reason}"
@@ -222,3 +225,5 @@
     for event in response.events:
         if event.type == etcd_pb2.Event.PUT:
             yield _make_entry(event.kv)
+        else:
+            yield store.Removal(event.kv.key, event.kv.mod_revision)
