--- a/packages/cactushall-core/cactushall_core/flows/evacuations.py
+++ b/packages/cactushall-core/cactushall_core/flows/evacuations.py
@@ -40,6 +40,8 @@
         """Start without any evacuation and without a read of the store."""
         self._states: dict[identifiers.ZoneName, zone_states.ZoneState] = {}
         self._read: StoreRead | None = None
+        # When a member has told of a later era than that of the last read.
+        self._later_era_at: float | None = None
         # When each evacuation of an earlier era was first missing in the store.
         self._absent_since: dict[identifiers.ZoneName, float] = {}
 
@@ -55,10 +57,15 @@
 
     @property
     def next_read_at(self) -> float | None:
-        """When the store has to be read again to end evacuations, None for never."""
-        if not self._absent_since:
-            return None
-        return min(self._absent_since.values()) + RESTORE_WAIT_SECONDS
+        """When the store has to be read again, None for never.
+
+        That is at once where a member has told of a later era, since the store may hold
+        a watch of the earlier one; and at the end of a waiting time.
+        """
+        due = [since + RESTORE_WAIT_SECONDS for since in self._absent_since.values()]
+        if self._later_era_at is not None:
+            due.append(self._later_era_at)
+        return min(due, default=None)
 
     def merge(
         self, received: typing.Iterable[zone_states.ZoneState], now: float
@@ -69,6 +76,9 @@
             The states that have changed.
         """
         changed = self._apply_all(received)
+        read = self._read
+        if read is not None and any(state.era > read.era for state in changed):
+            self._later_era_at = now
         return changed + self._withdraw_removed(now, is_fresh_read=False)
 
     def handle_read(self, read: StoreRead, now: float) -> zone_states.ZoneStates:
@@ -81,6 +91,7 @@
             zone_states.ZoneState(zone, read.era, revision, True)
             for zone, revision in read.written.items()
         )
+        self._later_era_at = None
         if self._read is not None and _is_older(read, self._read):
             return changed
         if self._read is not None and read.era > self._read.era:
--- a/tests/core/flows/test_evacuations.py
+++ b/tests/core/flows/test_evacuations.py
@@ -175,6 +175,14 @@
     assert made.evacuated == frozenset()
 
 
+def test_a_state_of_a_later_era_calls_for_a_read(evacuated):
+    """The store may hold the watch of this process until its revisions catch up."""
+    evacuated.merge((state(2, 6),), 2.0)
+    assert evacuated.next_read_at == 2.0
+    evacuated.handle_read(read(2, 7, a=6), 2.1)
+    assert evacuated.next_read_at is None
+
+
 def test_the_end_of_an_evacuation_by_another_member_ends_the_waiting(evacuated):
     evacuated.handle_read(read(2, 5), 1.0)
     evacuated.merge((state(2, 6, False),), 2.0)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -110,6 +110,25 @@
         await next_entry(client.watch(b"op/", snapshot.revision + 1, snapshot.era))
 
 
+async def test_a_watch_that_the_restored_store_holds_ends_with_the_next_call(
+    server, client
+):
+    """Its revisions are below that of the watch, which would miss new changes."""
+    copied = server.make_copy()
+    server.put("op/config", b"old")
+    snapshot = await client.get_prefix(b"op/")
+    changes = client.watch(b"op/", snapshot.revision + 1, snapshot.era)
+    waiting = asyncio.create_task(next_entry(changes))
+    await asyncio.sleep(0.05)
+    server.come_back_from(copied)
+    server.put("op/evacuate/a", b"{}")
+    await asyncio.sleep(0.05)
+    assert not waiting.done()
+    await client.get_prefix(b"other/")
+    with pytest.raises(exceptions.StoreUnavailableError, match="copy"):
+        await waiting
+
+
 async def test_a_read_whose_pages_are_of_two_eras_fails(server, client, monkeypatch):
     for number in range(3):
         server.put(f"x/{number}", b"")
