--- a/tests/standins/packet_site.py
+++ b/tests/standins/packet_site.py
@@ -71,13 +71,16 @@
         caller: The caller of all flows.
     """
 
-    def __init__(self, folder, entries=2, servers=("board", "board", "plans")):
+    def __init__(
+        self, folder, entries=2, servers=("board", "board", "plans"), zones="aaa"
+    ):
         """Prepare a site; nothing is started yet.
 
         Args:
             folder: Where settings and logs are written.
             entries: Number of entries.
             servers: Service of each backend server.
+            zones: Availability zone of each backend server; entries are in zone a.
         """
         self.store = platform_store.PlatformStore()
         self.entries = [f"127.0.3.{number + 1}" for number in range(entries)]
@@ -87,6 +90,7 @@
         )
         self._folder = folder
         self._services = servers
+        self._zones = zones
         self._processes = {}
         self._settings = {}
 
@@ -98,7 +102,7 @@
             self.start_entry(host)
         for number, service in enumerate(self._services):
             host = f"127.0.4.{number + 1}"
-            self.start_agent(host, service)
+            self.start_agent(host, service, self._zones[number])
             server = packet_peers.PacketServer(
                 f"server-{number}",
                 (host, SERVER_PORT),
@@ -133,12 +137,13 @@
         """Start the entry of a host."""
         self._start("entry", host, {"grace_seconds": 6})
 
-    def start_agent(self, host, service):
+    def start_agent(self, host, service, zone="a"):
         """Start the agent of a host."""
         self._start(
             "agent",
             host,
             {
+                "zone": zone,
                 "service": service,
                 "server": f"{host}:{SERVER_PORT}",
                 "from_server": f"{host}:{FROM_SERVER_PORT}",
