--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -74,9 +74,10 @@
         rng: Breaks ties.
         now: Current time in seconds.
     """
-    candidates = _with_capacity(agents, objective_seconds, now)
-    if not candidates:
+    available = _with_capacity(agents, objective_seconds, now)
+    if not available:
         return None
+    candidates = [c for c in available if c.agent.held_back_until <= now] or available
     median = median_service_seconds([agent for agent, _ in candidates])
     waits = [
         expected_wait(agent, zone, median, expected_change)
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -32,6 +32,8 @@
         unacknowledged: Flows sent to it that it has neither accepted nor declined,
             with the times when they were sent.
         full_until: End of the backoff after it declined a flow for lack of capacity.
+        held_back_until: Until when the next flow goes to it only if no other agent
+            has capacity.
         packet_address: Address at which it receives callers' packets.
         peer_address: Address at which it receives messages.
     """
@@ -44,6 +46,7 @@
     load_at: float = float("-inf")
     unacknowledged: dict[packets.FlowId, float] = msgspec.field(default_factory=dict)
     full_until: float = float("-inf")
+    held_back_until: float = float("-inf")
     packet_address: addresses.Address = NO_ADDRESS
     peer_address: addresses.Address = NO_ADDRESS
 
