A queue for each service by priority and route, a reserve for the highest priority, a retry budget

An entry placed all queued flows of all services anew for each load message, in order of arrival whatever their route, and offered silent agents' flows elsewhere without a limit. The queue is now indexed by service; a message starts a pass only for its agent's services and where it can help. Retries after silence are a fifth of the openings. A lower limit for low priority was ruled out: it takes capacity where capacity suffices.

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -34,6 +34,25 @@
     STALE = "stale"
 
 
+class RefusalCause(enum.Enum):
+    """Why a new flow is refused.
+
+    NO_ROUTE: No route leads from the service address.
+    NO_SERVER: No backend server accepts it.
+    QUEUE_FULL: The queue of its service is full, and it may not displace another flow.
+    DISPLACED: A flow with a better claim has taken its place in the queue.
+    TIMEOUT: No backend server has had capacity for it in time.
+    FORESEEN: No backend server is expected to have capacity for it in time.
+    """
+
+    NO_ROUTE = "no-route"
+    NO_SERVER = "no-server"
+    QUEUE_FULL = "queue-full"
+    DISPLACED = "displaced"
+    TIMEOUT = "timeout"
+    FORESEEN = "foreseen"
+
+
 class Latency(enum.Enum):
     """Latencies that are measured.
 
@@ -73,6 +92,7 @@
         requests: Estimated number of requests in the agent's backend server.
         load_age_seconds: Age of the load report behind that estimate; infinite where
             the agent has not sent any.
+        is_retry: Whether the agent that it was last sent to has not answered.
     """
 
     flow: packets.FlowId
@@ -81,6 +101,7 @@
     waited_seconds: float
     requests: float
     load_age_seconds: float
+    is_retry: bool = False
 
 
 class RefusalEvidence(msgspec.Struct, frozen=True):
@@ -91,11 +112,17 @@
             it for another reason than being full.
         tries: Number of agents that it was sent to.
         waited_seconds: Time since its first packet arrived.
+        cause: Why it is refused.
+        priority: Priority of its route, None where no route is known.
+        queued: Number of queued flows of its service.
     """
 
     agents: int
     tries: int
     waited_seconds: float
+    cause: RefusalCause
+    priority: int | None = None
+    queued: int = 0
 
 
 class NoOwnerEvidence(msgspec.Struct, frozen=True):
@@ -252,7 +279,25 @@
     seconds: float
 
 
-Record = RecordLookupStarted | RecordOwnerFound | RecordAnswer | RecordLatency
+class RecordRetryWithheld(typing.NamedTuple):
+    """Record that an opening packet is not sent to another agent for now.
+
+    Attributes:
+        flow: The flow.
+        agent: Packet address of the agent that has not answered it.
+    """
+
+    flow: packets.FlowId
+    agent: addresses.Address
+
+
+Record = (
+    RecordLookupStarted
+    | RecordOwnerFound
+    | RecordAnswer
+    | RecordLatency
+    | RecordRetryWithheld
+)
 
 Action = (
     Forward
--- a/packages/cactushall-core/cactushall_core/flows/admission.py
+++ b/packages/cactushall-core/cactushall_core/flows/admission.py
@@ -16,7 +16,10 @@
 
 
 def has_capacity(
-    load: messages.Load, expected_change: float, objective_seconds: float
+    load: messages.Load,
+    expected_change: float,
+    objective_seconds: float,
+    reserved_requests: float = 0.0,
 ) -> bool:
     """Return whether one more request is likely to be answered in time.
 
@@ -25,9 +28,12 @@
         expected_change: Requests that are about to reach it, less those that it has
             answered since that report.
         objective_seconds: Time in which a request should be answered, 0 for no limit.
+        reserved_requests: Requests per slot beyond the regular limit that are reserved
+            for requests like this one.
     """
-    requests = max(0.0, load.requests + expected_change)
     slots = max(1, load.slots)
+    regular = load.requests + expected_change - reserved_requests * slots
+    requests = max(0.0, regular)
     if requests >= MAX_REQUESTS_PER_SLOT * slots:
         return False
     if requests < MIN_REQUESTS_PER_SLOT * slots or objective_seconds <= 0:
@@ -36,6 +42,30 @@
     return seconds <= OBJECTIVE_SHARE * objective_seconds
 
 
+def seconds_until_capacity(
+    load: messages.Load,
+    expected_change: float,
+    objective_seconds: float,
+    reserved_requests: float = 0.0,
+) -> float:
+    """Estimate when a backend server has capacity if it gets nothing else.
+
+    Args:
+        load: The load that the backend server last reported.
+        expected_change: Requests that are about to reach it, less those that it has
+            answered since that report.
+        objective_seconds: Time in which a request should be answered, 0 for no limit.
+        reserved_requests: Requests per slot beyond the regular limit that are reserved
+            for requests like this one.
+    """
+    limit = MAX_REQUESTS_PER_SLOT
+    if objective_seconds > 0 and load.service_seconds > 0:
+        in_time = OBJECTIVE_SHARE * objective_seconds / load.service_seconds - 1
+        limit = min(limit, max(MIN_REQUESTS_PER_SLOT, in_time))
+    waiting = (load.requests + expected_change) / max(1, load.slots)
+    return max(0.0, waiting - limit - reserved_requests) * load.service_seconds
+
+
 def estimate_answered(load: messages.Load, age_seconds: float) -> float:
     """Estimate how many requests a backend server has answered since a load report.
 
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -13,6 +13,7 @@
     known_entries,
     messages,
     packets,
+    priorities,
     registrations,
     requests,
     routes,
@@ -111,6 +112,7 @@
         self._awaiting_request: dict[packets.FlowId, float] = {}
         self._queue: dict[packets.FlowId, QueuedOpening] = {}
         self._meter = requests.RequestMeter()
+        self._priorities = priorities.Priorities()
         self._entries = known_entries.KnownEntries()
         self._registrations = registrations.Registrations(self._entries)
         # Whether the agent has seen all flows since the backend server started, so that
@@ -152,6 +154,7 @@
     ) -> list[actions.Action]:
         """Replace the routes by a newer revision and handle queued opening packets."""
         self._routes = table
+        self._priorities.update_routes(table)
         self._expire_queue(now)
         pending, self._queue = self._queue, {}
         decided: list[actions.Action] = []
@@ -304,6 +307,7 @@
             )
             self._remember(packet.flow, flow)
             self._meter.record_start(flow.progress, now)
+            self._record_admitted(packet.flow)
             self._awaiting_request[packet.flow] = now
         flow.entry = entry
         flow.last_packet_at = now
@@ -323,12 +327,20 @@
         if self._server.state is not servers.State.READY:
             return messages.Refusal.NOT_READY
         is_retransmission = packet.flow in self._flows
+        reserved = self._priorities.reserved_requests(
+            self._server.service, route.priority
+        )
         if is_retransmission or admission.has_capacity(
-            self.load, 0, route.objective_seconds
+            self.load, 0, route.objective_seconds, reserved
         ):
             return None
         return messages.Refusal.FULL
 
+    def _record_admitted(self, flow_id: packets.FlowId) -> None:
+        route = self._routes.find(flow_id)
+        if route is not None:
+            self._priorities.record_admitted(self._server.service, route.priority)
+
     def _confirm_owned(
         self, flow_id: packets.FlowId, flow: Flow, entry: addresses.Address
     ) -> actions.SendMessage:
--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -47,18 +47,26 @@
     return known[len(known) // 2] if known else 0.0
 
 
-def has_capacity(agent: directory.Agent, objective_seconds: float, now: float) -> bool:
+def has_capacity(
+    agent: directory.Agent,
+    objective_seconds: float,
+    now: float,
+    reserved_requests: float = 0.0,
+) -> bool:
     """Return whether a new request at an agent is likely to be answered in time.
 
     Args:
         agent: The agent.
         objective_seconds: Time in which a request should be answered, 0 for no limit.
         now: Current time in seconds.
+        reserved_requests: Requests per slot that it may use beyond the regular limit.
     """
     if agent.full_until > now:
         return False
     expected_change = agent.expected_change(now)
-    return admission.has_capacity(agent.load, expected_change, objective_seconds)
+    return admission.has_capacity(
+        agent.load, expected_change, objective_seconds, reserved_requests
+    )
 
 
 def select_agent(
@@ -67,6 +75,7 @@
     objective_seconds: float,
     rng: random.Random,
     now: float,
+    reserved_requests: float = 0.0,
 ) -> directory.Agent | None:
     """Return the agent that should get a new flow, None where none has capacity.
 
@@ -76,9 +85,12 @@
         objective_seconds: Time in which a request should be answered, 0 for no limit.
         rng: Breaks ties.
         now: Current time in seconds.
+        reserved_requests: Requests per slot that it may use beyond the regular limit.
     """
     available = [
-        agent for agent in agents if has_capacity(agent, objective_seconds, now)
+        agent
+        for agent in agents
+        if has_capacity(agent, objective_seconds, now, reserved_requests)
     ]
     if not available:
         return None
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -86,6 +86,11 @@
         """How many flows' owners are being looked up."""
         return len(self._lookups)
 
+    @property
+    def queue_lengths(self) -> pending_flows.QueueLengths:
+        """How many new flows are queued."""
+        return self._pending.queue_lengths
+
     @property
     def agent_counts(self) -> directory.AgentCounts:
         """How many agents are known."""
@@ -179,7 +184,7 @@
         decided: list[actions.Action] = []
         if isinstance(message, messages.Accepted):
             decided += self._handle_accepted(agent, message, now)
-        return decided + self._pending.place_queued(now)
+        return decided + self._pending.place_queued_at(agent, now)
 
     def tick(self, now: float) -> list[actions.Action]:
         """Make the decisions that had to be deferred when the packets arrived."""
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -2,24 +2,39 @@
 
 from __future__ import annotations
 
+import functools
 import random
+import typing
 
 import msgspec
 
 from cactushall_core import addresses, identifiers
 from cactushall_core.flows import (
     actions,
+    admission,
     agent_selection,
     cluster_view,
     directory,
+    flow_queue,
     messages,
     packets,
+    priorities,
+    retry_budget,
+    routes,
 )
 
 RETRY_ELSEWHERE_SECONDS = 0.15
 QUEUE_TIMEOUT_SECONDS = 0.15
-QUEUED_FLOWS_PER_AGENT = 0.5
-MIN_QUEUE_LIMIT = 2
+# A report can help only the flows of its agent's services, but time frees capacity at
+# the other agents as well, by the estimate of what they have answered.
+PASS_INTERVAL_SECONDS = 0.01
+# Callers that give up free a backend server earlier than the estimate says.
+FORESEEN_FACTOR = 2.0
+
+REASONS = {
+    actions.RefusalCause.NO_ROUTE: actions.Reason.NO_ROUTE,
+    actions.RefusalCause.NO_SERVER: actions.Reason.NO_SERVER,
+}
 
 
 class PendingFlow(msgspec.Struct):
@@ -33,6 +48,7 @@
             flow is queued.
         tried: All agents that it was sent to.
         declined: Those of them that declined it for another reason than being full.
+        is_retry: Whether the agent that it was last sent to has not answered.
     """
 
     packet: packets.Packet
@@ -41,10 +57,31 @@
     agent: addresses.Address | None = None
     tried: set[addresses.Address] = msgspec.field(default_factory=set)
     declined: set[addresses.Address] = msgspec.field(default_factory=set)
+    is_retry: bool = False
+
+
+class QueueLengths(typing.NamedTuple):
+    """How many flows are queued.
+
+    Attributes:
+        highest_priority: Flows of the highest priority among the routes of their
+            service, for which no agent has capacity.
+        lower_priority: Flows of the other priorities for which no agent has capacity.
+        awaiting_view: Flows whose route or agents may not be known yet.
+    """
+
+    highest_priority: int
+    lower_priority: int
+    awaiting_view: int
 
 
 class PendingFlows:
-    """All pending flows, and the queue of those for which no agent has capacity."""
+    """All pending flows, and the queue of those for which no agent has capacity.
+
+    A pending flow is in one of three states: it was sent to an agent, it is queued
+    until an agent has capacity, or it awaits the route or the agents that this entry
+    may not know yet.
+    """
 
     def __init__(
         self,
@@ -63,13 +100,28 @@
         self._zone = zone
         self._rng = rng
         self._flows: dict[packets.FlowId, PendingFlow] = {}
-        self._queue: dict[packets.FlowId, PendingFlow] = {}
-        self._without_route: set[packets.FlowId] = set()
+        self._queue = flow_queue.FlowQueue()
+        self._awaiting_view: dict[packets.FlowId, None] = {}
+        self._priorities = priorities.Priorities()
+        self._retry_budget = retry_budget.RetryBudget()
+        self._passes_at: dict[identifiers.ServiceName, float] = {}
 
     def __len__(self) -> int:
         """Return the number of pending flows."""
         return len(self._flows)
 
+    @property
+    def queue_lengths(self) -> QueueLengths:
+        """How many flows are queued."""
+        highest = lower = 0
+        for service in self._queue.services:
+            for route, count in self._queue.of_service(service).lengths:
+                if self._priorities.is_highest(service, route.priority):
+                    highest += count
+                else:
+                    lower += count
+        return QueueLengths(highest, lower, len(self._awaiting_view))
+
     def get(self, flow_id: packets.FlowId) -> PendingFlow | None:
         """Return a pending flow, None where there is none with this id."""
         return self._flows.get(flow_id)
@@ -90,11 +142,13 @@
             flow = PendingFlow(packet, now)
             self.remove(packet.flow)
             self._flows[packet.flow] = flow
-        if packet.flow in self._queue:
+        if packet.flow in self._queue or packet.flow in self._awaiting_view:
             return []
-        if flow.agent is not None and now - flow.sent_at < RETRY_ELSEWHERE_SECONDS:
+        if flow.agent is None:
+            return self._place_new(flow, now)
+        if now - flow.sent_at < RETRY_ELSEWHERE_SECONDS:
             return [actions.Forward(flow.agent, packet.datagram)]
-        return self._place(flow, now)
+        return self._retry(flow, flow.agent, now)
 
     def handle_declined(
         self, agent: directory.Agent, message: messages.Declined, now: float
@@ -113,14 +167,22 @@
         return self._place(flow, now)
 
     def place_queued(self, now: float) -> list[actions.Action]:
-        """Place queued flows, the newest first.
+        """Place queued flows, and refuse those that have waited too long."""
+        decided: list[actions.Action] = []
+        for flow_id in reversed(list(self._awaiting_view)):
+            decided += self._place(self._flows[flow_id], now)
+        for service in self._queue.services:
+            decided += self._place_queued_of(service, now)
+        return decided
 
-        The callers of the oldest have the least time left for an answer.
-        """
+    def place_queued_at(
+        self, agent: directory.Agent, now: float
+    ) -> list[actions.Action]:
+        """Place queued flows that an agent's new load may have made room for."""
         decided: list[actions.Action] = []
-        for flow_id in reversed(list(self._queue)):
-            flow = self._queue[flow_id]
-            decided += self._place(flow, now)
+        for service in self._queue.services:
+            if agent.accepts(service) and self._is_pass_due(service, agent, now):
+                decided += self._place_queued_of(service, now)
         return decided
 
     def expire(self, now: float) -> None:
@@ -133,55 +195,220 @@
                 self.remove(flow_id)
 
     def _remove_from_queue(self, flow_id: packets.FlowId) -> None:
-        self._queue.pop(flow_id, None)
-        self._without_route.discard(flow_id)
+        self._queue.remove(flow_id)
+        self._awaiting_view.pop(flow_id, None)
+
+    # Placement.
+
+    def _place_new(self, flow: PendingFlow, now: float) -> list[actions.Action]:
+        """Place a new flow, after queued flows of other routes that go before it."""
+        decided: list[actions.Action] = []
+        route = self._view.route_table.find(flow.packet.flow)
+        if route is not None:
+            service = route.service_of(flow.packet.flow)
+            if self._queue.of_service(service).is_ahead(route):
+                decided += self._place_queued_of(service, now)
+        return decided + self._place(flow, now)
+
+    def _retry(
+        self, flow: PendingFlow, silent: addresses.Address, now: float
+    ) -> list[actions.Action]:
+        """Place a flow whose agent has not answered, within the retry budget.
+
+        Beyond the budget the agent gets the retransmission, which it tells from a new
+        flow. An agent that is known to accept no flows costs no budget: it bears no
+        load that a retry could multiply.
+        """
+        flow_id = flow.packet.flow
+        route = self._view.route_table.find(flow_id)
+        agent = self._view.agents.by_packet_address(silent)
+        if route is not None and agent is not None:
+            service = route.service_of(flow_id)
+            if agent.accepts(service) and not self._retry_budget.spend(service):
+                return [
+                    actions.Forward(silent, flow.packet.datagram),
+                    actions.RecordRetryWithheld(flow_id, silent),
+                ]
+        flow.is_retry = True
+        return self._place(flow, now)
+
+    def _is_pass_due(
+        self, service: identifiers.ServiceName, agent: directory.Agent, now: float
+    ) -> bool:
+        if now - self._passes_at.get(service, 0.0) >= PASS_INTERVAL_SECONDS:
+            return True
+        return any(
+            agent_selection.has_capacity(
+                agent,
+                route.objective_seconds,
+                now,
+                self._priorities.reserved_requests(service, route.priority),
+            )
+            for route, _ in self._queue.of_service(service).lengths
+        )
+
+    def _place_queued_of(
+        self, service: identifiers.ServiceName, now: float
+    ) -> list[actions.Action]:
+        """Place queued flows of one service.
+
+        Where no agent has capacity for a flow, none has for a later one of the same
+        priority and objective.
+        """
+        self._passes_at[service] = now
+        decided: list[actions.Action] = []
+        without_capacity: set[tuple[int, float]] = set()
+        queue = self._queue.of_service(service)
+        for flow_id in queue.in_order(
+            functools.partial(self._priorities.is_due, service)
+        ):
+            if flow_id not in self._queue:
+                continue
+            flow = self._flows[flow_id]
+            route = self._view.route_table.find(flow_id)
+            if route is None:
+                decided += self._place(flow, now)
+                continue
+            need = (route.priority, route.objective_seconds)
+            is_late = now - flow.opened_at >= QUEUE_TIMEOUT_SECONDS
+            if need in without_capacity and not is_late:
+                continue
+            decided += self._place(flow, now)
+            is_queued = flow_id in self._queue
+            if is_queued and not self._has_room_where_tried(flow, service, need, now):
+                without_capacity.add(need)
+        return decided
+
+    def _has_room_where_tried(
+        self,
+        flow: PendingFlow,
+        service: identifiers.ServiceName,
+        need: tuple[int, float],
+        now: float,
+    ) -> bool:
+        """Return whether an agent that has had a flow has capacity for another."""
+        priority, objective = need
+        reserved = self._priorities.reserved_requests(service, priority)
+        tried = map(self._view.agents.by_packet_address, flow.tried)
+        return any(
+            agent_selection.has_capacity(agent, objective, now, reserved)
+            for agent in tried
+            if agent is not None
+        )
 
     def _place(self, flow: PendingFlow, now: float) -> list[actions.Action]:
         """Forward an opening packet, preferably to an agent that has not had it."""
         flow_id = flow.packet.flow
-        if not self._view.route_table.is_known:
-            return self._queue_or_refuse(flow, 0, now, packets.OPENING_TIMEOUT_SECONDS)
-        route = self._view.route_table.find(flow_id)
+        table = self._view.route_table
+        self._priorities.update_routes(table)
+        if not table.is_known:
+            return self._await_view(flow, now)
+        route = table.find(flow_id)
         if route is None:
-            return self._queue_without_route(flow, now)
-        self._without_route.discard(flow_id)
-        accepting = self._view.agents.accepting(route.service_of(flow_id))
+            return self._await_route(flow, now)
+        service = route.service_of(flow_id)
+        accepting = self._view.agents.accepting(service)
         candidates = [a for a in accepting if a.packet_address not in flow.declined]
+        if not candidates and self._view.is_complete:
+            return self._refuse(flow, 0, now, actions.RefusalCause.NO_SERVER)
         if not candidates:
-            timeout = 0.0 if self._view.is_complete else packets.OPENING_TIMEOUT_SECONDS
-            return self._queue_or_refuse(flow, 0, now, timeout)
+            return self._await_view(flow, now)
         untried = [a for a in candidates if a.packet_address not in flow.tried]
         objective = route.objective_seconds
+        reserved = self._priorities.reserved_requests(service, route.priority)
         agent = agent_selection.select_agent(
-            untried or candidates, self._zone, objective, self._rng, now
+            untried or candidates, self._zone, objective, self._rng, now, reserved
         )
         if agent is None:
-            timeout = self._queue_timeout(len(candidates))
-            return self._queue_or_refuse(flow, len(candidates), now, timeout)
+            return self._queue_for_capacity(flow, route, candidates, now)
+        self._record_placed(flow, route, service)
         return [self._forward(flow, agent, now)]
 
-    def _queue_without_route(
-        self, flow: PendingFlow, now: float
-    ) -> list[actions.Action]:
+    def _record_placed(
+        self,
+        flow: PendingFlow,
+        route: routes.Route,
+        service: identifiers.ServiceName,
+    ) -> None:
+        """Record whose turn it was."""
+        if flow.packet.flow in self._queue:
+            self._queue.of_service(service).record_turn(route.address)
+        if not flow.tried:
+            self._priorities.record_admitted(service, route.priority)
+            self._retry_budget.record_opening(service)
+
+    def _await_view(self, flow: PendingFlow, now: float) -> list[actions.Action]:
+        """Queue a flow while its agents, or all routes, may not be known yet."""
+        if now - flow.opened_at >= packets.OPENING_TIMEOUT_SECONDS:
+            return self._refuse(flow, 0, now, actions.RefusalCause.NO_SERVER)
+        self._move_to_awaiting(flow)
+        return []
+
+    def _await_route(self, flow: PendingFlow, now: float) -> list[actions.Action]:
         """Queue a flow while its route may be in a revision that is not adopted yet."""
-        flow_id = flow.packet.flow
         is_late = now - flow.opened_at >= packets.OPENING_TIMEOUT_SECONDS
-        if is_late or self._view.certainly_lacks_route(flow_id):
-            return self._refuse(flow, 0, now, actions.Reason.NO_ROUTE)
-        flow.agent = None
-        self._queue.setdefault(flow_id, flow)
-        self._without_route.add(flow_id)
+        if is_late or self._view.certainly_lacks_route(flow.packet.flow):
+            return self._refuse(flow, 0, now, actions.RefusalCause.NO_ROUTE)
+        self._move_to_awaiting(flow)
         return []
 
-    def _queue_timeout(self, agent_count: int) -> float:
-        """Return how long a flow may be queued, in seconds.
+    def _move_to_awaiting(self, flow: PendingFlow) -> None:
+        flow.agent = None
+        self._queue.remove(flow.packet.flow)
+        self._awaiting_view[flow.packet.flow] = None
+
+    def _queue_for_capacity(
+        self,
+        flow: PendingFlow,
+        route: routes.Route,
+        candidates: list[directory.Agent],
+        now: float,
+    ) -> list[actions.Action]:
+        """Queue a flow until an agent has capacity, refuse it where that is too late.
 
         Flows beyond those that capacity can be expected for soon are refused at once:
         they would be answered late and make others late.
         """
-        limit = max(MIN_QUEUE_LIMIT, QUEUED_FLOWS_PER_AGENT * agent_count)
-        awaiting_capacity = len(self._queue) - len(self._without_route)
-        return QUEUE_TIMEOUT_SECONDS if awaiting_capacity < limit else 0.0
+        flow.agent = None
+        flow_id = flow.packet.flow
+        count = len(candidates)
+        remaining = QUEUE_TIMEOUT_SECONDS - (now - flow.opened_at)
+        if remaining <= 0:
+            return self._refuse(flow, count, now, actions.RefusalCause.TIMEOUT)
+        service = route.service_of(flow_id)
+        seconds = self._seconds_until_capacity(route, service, candidates, now)
+        if seconds > FORESEEN_FACTOR * remaining:
+            return self._refuse(flow, count, now, actions.RefusalCause.FORESEEN)
+        route_count = self._priorities.route_count(service)
+        verdict = self._queue.add(flow_id, route, service, count, route_count)
+        if not verdict.is_queued:
+            return self._refuse(flow, count, now, actions.RefusalCause.QUEUE_FULL)
+        self._awaiting_view.pop(flow_id, None)
+        if verdict.displaced is None:
+            return []
+        displaced = self._flows[verdict.displaced]
+        return self._refuse(displaced, count, now, actions.RefusalCause.DISPLACED)
+
+    def _seconds_until_capacity(
+        self,
+        route: routes.Route,
+        service: identifiers.ServiceName,
+        candidates: list[directory.Agent],
+        now: float,
+    ) -> float:
+        """Estimate when the first agent has capacity, 0 without an objective."""
+        if route.objective_seconds <= 0:
+            return 0.0
+        reserved = self._priorities.reserved_requests(service, route.priority)
+        return min(
+            admission.seconds_until_capacity(
+                agent.load,
+                agent.expected_change(now),
+                route.objective_seconds,
+                reserved,
+            )
+            for agent in candidates
+        )
 
     def _forward(
         self, flow: PendingFlow, agent: directory.Agent, now: float
@@ -194,31 +421,37 @@
             waited_seconds=now - flow.opened_at,
             requests=agent.load.requests + agent.expected_change(now),
             load_age_seconds=now - agent.load_at,
+            is_retry=flow.is_retry,
         )
         agent.unacknowledged[flow.packet.flow] = now
         flow.agent = agent.packet_address
         flow.sent_at = now
+        flow.is_retry = False
         flow.tried.add(agent.packet_address)
         return actions.Forward(flow.agent, flow.packet.datagram, placement)
 
-    def _queue_or_refuse(
-        self, flow: PendingFlow, agent_count: int, now: float, timeout_seconds: float
-    ) -> list[actions.Action]:
-        """Queue a flow until an agent has capacity, refuse it after its timeout."""
-        flow.agent = None
-        if now - flow.opened_at < timeout_seconds:
-            self._queue.setdefault(flow.packet.flow, flow)
-            return []
-        reason = actions.Reason.NO_CAPACITY
-        if agent_count == 0:
-            reason = actions.Reason.NO_SERVER
-        return self._refuse(flow, agent_count, now, reason)
-
     def _refuse(
-        self, flow: PendingFlow, agent_count: int, now: float, reason: actions.Reason
+        self,
+        flow: PendingFlow,
+        agent_count: int,
+        now: float,
+        cause: actions.RefusalCause,
     ) -> list[actions.Action]:
         flow_id = flow.packet.flow
+        route = self._view.route_table.find(flow_id)
+        evidence = actions.RefusalEvidence(
+            agents=agent_count,
+            tries=len(flow.tried),
+            waited_seconds=now - flow.opened_at,
+            cause=cause,
+            priority=route.priority if route is not None else None,
+            queued=self._queued_count(route, flow_id),
+        )
         self.remove(flow_id)
-        waited = now - flow.opened_at
-        evidence = actions.RefusalEvidence(agent_count, len(flow.tried), waited)
+        reason = REASONS.get(cause, actions.Reason.NO_CAPACITY)
         return [actions.Reset(flow_id, 0, reason, evidence)]
+
+    def _queued_count(self, route: routes.Route | None, flow_id: packets.FlowId) -> int:
+        if route is None:
+            return len(self._awaiting_view)
+        return len(self._queue.of_service(route.service_of(flow_id)))
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/flows/retry_budget.py
@@ -0,0 +1,38 @@
+"""Limits how often an entry offers an opening packet to another agent.
+
+Made for backend servers that stop answering when they are overloaded: each retry adds
+a request to one of the others, which then stop answering as well.
+"""
+
+from __future__ import annotations
+
+from cactushall_core import identifiers
+
+# Retries that each opening pays for. Silence of a fifth of the agents is bridged for as
+# long as it lasts, that of more only until the membership protocol has found them.
+TOKENS_PER_OPENING = 0.2
+MAX_TOKENS = 20.0
+
+
+class RetryBudget:
+    """A token bucket for each service: openings fill it, retries spend from it.
+
+    It is full at the start, since an entry often starts when others have failed.
+    """
+
+    def __init__(self) -> None:
+        """Start with full buckets."""
+        self._tokens: dict[identifiers.ServiceName, float] = {}
+
+    def record_opening(self, service: identifiers.ServiceName) -> None:
+        """Add the share of a retry that a new flow pays for."""
+        tokens = self._tokens.get(service, MAX_TOKENS) + TOKENS_PER_OPENING
+        self._tokens[service] = min(MAX_TOKENS, tokens)
+
+    def spend(self, service: identifiers.ServiceName) -> bool:
+        """Spend a token for a retry; return whether there was one."""
+        tokens = self._tokens.get(service, MAX_TOKENS)
+        if tokens < 1.0:
+            return False
+        self._tokens[service] = tokens - 1.0
+        return True
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -143,10 +143,14 @@
 def read_gauges(flows: entry.EntryFlows, now: float) -> dict[str, float]:
     """Return the gauges that only an entry has, by name."""
     agents = flows.agent_counts
+    queued = flows.queue_lengths
     return {
         "flows": flows.flow_count,
         "agents_present": agents.present,
         "agents_gone": agents.gone,
+        "queued_flows_highest_priority": queued.highest_priority,
+        "queued_flows_lower_priority": queued.lower_priority,
+        "queued_flows_awaiting_view": queued.awaiting_view,
         "lookups": flows.lookup_count,
         "oldest_lookup_seconds": flows.oldest_lookup_seconds(now),
     }
--- a/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import enum
 import functools
 import ipaddress
 import math
@@ -23,6 +24,14 @@
 MAX_CACHED_HOSTS = 4096
 # Nearly all agents answer a lookup on this basis, so that it is only counted.
 UNLOGGED_BASES = (None, actions.DenialBasis.NEVER_TRACKED)
+REFUSAL_COUNTERS = {
+    actions.RefusalCause.NO_ROUTE: counters.Counter.FLOWS_REFUSED_NO_ROUTE,
+    actions.RefusalCause.NO_SERVER: counters.Counter.FLOWS_REFUSED_NO_SERVER,
+    actions.RefusalCause.QUEUE_FULL: counters.Counter.FLOWS_REFUSED_QUEUE_FULL,
+    actions.RefusalCause.DISPLACED: counters.Counter.FLOWS_REFUSED_DISPLACED,
+    actions.RefusalCause.TIMEOUT: counters.Counter.FLOWS_REFUSED_TIMEOUT,
+    actions.RefusalCause.FORESEEN: counters.Counter.FLOWS_REFUSED_FORESEEN,
+}
 
 SendToServer = collections.abc.Callable[[bytes], None]
 
@@ -81,6 +90,8 @@
         self._forwarded_counter.value += 1
         self._node.send_datagram(action.address, action.datagram)
         if action.placement is not None:
+            if action.placement.is_retry:
+                self._counters.add(counters.Counter.FLOW_RETRIES)
             self._log_placement(action, action.placement)
 
     def _log_placement(
@@ -98,6 +109,8 @@
         evidence_fields = (
             _log_fields(action.evidence) if action.evidence is not None else {}
         )
+        if isinstance(action.evidence, actions.RefusalEvidence):
+            self._counters.add(REFUSAL_COUNTERS[action.evidence.cause])
         log.info(
             events.Event.FLOW_RESET,
             flow=str(action.flow),
@@ -137,6 +150,9 @@
             _log_lookup_started(action)
         elif isinstance(action, actions.RecordAnswer):
             self._record_answer(action)
+        elif isinstance(action, actions.RecordRetryWithheld):
+            self._counters.add(counters.Counter.FLOW_RETRIES_WITHHELD)
+            _log_retry_withheld(action)
         else:
             _log_owner_found(action)
 
@@ -165,6 +181,8 @@
         return str(value)
     if isinstance(value, float):
         return round(value, 4) if math.isfinite(value) else None
+    if isinstance(value, enum.Enum):
+        return value.value
     return value
 
 
@@ -178,6 +196,14 @@
     )
 
 
+def _log_retry_withheld(action: actions.RecordRetryWithheld) -> None:
+    log.info(
+        events.Event.FLOW_RETRY_WITHHELD,
+        flow=str(action.flow),
+        agent=action.agent.host,
+    )
+
+
 def _log_owner_found(action: actions.RecordOwnerFound) -> None:
     log.info(
         events.Event.FLOW_OWNER_FOUND,
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -130,3 +130,12 @@
 
 def announcement(number=1, server_id="s1", started=100, is_draining=False):
     return servers.Announcement(server_id, started, number, SERVICE, 1, is_draining)
+
+
+def priority_table(*priorities, service=SERVICE, objective=0.0):
+    """Return a table with a route of each priority to one service."""
+    flows = [FLOW._replace(service_port=8443 + i) for i in range(len(priorities))]
+    table = route_table(service, objective=objective, flows=flows)
+    numbered = zip(table.routes.values(), priorities, strict=True)
+    made = [msgspec.structs.replace(route, priority=p) for route, p in numbered]
+    return msgspec.structs.replace(table, routes={r.address: r for r in made})
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -13,6 +13,7 @@
     admission,
     cluster_view,
     entry,
+    flow_queue,
     lookup_state,
     lookups,
     messages,
@@ -162,7 +163,12 @@
     assert len(set(seen)) == len(seen) == 3
     assert sent.reason is actions.Reason.NO_SERVER
     assert sent.evidence == actions.RefusalEvidence(
-        agents=0, tries=3, waited_seconds=0.0
+        agents=0,
+        tries=3,
+        waited_seconds=0.0,
+        cause=actions.RefusalCause.NO_SERVER,
+        priority=0,
+        queued=0,
     )
 
 
@@ -225,12 +231,12 @@
 def test_flows_beyond_the_queue_limit_are_refused_immediately(flows):
     fill(flows)
     decided = []
-    for port in range(pending_flows.MIN_QUEUE_LIMIT + 1):
+    for port in range(flow_queue.MIN_LIMIT + 1):
         flow = builders.OTHER_FLOW._replace(caller_port=50_000 + port)
         decided += flows.handle_packet(builders.opening_packet(flow=flow), SETTLED)
     (reset,) = decided
     assert reset.reason is actions.Reason.NO_CAPACITY
-    assert reset.flow.caller_port == 50_000 + pending_flows.MIN_QUEUE_LIMIT
+    assert reset.flow.caller_port == 50_000 + flow_queue.MIN_LIMIT
 
 
 def test_capacity_is_estimated_from_the_age_of_the_load_report(flows):
@@ -411,7 +417,7 @@
 
 def test_flows_without_route_leave_the_queue_to_those_that_await_capacity(flows):
     flows.record_revision(builders.newer_route_table().revision)
-    for port in range(pending_flows.MIN_QUEUE_LIMIT):
+    for port in range(flow_queue.MIN_LIMIT):
         flow = builders.NO_ROUTE_FLOW._replace(caller_port=port)
         assert flows.handle_packet(builders.opening_packet(flow=flow), SETTLED) == []
     fill(flows)
@@ -607,7 +613,7 @@
 
 def test_memory_is_bounded(flows, monkeypatch):
     monkeypatch.setattr(entry, "MAX_FLOWS", 10)
-    monkeypatch.setattr(pending_flows, "MIN_QUEUE_LIMIT", 100)
+    monkeypatch.setattr(flow_queue, "MIN_LIMIT", 100)
     for port in range(30):
         flow = builders.FLOW._replace(caller_port=port)
         flows.handle_packet(builders.opening_packet(flow=flow), SETTLED)
--- a/tests/daemon/packets/test_entry_process.py
+++ b/tests/daemon/packets/test_entry_process.py
@@ -21,6 +21,9 @@
         "flows": 1,
         "agents_present": 2,
         "agents_gone": 1,
+        "queued_flows_highest_priority": 0,
+        "queued_flows_lower_priority": 0,
+        "queued_flows_awaiting_view": 0,
         "lookups": 1,
         "oldest_lookup_seconds": 2.5,
     }
