--- a/bench/loads.py
+++ b/bench/loads.py
@@ -11,6 +11,7 @@
 import collections.abc
 import concurrent.futures
 import contextlib
+import dataclasses
 import itertools
 import os
 import statistics
@@ -18,7 +19,16 @@
 from unittest import mock
 
 from bench import results
-from cactushall_core.flows import admission, agent_selection
+from cactushall_core import identifiers
+from cactushall_core.flows import (
+    admission,
+    agent_selection,
+    flow_queue,
+    packets,
+    priorities,
+    routes,
+)
+from tests.core.flows import builders
 from tests.standins import load_site
 
 SEEDS = range(5)
@@ -53,6 +63,58 @@
     ),
 }
 
+# A sixth of a site of 48 servers whose idempotent and other requests compete for one
+# service; in the last plan a third of the servers belongs to the downloads.
+BURST = (2.0, 6.0)
+LOW = load_site.Kind("low", load_site.constant_rate(96.0), 0.034, 0.406)
+HIGH = load_site.Kind(
+    "high",
+    load_site.constant_rate(55.0),
+    0.02,
+    0.352,
+    priority=1,
+    repeatability=routes.Repeatability.ONCE,
+    score=2.0,
+    late_score=0.6,
+)
+
+
+def _burst(kind: load_site.Kind, factor: float, **changes: typing.Any) -> typing.Any:
+    rate = load_site.burst_rate(kind.rate(0.0), factor, *BURST)
+    return dataclasses.replace(kind, rate=rate, **changes)
+
+
+def _contention(*kinds: load_site.Kind, **changes: typing.Any) -> load_site.Plan:
+    rate = load_site.constant_rate(0.0)
+    return load_site.Plan(
+        8.0, rate, kinds=kinds, tail_share=0.0, deadline_seconds=1.2, **changes
+    )
+
+
+CONTENTION_PLANS = {
+    "capacity suffices": _contention(LOW, HIGH),
+    "burst of low priority": _contention(_burst(LOW, 2.5), HIGH),
+    "burst of high priority": _contention(LOW, _burst(HIGH, 8.0)),
+    "long flows of low priority": _contention(_burst(LOW, 2.5, is_long=True), HIGH),
+    "burst of one route": _contention(
+        _burst(LOW, 4.0), dataclasses.replace(LOW, name="equal")
+    ),
+    "burst in one zone": _contention(
+        _burst(LOW, 4.0, zones=(0,)), dataclasses.replace(HIGH, zones=(1, 2))
+    ),
+    "overload of everything": _contention(_burst(LOW, 3.0), _burst(HIGH, 3.0)),
+    "burst of downloads": _contention(
+        LOW,
+        HIGH,
+        _burst(
+            dataclasses.replace(LOW, name="downloads", service=builders.OTHER_SERVICE),
+            4.0,
+        ),
+        server_count=12,
+        other_server_count=4,
+    ),
+}
+
 
 def _random_agent(
     agents: typing.Any,
@@ -60,6 +122,7 @@
     _objective_seconds: float,
     rng: typing.Any,
     _now: float,
+    _reserved_requests: float = 0.0,
 ) -> typing.Any:
     return rng.choice(list(agents))
 
@@ -91,11 +154,83 @@
         yield
 
 
+class OneQueue:
+    """The rule before priorities: one queue for all services, the newest flow first."""
+
+    def __init__(self) -> None:
+        """Start without flows."""
+        self._flows: dict[packets.FlowId, routes.Route] = {}
+
+    def __len__(self) -> int:
+        """Return the number of flows."""
+        return len(self._flows)
+
+    def __contains__(self, flow_id: object) -> bool:
+        """Return whether a flow is queued."""
+        return flow_id in self._flows
+
+    @property
+    def services(self) -> list[identifiers.ServiceName]:
+        """Return the services of the queued flows."""
+        return list({r.shares[0].service: None for r in self._flows.values()})
+
+    @property
+    def lengths(self) -> list[tuple[routes.Route, int]]:
+        """Return the routes of the queued flows."""
+        return [(route, 1) for route in self._flows.values()]
+
+    def of_service(self, _service: identifiers.ServiceName) -> OneQueue:
+        """Return this queue."""
+        return self
+
+    def is_ahead(self, _route: routes.Route) -> bool:
+        """Let new flows overtake all others."""
+        return False
+
+    def record_turn(self, _address: routes.ServiceAddress) -> None:
+        """Take no turns."""
+
+    def in_order(self, _is_due: object) -> list[packets.FlowId]:
+        """Return all flows, the newest first."""
+        return list(reversed(self._flows))
+
+    def add(
+        self,
+        flow_id: packets.FlowId,
+        route: routes.Route,
+        _service: identifiers.ServiceName,
+        agent_count: int,
+        _route_count: int,
+    ) -> flow_queue.Verdict:
+        """Queue a flow up to the common limit."""
+        limit = max(flow_queue.MIN_LIMIT, flow_queue.FLOWS_PER_AGENT * agent_count)
+        if len(self._flows) >= limit:
+            return flow_queue.Verdict(False)
+        self._flows.setdefault(flow_id, route)
+        return flow_queue.Verdict(True)
+
+    def remove(self, flow_id: packets.FlowId) -> None:
+        """Remove a flow where it is queued."""
+        self._flows.pop(flow_id, None)
+
+
+@contextlib.contextmanager
+def without_priorities() -> collections.abc.Iterator[None]:
+    """Use one queue for all, and neither a reserve nor a minimum."""
+    with (
+        mock.patch.object(flow_queue, "FlowQueue", OneQueue),
+        mock.patch.object(priorities, "RESERVED_REQUESTS_PER_SLOT", 0.0),
+        mock.patch.object(priorities, "MIN_SHARE", 0.0),
+    ):
+        yield
+
+
 POLICIES = {
     "own": unchanged_policy,
     "first come first served": first_come_first_served,
     "random placement": random_placement,
 }
+CONTENTION_POLICIES = {**POLICIES, "without priorities": without_priorities}
 
 
 def simulate(policy: str, plan: str, seed: int) -> tuple[float, float, float]:
@@ -122,6 +257,41 @@
     )
 
 
+def simulate_contention(
+    policy: str, plan: str, seed: int
+) -> dict[str, load_site.Result]:
+    """Simulate a load of several kinds of requests.
+
+    Args:
+        policy: Name of the policy, a key of `CONTENTION_POLICIES`.
+        plan: Name of the load, a key of `CONTENTION_PLANS`.
+        seed: Seed of the simulation.
+
+    Returns:
+        The outcomes of each kind.
+    """
+    kinds = CONTENTION_PLANS[plan].kinds
+    with CONTENTION_POLICIES[policy]():
+        site = load_site.LoadSite(CONTENTION_PLANS[plan], seed)
+        site.run()
+    return {kind.name: load_site.kind_result(site, kind.name) for kind in kinds}
+
+
+def contention_figures() -> list[results.Figure]:
+    """Return the scores and the answered shares of each kind under each load."""
+    figures = []
+    for plan, policy in itertools.product(CONTENTION_PLANS, CONTENTION_POLICIES):
+        by_seed = [simulate_contention(policy, plan, seed) for seed in SEEDS]
+        for kind in CONTENTION_PLANS[plan].kinds:
+            found = [by_name[kind.name] for by_name in by_seed]
+            score = statistics.mean(r.score(kind.late_score) for r in found)
+            served = statistics.mean(1 - r.failed / r.sent for r in found)
+            name = f"{plan}, {policy}, {kind.name}"
+            figures.append(results.Figure(f"{name}: worth", score, ""))
+            figures.append(results.Figure(f"{name}: served", served, ""))
+    return figures
+
+
 def _simulate_job(job: tuple[str, str, int]) -> tuple[float, float, float]:
     return simulate(*job)
 
@@ -139,7 +309,7 @@
         ]
         for name, mean in zip(("worth", "worst windows", "served"), means, strict=True):
             figures.append(results.Figure(f"{plan}, {policy}: {name}", mean, ""))
-    results.report("loads", figures)
+    results.report("loads", figures + contention_figures())
 
 
 if __name__ == "__main__":
--- a/packages/cactushall-core/cactushall_core/flows/flow_queue.py
+++ b/packages/cactushall-core/cactushall_core/flows/flow_queue.py
@@ -94,17 +94,15 @@
     def must_shed(self, route: routes.Route, limit: float, share: int) -> bool:
         """Return whether a queued flow of a route has to leave the full queue.
 
-        Only flows of the lowest queued priority leave, and not those within the share
-        of their route while another route is beyond its own.
+        Only flows of the lowest queued priority leave, and those within the share of
+        their route only where no other route has queued flows.
         """
         if self._size < limit:
             return False
         queues = [queue for queue in self._routes.values() if queue.flows]
         if route.priority < max(queue.route.priority for queue in queues):
             return False
-        own = self._routes[route.address]
-        is_beyond_share = any(len(queue.flows) > share for queue in queues)
-        return len(own.flows) > share or not is_beyond_share
+        return len(queues) == 1 or len(self._routes[route.address].flows) > share
 
     def remove(self, flow_id: packets.FlowId) -> None:
         """Remove a flow."""
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -331,8 +331,7 @@
         service: identifiers.ServiceName,
     ) -> None:
         """Record whose turn it was."""
-        if flow.packet.flow in self._queue:
-            self._queue.of_service(service).record_turn(route.address)
+        self._queue.of_service(service).record_turn(route.address)
         if not flow.tried:
             self._priorities.record_admitted(service, route.priority)
             self._retry_budget.record_opening(service)
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import functools
 import heapq
 import itertools
 import math
@@ -22,6 +23,7 @@
     messages,
     packets,
     reports,
+    routes,
     servers,
 )
 from cactushall_core.membership import completeness
@@ -54,6 +56,42 @@
     return lambda now: mean * (1 + swing * math.sin(2 * math.pi * now / period))
 
 
+def burst_rate(rate, factor, begin, end):
+    """Return a rate that is multiplied from a begin until an end, in seconds."""
+    return lambda now: rate * (factor if begin <= now < end else 1.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """One kind of requests, which has a route of its own.
+
+    Attributes:
+        name: Name for results.
+        rate: Returns the requests a second at a time.
+        service_seconds: Mean time of a request in a slot.
+        objective_seconds: Response time objective.
+        priority: Priority of the route.
+        repeatability: Whether its requests may run more than once.
+        score: Score of an answer in time.
+        late_score: Share of it that an answer after the objective scores.
+        is_long: Whether callers keep their flows open for all their requests.
+        service: The service that the route leads to.
+        zones: Zones of its callers, each as often as it is named.
+    """
+
+    name: str
+    rate: typing.Callable[[float], float]
+    service_seconds: float
+    objective_seconds: float
+    priority: int = 2
+    repeatability: routes.Repeatability = routes.Repeatability.IDEMPOTENT
+    score: float = 1.0
+    late_score: float = 0.3
+    is_long: bool = False
+    service: identifiers.ServiceName = builders.SERVICE
+    zones: tuple[int, ...] = tuple(range(ZONES))
+
+
 @dataclasses.dataclass(frozen=True)
 class Plan:
     """The load and the servers of one simulation.
@@ -77,6 +115,10 @@
         outage: Start and end of an outage of all processes, in seconds.
         cold_seconds: How long servers are slower after the outage.
         cold_factor: How many times slower they are then.
+        kinds: Kinds of requests, where there are several; they replace the rate, the
+            service time, the objective and the scores of the plan. At most one has
+            long flows.
+        other_server_count: How many of the servers belong to the other service.
     """
 
     seconds: float
@@ -99,6 +141,44 @@
     outage: tuple[float, float] | None = None
     cold_seconds: float = 2.0
     cold_factor: float = 1.6
+    kinds: tuple[Kind, ...] = ()
+    other_server_count: int = 0
+
+    @property
+    def table(self):
+        """The routes of all kinds of requests."""
+        if not self.kinds:
+            return builders.route_table(objective=self.objective_seconds)
+        made = {}
+        for kind in self.kinds:
+            address = builders.service_address(self.flow_of(kind))
+            shares = (routes.Share(kind.service, 1.0),)
+            made[address] = routes.Route(
+                kind.name,
+                address,
+                shares,
+                kind.repeatability,
+                objective_seconds=kind.objective_seconds,
+                priority=kind.priority,
+            )
+        return routes.RouteTable(identifiers.Revision(1), made)
+
+    def flow_of(self, kind):
+        """Return a flow of a kind of requests."""
+        if kind is None:
+            return builders.FLOW
+        port = builders.FLOW.service_port + self.kinds.index(kind)
+        return builders.FLOW._replace(service_port=port)
+
+    def kind_of(self, flow_id):
+        """Return a flow's kind of requests, None where the plan has no kinds."""
+        index = flow_id.service_port - builders.FLOW.service_port
+        return self.kinds[index] if self.kinds else None
+
+    def service_of(self, number):
+        """Return the service of a server."""
+        is_other = number > self.server_count - self.other_server_count
+        return builders.OTHER_SERVICE if is_other else builders.SERVICE
 
 
 @dataclasses.dataclass
@@ -130,6 +210,8 @@
 
     sent_at: float
     user: int | None
+    kind: Kind | None = None
+    zone: int | None = None
     attempts: int = 0
     is_over: bool = False
 
@@ -188,7 +270,7 @@
         while self._queue and self._running < plan.slots:
             flow_id, flows = self._queue.popleft()
             self._running += 1
-            seconds = self._site.service_seconds(self)
+            seconds = self._site.service_seconds(self, flow_id)
             self._site.schedule(seconds, lambda i=flow_id, f=flows: self._done(i, f))
 
     def _done(self, flow_id, flows):
@@ -212,6 +294,7 @@
         rng: Source of all random numbers.
         now: Simulated time in seconds.
         results: Outcomes of the requests that were sent in each time window.
+        kind_results: Outcomes of the requests of each kind in each zone.
         declined: Number of new flows that agents declined.
     """
 
@@ -223,11 +306,12 @@
         self._events = []
         self._order = itertools.count()
         self._ports = itertools.count(1000)
-        self._table = builders.route_table(objective=plan.objective_seconds)
+        self._table = plan.table
         self._flows = {}
         self._user_flows = {}
         self._busy_users = set()
         self.results = collections.defaultdict(Result)
+        self.kind_results = collections.defaultdict(Result)
         self.declined = 0
         self._starts = itertools.count(1)
         self._servers = {n: Server(self, n) for n in range(1, plan.server_count + 1)}
@@ -239,7 +323,8 @@
 
     def run(self):
         """Run the simulation and return the outcomes of all requests."""
-        self.schedule(0.0, self._send_next_request)
+        for kind in self.plan.kinds or (None,):
+            self.schedule(0.0, functools.partial(self._send_next_request, kind))
         if self.plan.outage:
             begin, end = self.plan.outage
             self.schedule(begin, self._stop_all)
@@ -284,13 +369,14 @@
             self.schedule(delay, lambda i=index: self._start_entry(i))
 
     def _start_agent(self, number):
-        server = servers.Server(builders.SERVICE, 1.2)
+        service = self.plan.service_of(number)
+        server = servers.Server(service, 1.2)
         made = agent.AgentFlows(server, self.now)
         self._agents[number] = made
         self._reporters[number] = reports.LoadReporter(self.now)
         start = next(self._starts)
         said = servers.Announcement(
-            f"s{number}", start, 1, builders.SERVICE, self.plan.slots, False
+            f"s{number}", start, 1, service, self.plan.slots, False
         )
         made.handle_announcement(said, self.now)
         made.update_routes(self._table, self.now)
@@ -304,7 +390,8 @@
 
     def _record(self, number, start):
         zone = identifiers.ZoneName(str(number % ZONES))
-        return builders.agent_record(number, start=start, zone=zone)
+        service = self.plan.service_of(number)
+        return builders.agent_record(number, service=service, start=start, zone=zone)
 
     def _start_entry(self, index):
         zone = identifiers.ZoneName(str(index % ZONES))
@@ -348,10 +435,11 @@
                 self._send_message(number, actions.SendMessage(address, report))
         self.schedule(TICK_INTERVAL_SECONDS, lambda: self._tick_agent(number, made))
 
-    def service_seconds(self, server):
+    def service_seconds(self, server, flow_id):
         """Return the service time of a server's next request in seconds."""
         plan = self.plan
-        mean = plan.service_seconds
+        kind = plan.kind_of(flow_id)
+        mean = kind.service_seconds if kind else plan.service_seconds
         seconds = mean * math.exp(self.rng.gauss(-0.125, 0.5))
         if self.rng.random() < plan.tail_share:
             seconds *= plan.tail_factor
@@ -361,14 +449,19 @@
 
     # Callers.
 
-    def _send_next_request(self):
+    def _send_next_request(self, kind):
         if self.now >= self.plan.seconds:
             return
+        rate = (kind or self.plan).rate(self.now)
         self.schedule(
-            self.rng.expovariate(self.plan.rate(self.now)), self._send_next_request
+            self.rng.expovariate(rate),
+            functools.partial(self._send_next_request, kind),
         )
         user = None
-        if self.rng.random() >= self.plan.new_flow_share:
+        new_flow_share = self.plan.new_flow_share
+        if kind is not None:
+            new_flow_share = 0.0 if kind.is_long else 1.0
+        if self.rng.random() >= new_flow_share:
             idle_users = [
                 n for n in range(self.plan.users) if n not in self._busy_users
             ]
@@ -376,13 +469,17 @@
                 return
             user = self.rng.choice(idle_users)
             self._busy_users.add(user)
-        request = Request(self.now, user)
-        self._window(request).sent += 1
+        zone = self.rng.choice(kind.zones) if kind is not None else None
+        request = Request(self.now, user, kind, zone)
+        for result in self._results_of(request):
+            result.sent += 1
         self.schedule(self.plan.deadline_seconds, lambda: self._abandon(request))
         self._attempt(request)
 
-    def _window(self, request):
-        return self.results[int(request.sent_at / WINDOW_SECONDS)]
+    def _results_of(self, request):
+        yield self.results[int(request.sent_at / WINDOW_SECONDS)]
+        if request.kind is not None:
+            yield self.kind_results[request.kind.name, request.zone]
 
     def _abandon(self, request):
         if request.is_over:
@@ -414,8 +511,9 @@
             flow.request = request
             self._send_request(flow)
             return
-        flow_id = builders.FLOW._replace(caller_port=next(self._ports))
-        zone = self.rng.randrange(ZONES)
+        flow_id = self.plan.flow_of(request.kind)
+        flow_id = flow_id._replace(caller_port=next(self._ports))
+        zone = self.rng.randrange(ZONES) if request.zone is None else request.zone
         is_long = request.user is not None
         flow = Flow(flow_id, zone, request, self.now, is_long)
         self._flows[flow_id] = flow
@@ -484,11 +582,11 @@
         request.is_over = True
         if request.user is not None:
             self._busy_users.discard(request.user)
-        result = self._window(request)
-        if self.now - request.sent_at <= self.plan.objective_seconds:
-            result.on_time += 1
-        else:
-            result.late += 1
+        objective_seconds = (request.kind or self.plan).objective_seconds
+        is_on_time = self.now - request.sent_at <= objective_seconds
+        for result in self._results_of(request):
+            result.on_time += is_on_time
+            result.late += not is_on_time
 
     # Network.
 
@@ -583,6 +681,17 @@
             self._execute_agent_actions(number, decided)
 
 
+def kind_result(site, name, zone=None):
+    """Return the outcomes of one kind of requests, in all zones where none is given."""
+    total = Result()
+    for (kind_name, kind_zone), result in site.kind_results.items():
+        if kind_name == name and zone in (None, kind_zone):
+            total.sent += result.sent
+            total.on_time += result.on_time
+            total.late += result.late
+    return total
+
+
 def worst_windows(site, count=2):
     """Return the outcomes in the time windows with the lowest scores."""
     late_score = site.plan.late_score
