--- a/bench/packets.py
+++ b/bench/packets.py
@@ -18,6 +18,9 @@
 from tests.standins import packet_peers
 
 FLOW_COUNT = 20_000
+REPORTING_AGENT_COUNT = 48
+QUEUED_FLOW_COUNT = 20
+REPORT_COUNT = 100
 AGENT_COUNT = 9
 PAYLOAD = b"x" * 1000
 SERVICE = identifiers.ServiceName("board")
@@ -193,6 +196,27 @@
     )
 
 
+def measure_load_report() -> float:
+    """Return microseconds of an entry per load report while flows are queued.
+
+    No agent has capacity; the reports come 1 ms apart.
+    """
+    flows = entry.EntryFlows(identifiers.ZoneName("a"), random.Random(1), 0.0)
+    flows.update_routes(make_table(), 0.0)
+    reporters = [make_record(number) for number in range(REPORTING_AGENT_COUNT)]
+    report = messages.LoadReport(messages.Load(20, 20, 1, 0.02))
+    for record in reporters:
+        flows.update_member(record, 0.0)
+        flows.handle_message(record.member.control_address, report, NOW)
+    for datagram in make_opening_packets()[:QUEUED_FLOW_COUNT]:
+        flows.handle_packet(decode_from_caller(datagram), NOW)
+    started_at = time.process_time()
+    for index in range(REPORT_COUNT):
+        address = reporters[index % len(reporters)].member.control_address
+        flows.handle_message(address, report, NOW + index * 0.001)
+    return (time.process_time() - started_at) / REPORT_COUNT * 1e6
+
+
 def _decode_from_server(datagram: bytes) -> packets.Packet:
     packet = packet_codec.decode_from_server(datagram)
     assert packet is not None
@@ -222,6 +246,7 @@
             figure("entry: opening packet and acceptance", opening_us, "us"),
             figure("entry: later packet", forwarding_us, "us/packet", target),
             figure("entry: memory", entry_bytes, "bytes/flow"),
+            figure("entry: load report, flows queued", measure_load_report(), "us"),
             figure("agent: packet to the server", to_server_us, "us/packet", target),
             figure("agent: packet to the caller", to_caller_us, "us/packet", target),
             figure("agent: memory", agent_bytes, "bytes/flow"),
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -180,6 +180,8 @@
     ) -> list[actions.Action]:
         """Place queued flows that an agent's new load may have made room for."""
         decided: list[actions.Action] = []
+        if not len(self._queue):
+            return decided
         for service in self._queue.services:
             if agent.accepts(service) and self._is_pass_due(service, agent, now):
                 decided += self._place_queued_of(service, now)
@@ -203,6 +205,8 @@
     def _place_new(self, flow: PendingFlow, now: float) -> list[actions.Action]:
         """Place a new flow, after queued flows of other routes that go before it."""
         decided: list[actions.Action] = []
+        if not len(self._queue):
+            return self._place(flow, now)
         route = self._view.route_table.find(flow.packet.flow)
         if route is not None:
             service = route.service_of(flow.packet.flow)
@@ -331,7 +335,8 @@
         service: identifiers.ServiceName,
     ) -> None:
         """Record whose turn it was."""
-        self._queue.of_service(service).record_turn(route.address)
+        if len(self._queue):
+            self._queue.of_service(service).record_turn(route.address)
         if not flow.tried:
             self._priorities.record_admitted(service, route.priority)
             self._retry_budget.record_opening(service)
@@ -412,7 +417,8 @@
     def _forward(
         self, flow: PendingFlow, agent: directory.Agent, now: float
     ) -> actions.Forward:
-        self._remove_from_queue(flow.packet.flow)
+        if flow.agent is None:
+            self._remove_from_queue(flow.packet.flow)
         placement = actions.Placement(
             flow=flow.packet.flow,
             copy=flow.packet.acknowledgement,
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -584,3 +584,49 @@
     restarted.handle_server_packet(builders.packet(length=5), 1.0)
     (told,) = restarted.tick(1.1 + registrations.MIN_AGE_SECONDS)
     assert told.message == messages.RegisterFlows((builders.FLOW,))
+
+
+# Priorities.
+
+
+def open_until_full(flows, level, first_port=1):
+    """Open flows of one of two priorities until one is declined; return how many."""
+    count = 0
+    while True:
+        flow = builders.FLOW._replace(
+            caller_port=first_port + count, service_port=8443 + level
+        )
+        opening = builders.opening_packet(flow=flow)
+        (decided,) = flows.handle_caller_packet(opening, builders.ENTRY, 1.0)
+        if isinstance(decided, actions.SendMessage):
+            assert decided.message.refusal is messages.Refusal.FULL
+            return count
+        count += 1
+
+
+def test_lower_priority_leaves_room_for_the_highest(flows):
+    flows.update_routes(builders.priority_table(1, 2), 0.5)
+    assert open_until_full(flows, 1) == 6
+    assert open_until_full(flows, 0, 100) == 1
+
+
+def test_routes_of_one_priority_have_the_same_limit_as_before(flows):
+    flows.update_routes(builders.priority_table(2, 2), 0.5)
+    assert open_until_full(flows, 1) == 6
+    assert open_until_full(flows, 0, 100) == 0
+
+
+def test_a_lower_priority_that_is_due_gets_the_reserve(flows):
+    flows.update_routes(builders.priority_table(1, 2), 0.5)
+    assert open_until_full(flows, 0) == 7
+    assert open_until_full(flows, 1, 100) == 0
+    for port in range(1, 3):
+        flow = builders.FLOW._replace(caller_port=port)
+        closing = builders.packet(packets.Flags.RST, flow=flow)
+        flows.handle_caller_packet(closing, builders.ENTRY, 1.1)
+    assert open_until_full(flows, 0, 200) == 2
+    closing = builders.packet(
+        packets.Flags.RST, flow=builders.FLOW._replace(caller_port=3)
+    )
+    flows.handle_caller_packet(closing, builders.ENTRY, 1.2)
+    assert open_until_full(flows, 1, 300) == 1
