--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -58,12 +58,35 @@
     return known[len(known) // 2] if known else 0.0
 
 
+def has_capacity(
+    agent: directory.Agent,
+    objective_seconds: float,
+    now: float,
+    reserved_requests: float = 0.0,
+) -> bool:
+    """Return whether a new request at an agent is likely to be answered in time.
+
+    Args:
+        agent: The agent.
+        objective_seconds: Time in which a request should be answered, 0 for no limit.
+        now: Current time in seconds.
+        reserved_requests: Requests per slot that it may use beyond the regular limit.
+    """
+    if agent.full_until > now:
+        return False
+    expected_change = agent.expected_change(now)
+    return admission.has_capacity(
+        agent.load, expected_change, objective_seconds, reserved_requests
+    )
+
+
 def select_agent(
     agents: typing.Sequence[directory.Agent],
     zone: identifiers.ZoneName,
     objective_seconds: float,
     rng: random.Random,
     now: float,
+    reserved_requests: float = 0.0,
 ) -> directory.Agent | None:
     """Return the agent that should get a new flow, None where none has capacity.
 
@@ -73,8 +96,9 @@
         objective_seconds: Time in which a request should be answered, 0 for no limit.
         rng: Breaks ties.
         now: Current time in seconds.
+        reserved_requests: Requests per slot that it may use beyond the regular limit.
     """
-    available = _with_capacity(agents, objective_seconds, now)
+    available = _with_capacity(agents, objective_seconds, now, reserved_requests)
     if not available:
         return None
     candidates = [c for c in available if c.agent.held_back_until <= now] or available
@@ -93,7 +117,10 @@
 
 
 def _with_capacity(
-    agents: typing.Sequence[directory.Agent], objective_seconds: float, now: float
+    agents: typing.Sequence[directory.Agent],
+    objective_seconds: float,
+    now: float,
+    reserved_requests: float,
 ) -> list[_Candidate]:
     """Return the agents at which a request is likely to be answered in time."""
     candidates = []
@@ -101,6 +128,8 @@
         if agent.full_until > now:
             continue
         change = agent.expected_change(now)
-        if admission.has_capacity(agent.load, change, objective_seconds):
+        if admission.has_capacity(
+            agent.load, change, objective_seconds, reserved_requests
+        ):
             candidates.append(_Candidate(agent, change))
     return candidates
--- a/tests/daemon/packets/test_executor.py
+++ b/tests/daemon/packets/test_executor.py
@@ -193,6 +193,7 @@
     actions.RecordOwnerFound(builders.FLOW, AGENT, 0.1, 1),
     actions.RecordAnswer(AGENT, (), {}),
     actions.RecordLatency(actions.Latency.FLOW_OPENED, 0.1),
+    actions.RecordRetryWithheld(builders.FLOW, AGENT),
 ]
 
 
