--- a/tests/core/flows/test_flow_queue.py
+++ b/tests/core/flows/test_flow_queue.py
@@ -121,6 +121,14 @@
     assert not site.add(1, 0).is_queued
 
 
+def test_a_full_queue_sheds_no_higher_priority():
+    site = Site(1, 2)
+    site.fill(0, 5)
+    site.fill(1, 3)
+    assert site.add(0, 0).is_queued
+    assert site.add(1, 0).is_queued
+
+
 def test_a_removed_flow_leaves_room():
     site = Site(1)
     site.fill(0)
