--- a/packages/cactushall-core/cactushall_core/flows/evacuations.py
+++ b/packages/cactushall-core/cactushall_core/flows/evacuations.py
@@ -100,32 +100,25 @@
         return changed + self._withdraw_removed(now, is_fresh_read=True)
 
     def handle_change(
-        self, zone: identifiers.ZoneName, revision: int, is_evacuated: bool, now: float
+        self, state: zone_states.ZoneState, now: float
     ) -> zone_states.ZoneStates:
-        """Apply a change of a zone's key that follows the last read of the store.
+        """Apply a change of a zone's key that a watch has returned.
 
         Args:
-            zone: The zone.
-            revision: Store revision of the change.
-            is_evacuated: Whether the key was written, not removed.
+            state: The state that the key was written or removed for.
             now: Current time in seconds.
 
         Returns:
             The states that have changed.
-
-        Raises:
-            RuntimeError: The store has not been read yet.
         """
-        if self._read is None:
-            raise RuntimeError("a change of the store needs a read before it")
-        if revision <= self._read.revision:
-            return ()
-        written = {z: r for z, r in self._read.written.items() if z != zone}
-        if is_evacuated:
-            written[zone] = revision
-        self._read = StoreRead(self._read.era, revision, written)
-        state = zone_states.ZoneState(zone, self._read.era, revision, is_evacuated)
         changed = self._apply_all((state,))
+        read = self._read
+        if read is None or state.era != read.era or state.revision <= read.revision:
+            return changed
+        written = {z: r for z, r in read.written.items() if z != state.zone}
+        if state.is_evacuated:
+            written[state.zone] = state.revision
+        self._read = StoreRead(read.era, state.revision, written)
         return changed + self._withdraw_removed(now, is_fresh_read=False)
 
     def _apply_all(
@@ -146,6 +139,8 @@
     ) -> zone_states.ZoneStates:
         """End the evacuations whose keys the store certainly does not hold any more.
 
+        A state that is later than the read stays, as with any merge.
+
         Args:
             now: Current time in seconds.
             is_fresh_read: Whether the store has been read just now.
@@ -156,7 +151,7 @@
         ended = []
         for zone in self.evacuated:
             state = self._states[zone]
-            if not self._is_missing(state, read):
+            if zone in read.written:
                 self._absent_since.pop(zone, None)
                 continue
             since = now
@@ -170,11 +165,6 @@
             del self._absent_since[zone]
         return self._apply_all(ended)
 
-    def _is_missing(self, state: zone_states.ZoneState, read: StoreRead) -> bool:
-        """Return whether a read later than a state lacks the key of its zone."""
-        is_later = (read.era, read.revision) > (state.era, state.revision)
-        return is_later and state.zone not in read.written
-
 
 def _is_older(read: StoreRead, latest: StoreRead) -> bool:
     return (read.era, read.revision) < (latest.era, latest.revision)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/evacuation_follower.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/evacuation_follower.py
@@ -52,6 +52,8 @@
         self._known_zones = known_zones
         self._on_unreadable = on_unreadable
         self._evacuations = evacuations.Evacuations()
+        # The era of the read after which the store is watched.
+        self._watched_era = 0
         # Revisions of the entries, and zones, that were reported already.
         self._reported: dict[bytes, int] = {}
         self._reported_zones: set[identifiers.ZoneName] = set()
@@ -80,6 +82,7 @@
             zone = self._decode(entry)
             if zone is not None:
                 written[zone] = entry.mod_revision
+        self._watched_era = snapshot.era
         read = evacuations.StoreRead(snapshot.era, snapshot.revision, written)
         before = self.evacuated
         changed = self._evacuations.handle_read(read, self._clock())
@@ -91,10 +94,11 @@
         if zone is None:
             return
         is_evacuated = not isinstance(change, store.Removal)
-        before = self.evacuated
-        changed = self._evacuations.handle_change(
-            zone, change.mod_revision, is_evacuated, self._clock()
+        state = zone_states.ZoneState(
+            zone, self._watched_era, change.mod_revision, is_evacuated
         )
+        before = self.evacuated
+        changed = self._evacuations.handle_change(state, self._clock())
         self._apply(changed, before, STORE)
 
     def merge(self, states: zone_states.ZoneStates, source: str) -> None:
--- a/tests/core/flows/test_evacuations.py
+++ b/tests/core/flows/test_evacuations.py
@@ -61,23 +61,31 @@
 
 
 def test_changes_of_the_store_are_applied(evacuated):
-    assert evacuated.handle_change(B, 13, True, 0.1) == (state(1, 13, zone=B),)
-    assert evacuated.handle_change(A, 14, False, 0.2) == (state(1, 14, False),)
+    assert evacuated.handle_change(state(1, 13, zone=B), 0.1) == (state(1, 13, zone=B),)
+    assert evacuated.handle_change(state(1, 14, False), 0.2) == (state(1, 14, False),)
     assert evacuated.evacuated == {B}
 
 
 def test_a_change_that_the_read_includes_is_not_applied_again(evacuated):
-    assert evacuated.handle_change(A, 9, False, 0.1) == ()
+    assert evacuated.handle_change(state(1, 9, False), 0.1) == ()
     assert evacuated.evacuated == {A}
+    evacuated.handle_change(state(1, 13, zone=B), 0.2)
+    assert evacuated.evacuated == {A, B}
 
 
-def test_a_change_needs_a_read():
-    with pytest.raises(RuntimeError):
-        evacuations.Evacuations().handle_change(A, 9, False, 0.1)
+def test_a_change_of_another_era_than_the_last_read_is_only_merged(evacuated):
+    """A member of the store that lags may answer a read in the earlier era."""
+    evacuated.handle_read(read(2, 3), 0.1)
+    evacuated.handle_change(state(1, 14, False), 0.2)
+    assert evacuated.evacuated == frozenset()
+    evacuated.handle_change(state(1, 15, zone=B), 0.3)
+    evacuated.handle_change(state(2, 4, zone=A), 0.4)
+    assert evacuated.evacuated == {A, B}
+    assert evacuated.next_read_at is not None
 
 
 def test_stale_states_of_members_do_not_undo_a_later_change(evacuated):
-    evacuated.handle_change(A, 14, False, 0.2)
+    evacuated.handle_change(state(1, 14, False), 0.2)
     assert evacuated.merge((state(1, 10), state(1, 13)), 0.3) == ()
     assert evacuated.evacuated == frozenset()
 
@@ -131,14 +139,14 @@
 def test_only_a_read_ends_an_evacuation_after_the_waiting_time(evacuated):
     """The operator may have written the key again while the store did not answer."""
     evacuated.handle_read(read(2, 5), 1.0)
-    evacuated.handle_change(B, 6, True, 1.0 + 2 * WAIT)
+    evacuated.handle_change(state(2, 6, zone=B), 1.0 + 2 * WAIT)
     evacuated.merge((state(1, 3, zone=B),), 1.0 + 2 * WAIT)
     assert A in evacuated.evacuated
 
 
 def test_a_key_written_again_in_the_new_era_counts_at_once(evacuated):
     evacuated.handle_read(read(2, 5), 1.0)
-    evacuated.handle_change(A, 6, True, 2.0)
+    evacuated.handle_change(state(2, 6), 2.0)
     assert evacuated.next_read_at is None
     evacuated.handle_read(read(2, 7, a=6), 2.0 + 2 * WAIT)
     assert evacuated.states == (state(2, 6),)
@@ -146,8 +154,8 @@
 
 def test_a_key_written_again_and_removed_in_the_new_era_ends_at_once(evacuated):
     evacuated.handle_read(read(2, 5), 1.0)
-    evacuated.handle_change(A, 6, True, 2.0)
-    evacuated.handle_change(A, 7, False, 3.0)
+    evacuated.handle_change(state(2, 6), 2.0)
+    evacuated.handle_change(state(2, 7, False), 3.0)
     assert evacuated.states == (state(2, 7, False),)
 
 
@@ -160,7 +168,7 @@
 
 
 def test_a_restored_copy_that_holds_a_withdrawn_key_evacuates_the_zone(evacuated):
-    evacuated.handle_change(A, 14, False, 0.2)
+    evacuated.handle_change(state(1, 14, False), 0.2)
     evacuated.handle_read(read(2, 11, a=10), 1.0)
     assert evacuated.states == (state(2, 10),)
 
@@ -183,6 +191,12 @@
     assert evacuated.next_read_at is None
 
 
+def test_a_state_of_a_later_era_is_not_undone_by_a_read_of_an_earlier_one(evacuated):
+    evacuated.merge((state(2, 6),), 2.0)
+    assert evacuated.handle_read(read(1, 30), 2.1) == ()
+    assert evacuated.evacuated == {A}
+
+
 def test_the_end_of_an_evacuation_by_another_member_ends_the_waiting(evacuated):
     evacuated.handle_read(read(2, 5), 1.0)
     evacuated.merge((state(2, 6, False),), 2.0)
--- a/tests/core/flows/test_zone_effects.py
+++ b/tests/core/flows/test_zone_effects.py
@@ -249,6 +249,15 @@
     assert isinstance(repeated[0].message, messages.Accepted)
 
 
+def test_a_repeated_opening_that_the_server_has_answered_is_delivered(at_agent):
+    """Its answer was lost, and the server holds the flow already."""
+    open_at(at_agent)
+    at_agent.handle_server_packet(builders.opening_answer(), NOW)
+    at_agent.update_evacuated(True)
+    (delivered,) = open_at(at_agent, now=NOW + 0.3)
+    assert isinstance(delivered, actions.DeliverToServer)
+
+
 def test_an_evacuation_is_the_reason_also_where_the_server_is_full(
     at_agent, monkeypatch
 ):
--- a/tests/daemon/packets/test_evacuations.py
+++ b/tests/daemon/packets/test_evacuations.py
@@ -7,14 +7,16 @@
 
 import pytest
 
-from cactushall_core import addresses, store
-from cactushall_core.flows import evacuations
-from cactushall_core.membership import records
+from cactushall_core import addresses, identifiers, store
+from cactushall_core.flows import evacuations, messages
+from cactushall_core.membership import records, zone_states
 from cactushall_daemon import events, gossip
-from cactushall_daemon.packets import evacuation_follower, node
+from cactushall_daemon.config import packet_schema
+from cactushall_daemon.packets import agent_process, evacuation_follower, node
 from cactushall_platform import operator_keys
 from cactushall_platform import store as platform_client
 from cactushall_rpc import http as http_calls
+from tests.core.flows import builders
 from tests.daemon import fleets
 from tests.daemon.packets import test_table_exchange
 from tests.standins import packet_site, platform_store
@@ -269,6 +271,54 @@
     assert fleet.zones == {FIRST: {ZONE}, SECOND: {ZONE}}
 
 
+async def test_a_zone_is_not_unknown_while_members_may_be_unknown(
+    fleet, server, logged
+):
+    """Each process that starts would report each evacuated zone."""
+    doubtful = events.Event.EVACUATION_KEY_DOUBTFUL
+    server.put("op/evacuate/elsewhere", b"{}")
+    await fleet.start_node(FIRST, [SECOND], await server.start())
+    await fleet.wait_for_zones([FIRST], "elsewhere")
+    assert logged.of(doubtful) == []
+    await fleet.start_node(SECOND, [FIRST])
+    await fleets.wait_until(lambda: logged.of(doubtful))
+    assert logged.of(doubtful)[0]["key"] == "op/evacuate/elsewhere"
+
+
+async def test_an_agent_counts_the_flows_that_are_still_open_in_its_zone(tmp_path):
+    values = {
+        "transport": "packets",
+        "node": "agent",
+        "zone": ZONE,
+        "address": FIRST,
+        "gossip_port": 1,
+        "peer_port": 2,
+        "store": f"{FIRST}:3",
+        "keys": [fleets.KEY],
+        "service": "board",
+        "heartbeat_milliseconds": 400,
+    }
+    ports = ("packet_address", "readiness_address", "server", "from_server")
+    values |= {name: f"{FIRST}:{n}" for n, name in enumerate(ports, 4)}
+    values["announcements"] = f"{FIRST}:9"
+    cls = packet_schema.PacketAgentSettings
+    process = agent_process.AgentProcess(fleets.load_settings(tmp_path, cls, values))
+    process._flows.update_routes(builders.route_table(), 0.0)
+    process._flows.handle_announcement(builders.announcement(), 0.0)
+    process._flows.handle_caller_packet(
+        builders.opening_packet(), builders.ENTRY, asyncio.get_running_loop().time()
+    )
+    assert process._read_gauges()["flows_in_evacuated_zone"] == 0
+    state = zone_states.ZoneState(identifiers.ZoneName(ZONE), 1, 1, True)
+    process._node._handle_zone_states((state,), builders.ENTRY)
+    assert process._read_gauges()["flows_in_evacuated_zone"] == 1
+    assert process._count_flows(identifiers.ZoneName(ZONE)) == 1
+    assert process._count_flows(identifiers.ZoneName("other")) is None
+    other = builders.opening_packet(flow=builders.OTHER_FLOW)
+    (told,) = process._flows.handle_caller_packet(other, builders.ENTRY, 1.0)
+    assert told.message.refusal is messages.Refusal.DRAINING
+
+
 async def test_evacuations_are_served_in_json_and_as_a_gauge(fleet, server):
     reading, _ = await start_two(fleet, server)
     server.put(KEY, b"{}")
