--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -66,7 +66,7 @@
         self, zones: frozenset[identifiers.ZoneName], now: float
     ) -> None:
         """Replace the evacuated zones; those that return get new flows gradually."""
-        self._slow_start.update(self._evacuated - zones, zones, now)
+        self._slow_start.start(self._evacuated - zones, now)
         self._evacuated = zones
 
     def tick(self, now: float) -> None:
--- a/packages/cactushall-core/cactushall_core/flows/slow_start.py
+++ b/packages/cactushall-core/cactushall_core/flows/slow_start.py
@@ -32,17 +32,12 @@
         self._returned_at: dict[identifiers.ZoneName, float] = {}
         self._shares: dict[identifiers.ZoneName, float] = {}
 
-    def update(
-        self,
-        returned: typing.Iterable[identifiers.ZoneName],
-        evacuated: frozenset[identifiers.ZoneName],
-        now: float,
+    def start(
+        self, returned: typing.Iterable[identifiers.ZoneName], now: float
     ) -> None:
-        """Record which zones have returned to service, and which are evacuated."""
+        """Record which zones have returned to service."""
         for zone in returned:
             self._returned_at[zone] = now
-        for zone in evacuated:
-            self._returned_at.pop(zone, None)
         self.tick(now)
 
     def tick(self, now: float) -> None:
--- a/tests/daemon/packets/test_evacuations.py
+++ b/tests/daemon/packets/test_evacuations.py
@@ -255,6 +255,23 @@
     await fleet.wait_for_zones([FIRST, SECOND])
 
 
+async def test_a_node_whose_watch_is_held_reads_again_when_a_member_tells_of_an_era(
+    fleet, server
+):
+    """The store holds the watch, since its revisions are lower than before."""
+    copied = server.make_copy()
+    server.put("op/evacuate/elsewhere", b"{}")
+    reading = await fleet.start_node(FIRST, [SECOND], await server.start())
+    await fleet.wait_for_zones([FIRST], "elsewhere")
+    server.come_back_from(copied)
+    server.put(KEY, b"{}")
+    other = identifiers.ZoneName("other")
+    reading._handle_zone_states(
+        (zone_states.ZoneState(other, 2, server.revision, False),), builders.ENTRY
+    )
+    await fleet.wait_for_zones([FIRST], "elsewhere", ZONE)
+
+
 async def test_a_key_written_again_after_a_restore_keeps_the_zone_evacuated(
     fleet, server, monkeypatch
 ):
@@ -308,7 +325,11 @@
     process._flows.handle_caller_packet(
         builders.opening_packet(), builders.ENTRY, asyncio.get_running_loop().time()
     )
-    assert process._read_gauges()["flows_in_evacuated_zone"] == 0
+    for revision, elsewhere in ((1, False), (2, True)):
+        name = identifiers.ZoneName("other")
+        other = zone_states.ZoneState(name, 1, revision, elsewhere)
+        process._node._handle_zone_states((other,), builders.ENTRY)
+        assert process._read_gauges()["flows_in_evacuated_zone"] == 0
     state = zone_states.ZoneState(identifiers.ZoneName(ZONE), 1, 1, True)
     process._node._handle_zone_states((state,), builders.ENTRY)
     assert process._read_gauges()["flows_in_evacuated_zone"] == 1
