--- a/tests/core/flows/test_zone_effects.py
+++ b/tests/core/flows/test_zone_effects.py
@@ -185,6 +185,11 @@
     idle = slow_start.SlowStart(Unused())
     idle.tick(NOW)
     idle.hold_back([])
+    idle.start([A], NOW)
+    with pytest.raises(AssertionError):
+        idle.hold_back([])
+    idle.tick(NOW + slow_start.STEPS * slow_start.STEP_SECONDS)
+    idle.hold_back([])
 
 
 # Agents.
--- a/tests/daemon/packets/test_evacuations.py
+++ b/tests/daemon/packets/test_evacuations.py
@@ -261,8 +261,9 @@
     """The store holds the watch, since its revisions are lower than before."""
     copied = server.make_copy()
     server.put("op/evacuate/elsewhere", b"{}")
-    reading = await fleet.start_node(FIRST, [SECOND], await server.start())
-    await fleet.wait_for_zones([FIRST], "elsewhere")
+    # A process that knows no other reads the store often, and so sees the era itself.
+    reading, _ = await start_two(fleet, server)
+    await fleet.wait_for_zones([FIRST, SECOND], "elsewhere")
     server.come_back_from(copied)
     server.put(KEY, b"{}")
     other = identifiers.ZoneName("other")
