Entries choose between two random agents with capacity, own zone first

Cause: entries that choose the best of all agents by the same reports, up to 0.25 s old, agree on the same few agents, which decline most of these flows as full.

Change: the better one of two agents that are drawn at random in the caller's zone; two more of other zones where neither is expected to have an idle slot.

Ruled out in trials: random choice near the best, a subset of agents per entry, four or eight random choices (more of them agree again); see docs/design/selection.md.

--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -14,41 +14,44 @@
 
 OPEN_FLOW_WEIGHT = 0.05
 REMOTE_ZONE_PENALTY = 0.1
+# Two are enough to avoid busy agents; more make entries agree on the same agents again.
+CHOICES = 2
+# Estimates of requests are fractions; a smaller one is more likely a busy slot.
+MIN_IDLE_SLOTS = 0.5
 
 
-class _Candidate(typing.NamedTuple):
-    """An agent with capacity, and the expected change of its requests."""
+class Candidate(typing.NamedTuple):
+    """An agent with capacity.
+
+    Attributes:
+        agent: The agent, without flows whose acknowledgement is overdue.
+        expected_change: Expected change of its requests since its last report.
+    """
 
     agent: directory.Agent
     expected_change: float
 
 
 def expected_wait(
-    agent: directory.Agent,
-    zone: identifiers.ZoneName,
-    median_service_seconds: float,
-    expected_change: float,
+    candidate: Candidate, zone: identifiers.ZoneName, median_service_seconds: float
 ) -> float:
     """Estimate the wait of a new flow's requests at an agent, in service times.
 
     Args:
-        agent: The agent, without flows whose acknowledgement is overdue.
+        candidate: The agent.
         zone: Availability zone of the caller.
-        median_service_seconds: Median service time of the candidates, 0 if unknown.
-        expected_change: Expected change of its requests since its last report.
+        median_service_seconds: Median service time of all agents, 0 if unknown.
     """
+    agent = candidate.agent
     load = agent.load
-    waiting = OPEN_FLOW_WEIGHT * (load.flows + len(agent.unacknowledged))
-    requests = load.requests + expected_change
-    if requests > 0:
-        waiting += requests
-    if load.slots > 1:
-        waiting /= load.slots
+    slowness = 1.0
     if median_service_seconds > 0 and load.service_seconds > 0:
-        waiting *= load.service_seconds / median_service_seconds
-    if agent.member.zone != zone:
-        waiting += REMOTE_ZONE_PENALTY
-    return waiting
+        slowness = load.service_seconds / median_service_seconds
+    requests = max(0.0, load.requests + candidate.expected_change)
+    flows = load.flows + len(agent.unacknowledged)
+    waiting = requests + OPEN_FLOW_WEIGHT * flows
+    penalty = REMOTE_ZONE_PENALTY if agent.member.zone != zone else 0.0
+    return waiting / max(1, load.slots) * slowness + penalty
 
 
 def median_service_seconds(agents: typing.Iterable[directory.Agent]) -> float:
@@ -67,39 +70,52 @@
 ) -> directory.Agent | None:
     """Return the agent that should get a new flow, None where none has capacity.
 
+    It is the better one of a few agents that are drawn at random, because entries that
+    all chose the best of all agents by the same reports would overload it together.
+    Agents of another zone are drawn where none of those drawn in the caller's zone is
+    expected to have an idle slot.
+
     Args:
         agents: Agents that accept new flows of the service.
         zone: Availability zone of the caller.
         objective_seconds: Time in which a request should be answered, 0 for no limit.
-        rng: Breaks ties.
+        rng: Draws agents.
         now: Current time in seconds.
     """
-    candidates = _with_capacity(agents, objective_seconds, now)
+    near = [agent for agent in agents if agent.member.zone == zone]
+    candidates = _draw(near, objective_seconds, rng, now)
+    if not any(_has_idle_slot(candidate) for candidate in candidates):
+        far = [agent for agent in agents if agent.member.zone != zone]
+        candidates += _draw(far, objective_seconds, rng, now)
     if not candidates:
         return None
-    median = median_service_seconds([agent for agent, _ in candidates])
-    waits = [
-        expected_wait(agent, zone, median, expected_change)
-        for agent, expected_change in candidates
-    ]
-    shortest = min(waits)
-    best = [
-        candidate.agent
-        for candidate, wait in zip(candidates, waits, strict=True)
-        if wait <= shortest
-    ]
-    return best[0] if len(best) == 1 else rng.choice(best)
-
-
-def _with_capacity(
-    agents: typing.Sequence[directory.Agent], objective_seconds: float, now: float
-) -> list[_Candidate]:
-    """Return the agents at which a request is likely to be answered in time."""
-    candidates = []
-    for agent in agents:
+    if len(candidates) == 1:
+        return candidates[0].agent
+    median = median_service_seconds(agents)
+    best = min(candidates, key=lambda c: expected_wait(c, zone, median))
+    return best.agent
+
+
+def _draw(
+    agents: list[directory.Agent],
+    objective_seconds: float,
+    rng: random.Random,
+    now: float,
+) -> list[Candidate]:
+    """Remove agents at random until enough of those removed have capacity."""
+    candidates: list[Candidate] = []
+    while agents and len(candidates) < CHOICES:
+        index = int(rng.random() * len(agents))
+        agents[index], agents[-1] = agents[-1], agents[index]
+        agent = agents.pop()
         if agent.full_until > now:
             continue
         change = agent.expected_change(now)
         if admission.has_capacity(agent.load, change, objective_seconds):
-            candidates.append(_Candidate(agent, change))
+            candidates.append(Candidate(agent, change))
     return candidates
+
+
+def _has_idle_slot(candidate: Candidate) -> bool:
+    load = candidate.agent.load
+    return load.requests + candidate.expected_change <= load.slots - MIN_IDLE_SLOTS
--- a/packages/cactushall-core/cactushall_core/flows/packets.py
+++ b/packages/cactushall-core/cactushall_core/flows/packets.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import typing
 
 SEQUENCE_MODULUS = 1 << 32
@@ -39,8 +38,8 @@
 
     def __str__(self) -> str:
         """Return ``caller>service address``."""
-        caller = ipaddress.IPv4Address(self.caller_host)
-        service = ipaddress.IPv4Address(self.service_host)
+        caller = _format_host(self.caller_host)
+        service = _format_host(self.service_host)
         return f"{caller}:{self.caller_port}>{service}:{self.service_port}"
 
 
@@ -75,6 +74,11 @@
         return bool(self.flags & Flags.BOUNCED)
 
 
+def _format_host(host: int) -> str:
+    """Return the dotted form; each log line of a flow has two of them."""
+    return f"{host >> 24 & 255}.{host >> 16 & 255}.{host >> 8 & 255}.{host & 255}"
+
+
 def sequence_distance(newer: int, older: int) -> int:
     """Return how far one sequence number is ahead of another, modulo 2^32."""
     return (newer - older) % SEQUENCE_MODULUS
