Limit of new flows to cold backend servers

Cause: agents let any number of openings through to a server that has just started. Change: a token bucket at the agent, by cold_start_s and cold_per_s of the service and by cold_left_ms of heartbeats; openings without a token are declined as full, load reports tell the allowance, and entries skip agents without any. A negative value, or one that is not a number, is one finding in the log; the rest of the configuration holds. Ruled out: a record of the last second's openings, which sustains the tolerated rate instead of the configured one.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -10,6 +10,7 @@
 from cactushall_core.flows import (
     actions,
     admission,
+    cold_start,
     known_entries,
     messages,
     packets,
@@ -28,7 +29,6 @@
 SWEEP_INTERVAL_SECONDS = 1.0
 MAX_FLOWS = 20_000
 MAX_QUEUED_OPENINGS = 1000
-FIRST_ANNOUNCEMENT_NUMBER = 1
 
 
 class State(enum.Enum):
@@ -94,14 +94,21 @@
     Methods take the current time and return the actions to carry out.
     """
 
-    def __init__(self, server: servers.Server, now: float) -> None:
+    def __init__(
+        self,
+        server: servers.Server,
+        now: float,
+        cold: cold_start.ColdStart | None = None,
+    ) -> None:
         """Start without flows.
 
         Args:
             server: The backend server beside the agent.
             now: Current time in seconds.
+            cold: Limits new flows while the backend server is cold.
         """
         self._server = server
+        self._cold = cold or cold_start.ColdStart()
         self._routes = routes.EMPTY
         self._flows: dict[packets.FlowId, Flow] = {}
         self._not_owned: dict[packets.FlowId, float] = {}
@@ -126,6 +133,7 @@
             self._meter.pending,
             self._server.slots,
             self._meter.service_seconds,
+            cold_allowance=self._cold.allowance,
         )
 
     @property
@@ -152,6 +160,7 @@
     ) -> list[actions.Action]:
         """Replace the routes by a newer revision and handle queued opening packets."""
         self._routes = table
+        self._update_cold_limit(now)
         self._expire_queue(now)
         pending, self._queue = self._queue, {}
         decided: list[actions.Action] = []
@@ -254,8 +263,12 @@
         if outcome is not servers.Outcome.APPLIED:
             return outcome
         self._meter.set_slots(announcement.slots)
+        self._cold.handle_announcement(announcement, latest_announcement, now)
+        self._update_cold_limit(now)
         if latest_announcement is None:
-            self._has_seen_all_flows = announcement.number <= FIRST_ANNOUNCEMENT_NUMBER
+            self._has_seen_all_flows = (
+                announcement.number <= servers.FIRST_ANNOUNCEMENT_NUMBER
+            )
         elif not servers.is_same_start(announcement, latest_announcement):
             self._forget_all()
         return outcome
@@ -263,6 +276,7 @@
     def tick(self, now: float) -> list[actions.Action]:
         """Register flows; forget expired flows and requests that have timed out."""
         self._expire_awaiting_request(now)
+        self._cold.update(now)
         if now >= self._next_sweep_at:
             self._sweep(now)
         return self._registrations.tick(now)
@@ -294,10 +308,13 @@
         if not self._routes.is_known and len(self._queue) < MAX_QUEUED_OPENINGS:
             self._queue[packet.flow] = QueuedOpening(packet, entry, now)
             return []
+        is_new = flow is None or _is_port_reused(flow, packet)
         refusal = self._refusal(packet)
+        if refusal is None and is_new and not self._cold.take(now):
+            refusal = messages.Refusal.FULL
         if refusal is not None:
             return [self._decline(packet.flow, entry, refusal)]
-        if flow is None or _is_port_reused(flow, packet):
+        if flow is None or is_new:
             self._forget(packet.flow)
             flow = Flow(
                 State.OPENING_DELIVERED, entry, now, opening_sequence=packet.sequence
@@ -329,6 +346,10 @@
             return None
         return messages.Refusal.FULL
 
+    def _update_cold_limit(self, now: float) -> None:
+        limits = self._routes.cold_limits
+        self._cold.update_limit(limits.get(self._server.service), now)
+
     def _confirm_owned(
         self, flow_id: packets.FlowId, flow: Flow, entry: addresses.Address
     ) -> actions.SendMessage:
--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -10,7 +10,7 @@
 import typing
 
 from cactushall_core import identifiers
-from cactushall_core.flows import admission, directory
+from cactushall_core.flows import admission, cold_start, directory
 
 OPEN_FLOW_WEIGHT = 0.05
 REMOTE_ZONE_PENALTY = 0.1
@@ -55,12 +55,22 @@
         objective_seconds: Time in which a request should be answered, 0 for no limit.
         now: Current time in seconds.
     """
-    if agent.full_until > now:
+    if agent.full_until > now or not has_cold_allowance(agent, now):
         return False
     expected_change = agent.expected_change(now)
     return admission.has_capacity(agent.load, expected_change, objective_seconds)
 
 
+def has_cold_allowance(agent: directory.Agent, now: float) -> bool:
+    """Return whether an agent has no limit, or is likely to be within it."""
+    return cold_start.has_allowance(
+        agent.load,
+        now - agent.load_at,
+        agent.unacknowledged_count(now),
+        agent.cold_refill_per_second,
+    )
+
+
 def select_agent(
     agents: typing.Sequence[directory.Agent],
     zone: identifiers.ZoneName,
--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -66,6 +66,19 @@
         is_newest = self._route_table.revision >= self._newest_revision
         return address in self._dropped_addresses or (self.is_complete and is_newest)
 
+    def cold_refill_per_second(self, agent: directory.Agent) -> float:
+        """Return this entry's part of the new flows that a cold server may get.
+
+        All entries spend the refill of its allowance.
+        """
+        limits = self._route_table.cold_limits
+        rates = [
+            limits[endpoint.service].requests_per_second
+            for endpoint in agent.member.endpoints
+            if endpoint.service in limits
+        ]
+        return min(rates, default=0.0) / max(1, len(self._entries))
+
     def handle_pause(self, now: float) -> None:
         """Record that this process was paused until now, and has missed updates."""
         self._evidence = None
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -174,6 +174,8 @@
         now: float,
     ) -> list[actions.Action]:
         agent.update_load(message.load, now)
+        if message.load.cold_allowance >= 0:
+            agent.cold_refill_per_second = self._view.cold_refill_per_second(agent)
         if isinstance(message, messages.Declined):
             return self._pending.handle_declined(agent, message, now)
         decided: list[actions.Action] = []
--- a/packages/cactushall-core/cactushall_core/flows/known_entries.py
+++ b/packages/cactushall-core/cactushall_core/flows/known_entries.py
@@ -16,6 +16,10 @@
         self._ring = registrars.RegistrarRing()
         self._version = 0
 
+    def __len__(self) -> int:
+        """Return the number of entries."""
+        return len(self._members)
+
     @property
     def version(self) -> int:
         """How often an entry has started or is gone."""
--- a/packages/cactushall-core/cactushall_core/flows/reports.py
+++ b/packages/cactushall-core/cactushall_core/flows/reports.py
@@ -35,5 +35,7 @@
             or now < self._reported_at + CAPACITY_REPORT_MIN_INTERVAL_SECONDS
         ):
             return False
+        if self._reported.cold_allowance == 0 and load.cold_allowance != 0:
+            return True
         was_busy = self._reported.requests > load.slots
         return was_busy and load.requests < self._reported.requests
--- a/packages/cactushall-core/cactushall_core/flows/routes.py
+++ b/packages/cactushall-core/cactushall_core/flows/routes.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cactushall_core import identifiers, rendezvous
+from cactushall_core import findings, identifiers, rendezvous
 from cactushall_core.flows import packets
 
 DEFAULT_IDLE_TIMEOUT_SECONDS = 15.0
@@ -92,6 +92,7 @@
         health_paths: Path of the health check of each service.
         idle_timeout_seconds: Time without packets after which a flow may be forgotten.
         cold_limits: Limits of cold backend servers, of the services that have any.
+        findings: What is wrong with fields that were left out.
     """
 
     revision: identifiers.Revision = identifiers.Revision(0)
@@ -103,6 +104,7 @@
     cold_limits: typing.Mapping[identifiers.ServiceName, ColdLimit] = msgspec.field(
         default_factory=dict
     )
+    findings: tuple[findings.Finding, ...] = ()
 
     @property
     def is_known(self) -> bool:
--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -11,6 +11,7 @@
 MISSED_HEARTBEATS = 3.0
 UNANSWERED_TIMEOUT_SECONDS = 0.3
 MAX_UNANSWERED = 2
+FIRST_ANNOUNCEMENT_NUMBER = 1
 
 
 class State(enum.Enum):
@@ -162,6 +163,20 @@
     return one.id == other.id and one.started_ms == other.started_ms
 
 
+def is_first_since_start(
+    announcement: Announcement, previous: Announcement | None
+) -> bool:
+    """Return whether an announcement tells of a start that has just been seen.
+
+    Args:
+        announcement: The announcement.
+        previous: The one before it, None if there was none.
+    """
+    if previous is None:
+        return announcement.number <= FIRST_ANNOUNCEMENT_NUMBER
+    return not is_same_start(announcement, previous)
+
+
 def _is_older(announcement: Announcement, latest: Announcement) -> bool:
     if is_same_start(announcement, latest):
         return announcement.number <= latest.number
--- a/packages/cactushall-daemon/cactushall_daemon/counters.py
+++ b/packages/cactushall-daemon/cactushall_daemon/counters.py
@@ -32,6 +32,7 @@
     FLOWS_HANDED_ON = "flows_handed_on"
     FLOWS_MOVED_IN = "flows_moved_in"
     FLOWS_MOVED_OUT = "flows_moved_out"
+    FLOWS_DECLINED_COLD = "flows_declined_cold"
     FLOWS_REFUSED = "flows_refused"
     REQUESTS = "requests"
     REQUESTS_ANSWERED = "requests_answered"
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -12,6 +12,7 @@
 from cactushall_core.flows import (
     actions,
     agent,
+    cold_start,
     messages,
     packets,
     reports,
@@ -52,7 +53,9 @@
             identifiers.ServiceName(settings.service),
             settings.heartbeat_milliseconds / 1000,
         )
-        self._flows = agent.AgentFlows(self._server, now)
+        self._cold = cold_start.ColdStart(settings.cold_overage, settings.cold_slack)
+        self._was_cold = False
+        self._flows = agent.AgentFlows(self._server, now, self._cold)
         self._node = node.Node(
             settings,
             node.make_member(settings, records.Role.AGENT, self._build_endpoints()),
@@ -102,6 +105,7 @@
             "requests_waiting": load.requests,
             "slots": load.slots,
             "service_seconds": load.service_seconds,
+            "server_cold": self._cold.is_cold,
         }
 
     def _tick(self) -> None:
@@ -111,8 +115,21 @@
             log.warning(events.Event.SERVER_UNRESPONSIVE, service=self._server.service)
             self._publish_server_state()
         self._report_load(now)
+        self._record_cold_start()
         self._loop.call_later(TICK_SECONDS, self._tick)
 
+    def _record_cold_start(self) -> None:
+        declined = self._cold.declined
+        self._node.counters.set(counters.Counter.FLOWS_DECLINED_COLD, declined)
+        if self._cold.is_cold != self._was_cold:
+            self._was_cold = self._cold.is_cold
+            log.info(
+                events.Event.SERVER_COLD_CHANGED,
+                service=self._server.service,
+                is_cold=self._was_cold,
+                declined=declined,
+            )
+
     # Packets.
 
     def _receive(self, datagram: bytes, source: tuple[str, int]) -> None:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -265,6 +265,12 @@
                 return
 
     def _adopt(self, route_table: routes.RouteTable) -> None:
+        for finding in route_table.findings:
+            log.error(
+                events.Event.CONFIGURATION_FIELD_REFUSED,
+                revision=route_table.revision,
+                why=str(finding),
+            )
         self._gossip.membership.set_revision(route_table.revision)
         self._on_routes(route_table)
 
--- a/tests/core/flows/test_loads.py
+++ b/tests/core/flows/test_loads.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 import statistics
 
 import pytest
 
 from bench import loads
+from tests.standins import load_site
 
 # The mean worth of two seeds differs by 0.03 from that of many.
 SEEDS = range(8)
@@ -42,3 +44,36 @@
 @pytest.mark.parametrize("plan", ["swing", "one server in eight is slow"])
 def test_placement_is_better_than_random(plan):
     assert mean_worth(plan) > mean_worth(plan, "random placement") + 0.01
+
+
+COLD_SURGE = load_site.Plan(
+    7.0,
+    load_site.constant_rate(150.0),
+    outage=(2.0, 3.0),
+    server_count=6,
+    entry_count=10,
+    new_flow_share=0.8,
+    cold_seconds=3.0,
+)
+MOST_OPENED_COLD = 20
+LIMITED_COLD_SURGE = dataclasses.replace(
+    COLD_SURGE, cold_per_second=10.0, cold_overage=1.5, cold_slack=5.0
+)
+
+
+def surge_onto_cold_servers(policy, plan):
+    with loads.POLICIES[policy]():
+        site = load_site.LoadSite(plan, 1)
+        site.run()
+    return load_site.most_opened_cold(site)
+
+
+@pytest.mark.parametrize("policy", ["own", "random placement"])
+def test_a_surge_onto_cold_servers_stays_within_the_limit(policy):
+    assert surge_onto_cold_servers(policy, LIMITED_COLD_SURGE) <= MOST_OPENED_COLD
+
+
+@pytest.mark.parametrize("policy", ["own", "random placement"])
+def test_the_same_surge_exceeds_the_limit_where_none_is_configured(policy):
+    """Guards against a load that could not show a missing limit."""
+    assert surge_onto_cold_servers(policy, COLD_SURGE) > MOST_OPENED_COLD
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -97,6 +97,46 @@
         decode(routes=[invalid_route])
 
 
+def decode_service(**fields):
+    return decode(services=[STORED["services"][0] | fields])
+
+
+def test_a_limit_of_cold_servers_is_decoded():
+    table = decode_service(cold_start_s=4, cold_per_s=12.5)
+    assert table.cold_limits == {"one": routes.ColdLimit(4.0, 12.5)}
+    assert table.findings == ()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{}, {"cold_start_s": 4}, {"cold_start_s": 4, "cold_per_s": 0}]
+    + [{"cold_start_s": 4, "cold_per_s": None}],
+)
+def test_a_service_without_a_rate_has_no_limit(fields):
+    table = decode_service(**fields)
+    assert table.cold_limits == {}
+    assert table.findings == ()
+
+
+def test_a_rate_without_a_time_limits_what_heartbeats_call_cold():
+    table = decode_service(cold_per_s=3)
+    assert table.cold_limits == {"one": routes.ColdLimit(0.0, 3.0)}
+
+
+@pytest.mark.parametrize("value", [-1, "4", True, [], {}, -0.5])
+@pytest.mark.parametrize("field", ["cold_start_s", "cold_per_s"])
+def test_a_wrong_cold_field_is_one_finding_and_the_rest_holds(field, value):
+    """Guards against a configuration that is refused as a whole for one field."""
+    fields = {"cold_start_s": 4.0, "cold_per_s": 3.0} | {field: value}
+    table = decode_service(**fields)
+    (finding,) = table.findings
+    assert str(finding.place) == f"store: services[0].{field}"
+    assert len(table.routes) == len(STORED["routes"])
+    limit = routes.ColdLimit(0.0, 3.0)
+    expected = {"one": limit} if field == "cold_start_s" else {}
+    assert table.cold_limits == expected
+
+
 def test_a_heartbeat_is_decoded():
     body = json.dumps(HEARTBEAT).encode()
     assert calls.parse_server_id("/api/instances/i-1") == "i-1"
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import dataclasses
 import heapq
@@ -14,14 +15,18 @@
 import random
 import typing
 
+import msgspec
+
 from cactushall_core import addresses, identifiers
 from cactushall_core.flows import (
     actions,
     agent,
+    cold_start,
     entry,
     messages,
     packets,
     reports,
+    routes,
     servers,
 )
 from cactushall_core.membership import completeness
@@ -77,6 +82,10 @@
         outage: Start and end of an outage of all processes, in seconds.
         cold_seconds: How long servers are slower after the outage.
         cold_factor: How many times slower they are then.
+        cold_per_second: Requests a second that a cold server can handle, as the
+            operators configure it; 0 for no limit.
+        cold_overage: Factor by which new flows may exceed that.
+        cold_slack: New flows in a second that are allowed beyond that.
     """
 
     seconds: float
@@ -99,6 +108,9 @@
     outage: tuple[float, float] | None = None
     cold_seconds: float = 2.0
     cold_factor: float = 1.6
+    cold_per_second: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
 
 
 @dataclasses.dataclass
@@ -158,6 +170,7 @@
         self._queue = collections.deque()
         self._running = 0
         self.cold_until = float("-inf")
+        self.opened_cold_at = []
 
     def restart(self, now):
         """Lose all state, and be slower for the plan's `cold_seconds`."""
@@ -170,6 +183,8 @@
         """Handle a packet that the agent delivers."""
         site = self._site
         if packet.is_opening:
+            if packet.flow not in self.flows and site.now < self.cold_until:
+                self.opened_cold_at.append(site.now)
             self.flows[packet.flow] = self.flows
             start = builders.SERVER_START + self.number * 100_000
             site.handle_server_packet(
@@ -223,7 +238,7 @@
         self._events = []
         self._order = itertools.count()
         self._ports = itertools.count(1000)
-        self._table = builders.route_table(objective=plan.objective_seconds)
+        self._table = _route_table(plan)
         self._flows = {}
         self._user_flows = {}
         self._busy_users = set()
@@ -237,6 +252,11 @@
         self._entries = {}
         self._start_all()
 
+    @property
+    def servers(self):
+        """The backend servers."""
+        return list(self._servers.values())
+
     def run(self):
         """Run the simulation and return the outcomes of all requests."""
         self.schedule(0.0, self._send_next_request)
@@ -285,12 +305,19 @@
 
     def _start_agent(self, number):
         server = servers.Server(builders.SERVICE, 1.2)
-        made = agent.AgentFlows(server, self.now)
+        cold = cold_start.ColdStart(self.plan.cold_overage, self.plan.cold_slack)
+        made = agent.AgentFlows(server, self.now, cold)
         self._agents[number] = made
         self._reporters[number] = reports.LoadReporter(self.now)
         start = next(self._starts)
         said = servers.Announcement(
-            f"s{number}", start, 1, builders.SERVICE, self.plan.slots, False
+            f"s{number}",
+            start,
+            1,
+            builders.SERVICE,
+            self.plan.slots,
+            False,
+            max(0.0, self._servers[number].cold_until - self.now),
         )
         made.handle_announcement(said, self.now)
         made.update_routes(self._table, self.now)
@@ -583,6 +610,23 @@
             self._execute_agent_actions(number, decided)
 
 
+def _route_table(plan):
+    table = builders.route_table(objective=plan.objective_seconds)
+    if plan.cold_per_second <= 0:
+        return table
+    limit = routes.ColdLimit(0.0, plan.cold_per_second)
+    return msgspec.structs.replace(table, cold_limits={builders.SERVICE: limit})
+
+
+def most_opened_cold(site):
+    """Return the most new flows that a cold server got in one second."""
+    return max(
+        bisect.bisect_right(times, at + 1.0) - index
+        for times in (server.opened_cold_at for server in site.servers)
+        for index, at in enumerate(times)
+    )
+
+
 def worst_windows(site, count=2):
     """Return the outcomes in the time windows with the lowest scores."""
     late_score = site.plan.late_score
