cactushall where: an entry explains where a new flow would go

Cause: operators saw from logs only where earlier flows went. Change: flow_placement.decide is the one function that chooses an agent, for pending flows and for explanations; GET /where at an entry's peer address answers from it, and roles may add calls there. Reasons come from directory.Agent.find_exclusion, ClusterView.exclusion and agent_selection.find_exclusion. The order among equal agents is decided by a copy of the entry's random source, so that the answer equals the next placement. Ruled out: placing a flow and undoing it, which would have side effects on each added rule.

--- a/packages/cactushall-client/cactushall_client/__main__.py
+++ b/packages/cactushall-client/cactushall_client/__main__.py
@@ -15,9 +15,13 @@
 from cactushall_client.commands import members as members_command
 from cactushall_client.commands import repair_epoch as repair_epoch_command
 from cactushall_client.commands import status as status_command
+from cactushall_client.commands import where as where_command
 from cactushall_core import addresses, exceptions, identifiers
 from cactushall_rpc import control
+from cactushall_rpc import where as where_calls
 
+ENTRY_HELP = "Peer address of an entry on the platform, as IP:PORT."
+ZONE_HELP = "Availability zone of the caller; the entry's own if not given."
 CONTACT_HELP = "Control address of any daemon process, as IP:PORT."
 STORE_HELP = "Address of the key-value store, as IP:PORT."
 OUTPUT_HELP = "Output format."
@@ -48,6 +52,24 @@
             self.fail(str(error), param, ctx)
 
 
+class ServiceAddressType(AddressType):
+    """Type of command-line values that are an address that callers send to."""
+
+    def convert(
+        self,
+        value: typing.Any,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> addresses.Address:
+        """Parse an IPv4 address with a port, or fail with a usage error."""
+        parsed = super().convert(value, param, ctx)
+        try:
+            where_calls.to_service_address(parsed)
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+        return parsed
+
+
 def _report_errors(run: typing.Callable[..., None], *args: object) -> None:
     """Run a command; print an expected error as one line and exit."""
     try:
@@ -57,6 +79,18 @@
         sys.exit(exit_codes.ExitCode.FAILURE)
 
 
+def _output_option(command: CommandT) -> CommandT:
+    """Add the option that chooses between text and JSON."""
+    add_output = click.option(
+        "--output",
+        "output_format",
+        type=click.Choice([chosen.value for chosen in output.Format]),
+        default=output.Format.TEXT.value,
+        help=OUTPUT_HELP,
+    )
+    return add_output(command)
+
+
 def _contact_options(command: CommandT) -> CommandT:
     """Add the options of commands that query a daemon process."""
     add_contact = click.option(
@@ -66,18 +100,11 @@
         envvar="CACTUSHALL_CONTACT",
         help=CONTACT_HELP,
     )
-    add_output = click.option(
-        "--output",
-        "output_format",
-        type=click.Choice([chosen.value for chosen in output.Format]),
-        default=output.Format.TEXT.value,
-        help=OUTPUT_HELP,
-    )
     for name, help_text in TLS_OPTIONS.items():
         path_type = click.Path(path_type=pathlib.Path, exists=True)
         add_file = click.option(f"--{name}", type=path_type, help=help_text)
         command = add_file(command)
-    return add_contact(add_output(command))
+    return add_contact(_output_option(command))
 
 
 def _make_client(
@@ -135,6 +162,29 @@
     _report_errors(explain_command.main, flow, paths)
 
 
+@cli.command()
+@click.argument("address", type=ServiceAddressType())
+@click.option("--zone", help=ZONE_HELP)
+@click.option(
+    "--entry",
+    type=AddressType(),
+    required=True,
+    envvar="CACTUSHALL_ENTRY",
+    help=ENTRY_HELP,
+)
+@_output_option
+def where(
+    address: addresses.Address,
+    zone: str | None,
+    entry: addresses.Address,
+    output_format: str,
+) -> None:
+    """Show where a new flow to ADDRESS (IP:PORT) would go now, and why."""
+    zone_name = identifiers.ZoneName(zone) if zone is not None else None
+    chosen = output.Format(output_format)
+    _report_errors(where_command.main, entry, address, zone_name, chosen)
+
+
 @cli.command()
 @click.argument("path", type=click.Path(path_type=pathlib.Path))
 @click.option("--store", type=AddressType(), required=True, help=STORE_HELP)
--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -10,7 +10,7 @@
 import typing
 
 from cactushall_core import identifiers
-from cactushall_core.flows import admission, cold_start, directory
+from cactushall_core.flows import admission, cold_start, directory, exclusions
 
 OPEN_FLOW_WEIGHT = 0.05
 REMOTE_ZONE_PENALTY = 0.1
@@ -55,10 +55,21 @@
         objective_seconds: Time in which a request should be answered, 0 for no limit.
         now: Current time in seconds.
     """
-    if agent.full_until > now or not has_cold_allowance(agent, now):
-        return False
-    expected_change = agent.expected_change(now)
-    return admission.has_capacity(agent.load, expected_change, objective_seconds)
+    return find_exclusion(agent, objective_seconds, now) is None
+
+
+def find_exclusion(
+    agent: directory.Agent, objective_seconds: float, now: float
+) -> exclusions.Exclusion | None:
+    """Return why an agent that accepts flows lacks capacity, None where it has some."""
+    if agent.full_until > now:
+        return exclusions.Exclusion.BACKING_OFF
+    if not has_cold_allowance(agent, now):
+        return exclusions.Exclusion.COLD
+    change = agent.expected_change(now)
+    if not admission.has_capacity(agent.load, change, objective_seconds):
+        return exclusions.Exclusion.FULL
+    return None
 
 
 def has_cold_allowance(agent: directory.Agent, now: float) -> bool:
--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from cactushall_core import identifiers
-from cactushall_core.flows import directory, known_entries, packets, routes
+from cactushall_core.flows import directory, exclusions, known_entries, packets, routes
 from cactushall_core.membership import completeness
 
 STALE_AFTER_PAUSE_SECONDS = 0.1
@@ -66,6 +66,16 @@
         is_newest = self._route_table.revision >= self._newest_revision
         return address in self._dropped_addresses or (self.is_complete and is_newest)
 
+    def accepting(self, service: identifiers.ServiceName) -> list[directory.Agent]:
+        """Return the agents that may get new flows of a service now."""
+        return self._agents.accepting(service)
+
+    def exclusion(
+        self, agent: directory.Agent, service: identifiers.ServiceName
+    ) -> exclusions.Exclusion | None:
+        """Return why `accepting` leaves out an agent, None where it does not."""
+        return agent.find_exclusion(service)
+
     def cold_refill_per_second(self, agent: directory.Agent) -> float:
         """Return this entry's part of the new flows that a cold server may get.
 
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from cactushall_core import addresses, identifiers
-from cactushall_core.flows import admission, messages, packets
+from cactushall_core.flows import admission, exclusions, messages, packets
 from cactushall_core.membership import records
 
 MAX_FULL_BACKOFF_SECONDS = 0.1
@@ -90,9 +90,21 @@
 
     def accepts(self, service: identifiers.ServiceName) -> bool:
         """Return whether it announces that it accepts new flows of a service."""
-        return self.status is records.Status.ALIVE and any(
-            e.service == service and not e.is_draining for e in self.member.endpoints
-        )
+        return self.find_exclusion(service) is None
+
+    def find_exclusion(
+        self, service: identifiers.ServiceName
+    ) -> exclusions.Exclusion | None:
+        """Return why it accepts no new flows of a service, None where it does."""
+        if self.status is not records.Status.ALIVE:
+            return exclusions.Exclusion.NOT_ALIVE
+        exclusion = exclusions.Exclusion.NO_SERVER
+        for endpoint in self.member.endpoints:
+            if endpoint.service == service:
+                if not endpoint.is_draining:
+                    return None
+                exclusion = exclusions.Exclusion.DRAINING
+        return exclusion
 
 
 AgentCallback = collections.abc.Callable[[Agent], None]
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -15,6 +15,7 @@
     actions,
     cluster_view,
     directory,
+    explanation,
     lookups,
     messages,
     packets,
@@ -183,6 +184,21 @@
             decided += self._handle_accepted(agent, message, now)
         return decided + self._pending.place_queued(now)
 
+    def explain(
+        self,
+        address: routes.ServiceAddress,
+        zone: identifiers.ZoneName | None,
+        now: float,
+    ) -> explanation.Explanation:
+        """Explain where a new flow to an address would go now.
+
+        Args:
+            address: The address that the caller sends to.
+            zone: Availability zone of the caller, None for that of this entry.
+            now: Current time in seconds.
+        """
+        return self._pending.explain(address, zone, now)
+
     def tick(self, now: float) -> list[actions.Action]:
         """Make the decisions that had to be deferred when the packets arrived."""
         decided = self._pending.place_queued(now)
--- /dev/null
+++ b/packages/cactushall-core/cactushall_core/flows/explanation.py
@@ -0,0 +1,206 @@
+"""Explains where a new flow would go now, for operators."""
+
+from __future__ import annotations
+
+import collections.abc
+import copy
+import math
+import random
+
+import msgspec
+
+from cactushall_core import identifiers
+from cactushall_core.flows import (
+    actions,
+    agent_selection,
+    cluster_view,
+    directory,
+    exclusions,
+    flow_placement,
+    packets,
+    routes,
+)
+
+QueueSeconds = collections.abc.Callable[
+    [packets.FlowId, flow_placement.Decision], float
+]
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Why a flow would get no agent now.
+
+    Attributes:
+        reason: The reason.
+        queue_seconds: How long it would wait for that to change, 0 where it would be
+            refused at once.
+    """
+
+    reason: actions.Reason
+    queue_seconds: float
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """An agent of the service.
+
+    Attributes:
+        node: Its name.
+        address: Its packet address.
+        zone: Its availability zone.
+        exclusion: Why it cannot get the flow, None where it can.
+        flows: Number of flows that it last reported.
+        requests: Estimated number of requests in its backend server.
+        slots: Number of requests that the server runs at once.
+        service_seconds: Recent mean time of a request, 0 if unknown.
+        load_age_seconds: Age of its load report, None where it has not sent any.
+        expected_wait: Expected wait in service times; the least is chosen.
+    """
+
+    node: identifiers.NodeName
+    address: str
+    zone: identifiers.ZoneName
+    exclusion: exclusions.Exclusion | None
+    flows: int
+    requests: float
+    slots: int
+    service_seconds: float
+    load_age_seconds: float | None
+    expected_wait: float
+
+
+class ServiceExplanation(msgspec.Struct, frozen=True):
+    """Where a flow would go if it belongs to one of the services of its route.
+
+    Attributes:
+        service: The service.
+        weight: Its weight among the services of the route.
+        candidates: All agents that have announced the service.
+        agent: Name of the chosen agent, None where none is.
+        refusal: Why none is chosen.
+    """
+
+    service: identifiers.ServiceName
+    weight: float
+    candidates: tuple[Candidate, ...]
+    agent: identifiers.NodeName | None
+    refusal: Refusal | None
+
+
+class Explanation(msgspec.Struct, frozen=True):
+    """Where a new flow would go now.
+
+    Attributes:
+        zone: Availability zone of the caller.
+        revision: Revision of the routes.
+        route: Name of the route, None where there is none.
+        services: The services of the route; a flow belongs to one of them by its
+            caller's address and port.
+        refusal: Why the flow gets no service.
+    """
+
+    zone: identifiers.ZoneName
+    revision: identifiers.Revision
+    route: str | None = None
+    services: tuple[ServiceExplanation, ...] = ()
+    refusal: Refusal | None = None
+
+
+def explain(
+    view: cluster_view.ClusterView,
+    address: routes.ServiceAddress,
+    zone: identifiers.ZoneName,
+    rng: random.Random,
+    queue_seconds: QueueSeconds,
+    now: float,
+) -> Explanation:
+    """Explain where a new flow to an address would go, without sending anything.
+
+    Args:
+        view: Routes and agents.
+        address: The address that the caller sends to.
+        zone: Availability zone of the caller.
+        rng: Breaks ties as for the next flow that is placed; it is not changed.
+        queue_seconds: Returns how long a flow that gets no agent may be queued.
+        now: Current time in seconds.
+    """
+    flow_id = packets.FlowId(0, 0, address.host, address.port)
+    revision = view.route_table.revision
+    if view.is_stale(now):
+        refusal = Refusal(actions.Reason.STALE, 0.0)
+        return Explanation(zone, revision, refusal=refusal)
+    route = view.route_table.find(flow_id)
+    if route is None:
+        decision = flow_placement.decide(view, flow_id, zone, rng, now)
+        refusal_or_none = _make_refusal(flow_id, decision, queue_seconds)
+        return Explanation(zone, revision, refusal=refusal_or_none)
+
+    def explain_service(share: routes.Share) -> ServiceExplanation:
+        decision = flow_placement.select(
+            view, route, share.service, zone, copy.copy(rng), now
+        )
+        return ServiceExplanation(
+            share.service,
+            share.weight,
+            _describe_agents(view, route, share.service, zone, decision, now),
+            decision.agent.member.name if decision.agent is not None else None,
+            _make_refusal(flow_id, decision, queue_seconds),
+        )
+
+    services = tuple(map(explain_service, route.shares))
+    return Explanation(zone, revision, route.name, services)
+
+
+def _make_refusal(
+    flow_id: packets.FlowId,
+    decision: flow_placement.Decision,
+    queue_seconds: QueueSeconds,
+) -> Refusal | None:
+    if decision.reason is None:
+        return None
+    return Refusal(decision.reason, queue_seconds(flow_id, decision))
+
+
+def _describe_agents(
+    view: cluster_view.ClusterView,
+    route: routes.Route,
+    service: identifiers.ServiceName,
+    zone: identifiers.ZoneName,
+    decision: flow_placement.Decision,
+    now: float,
+) -> tuple[Candidate, ...]:
+    """Describe all agents of a service, the chosen one and the best first."""
+    accepting = {agent.packet_address for agent in decision.candidates}
+
+    def exclusion_of(agent: directory.Agent) -> exclusions.Exclusion | None:
+        if agent.packet_address in accepting:
+            return agent_selection.find_exclusion(agent, route.objective_seconds, now)
+        return view.exclusion(agent, service) or exclusions.Exclusion.LEFT_OUT
+
+    known = [(agent, exclusion_of(agent)) for agent in view.agents.of_service(service)]
+    median = agent_selection.median_service_seconds(
+        [agent for agent, exclusion in known if exclusion is None]
+    )
+    described = [
+        Candidate(
+            node=agent.member.name,
+            address=str(agent.packet_address),
+            zone=agent.member.zone,
+            exclusion=exclusion,
+            flows=agent.load.flows,
+            requests=max(0.0, agent.load.requests + agent.expected_change(now)),
+            slots=agent.load.slots,
+            service_seconds=agent.load.service_seconds,
+            load_age_seconds=_finite_age(agent, now),
+            expected_wait=agent_selection.expected_wait(agent, zone, median, now),
+        )
+        for agent, exclusion in known
+    ]
+    chosen = decision.agent.member.name if decision.agent is not None else None
+    described.sort(
+        key=lambda c: (c.node != chosen, c.exclusion is not None, c.expected_wait)
+    )
+    return tuple(described)
+
+
+def _finite_age(agent: directory.Agent, now: float) -> float | None:
+    age = now - agent.load_at
+    return age if math.isfinite(age) else None
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -9,11 +9,13 @@
 from cactushall_core import addresses, identifiers
 from cactushall_core.flows import (
     actions,
-    agent_selection,
     cluster_view,
     directory,
+    explanation,
+    flow_placement,
     messages,
     packets,
+    routes,
 )
 
 RETRY_ELSEWHERE_SECONDS = 0.15
@@ -123,6 +125,24 @@
             decided += self._place(flow, now)
         return decided
 
+    def explain(
+        self,
+        address: routes.ServiceAddress,
+        zone: identifiers.ZoneName | None,
+        now: float,
+    ) -> explanation.Explanation:
+        """Explain where a new flow would go now.
+
+        Args:
+            address: The address that the caller sends to.
+            zone: Availability zone of the caller, None for that of most callers.
+            now: Current time in seconds.
+        """
+        zone = zone if zone is not None else self._zone
+        return explanation.explain(
+            self._view, address, zone, self._rng, self._queue_seconds, now
+        )
+
     def expire(self, now: float) -> None:
         """Forget flows whose callers have given up."""
         for flow_id, flow in list(self._flows.items()):
@@ -139,39 +159,35 @@
     def _place(self, flow: PendingFlow, now: float) -> list[actions.Action]:
         """Forward an opening packet, preferably to an agent that has not had it."""
         flow_id = flow.packet.flow
-        if not self._view.route_table.is_known:
-            return self._queue_or_refuse(flow, 0, now, packets.OPENING_TIMEOUT_SECONDS)
-        route = self._view.route_table.find(flow_id)
-        if route is None:
-            return self._queue_without_route(flow, now)
         self._without_route.discard(flow_id)
-        accepting = self._view.agents.accepting(route.service_of(flow_id))
-        candidates = [a for a in accepting if a.packet_address not in flow.declined]
-        if not candidates:
-            timeout = 0.0 if self._view.is_complete else packets.OPENING_TIMEOUT_SECONDS
-            return self._queue_or_refuse(flow, 0, now, timeout)
-        untried = [a for a in candidates if a.packet_address not in flow.tried]
-        objective = route.objective_seconds
-        agent = agent_selection.select_agent(
-            untried or candidates, self._zone, objective, self._rng, now
+        decision = flow_placement.decide(
+            self._view,
+            flow_id,
+            self._zone,
+            self._rng,
+            now,
+            flow.tried,
+            flow.declined,
         )
-        if agent is None:
-            timeout = self._queue_timeout(len(candidates))
-            return self._queue_or_refuse(flow, len(candidates), now, timeout)
-        return [self._forward(flow, agent, now)]
+        if decision.agent is not None:
+            return [self._forward(flow, decision.agent, now)]
+        return self._queue_or_refuse(flow, decision, now)
 
-    def _queue_without_route(
-        self, flow: PendingFlow, now: float
-    ) -> list[actions.Action]:
-        """Queue a flow while its route may be in a revision that is not adopted yet."""
-        flow_id = flow.packet.flow
-        is_late = now - flow.opened_at >= packets.OPENING_TIMEOUT_SECONDS
-        if is_late or self._view.certainly_lacks_route(flow_id):
-            return self._refuse(flow, 0, now, actions.Reason.NO_ROUTE)
-        flow.agent = None
-        self._queue.setdefault(flow_id, flow)
-        self._without_route.add(flow_id)
-        return []
+    def _queue_seconds(
+        self, flow_id: packets.FlowId, decision: flow_placement.Decision
+    ) -> float:
+        """Return how long a flow that gets no agent may be queued, in seconds.
+
+        Its route may be in a revision that is not adopted yet, and its agents may be
+        unknown while the table of members is incomplete.
+        """
+        if decision.reason is actions.Reason.NO_CAPACITY:
+            return self._queue_timeout(len(decision.candidates))
+        if decision.reason is actions.Reason.NO_ROUTE:
+            is_certain = self._view.certainly_lacks_route(flow_id)
+        else:
+            is_certain = self._view.is_complete
+        return 0.0 if is_certain else packets.OPENING_TIMEOUT_SECONDS
 
     def _queue_timeout(self, agent_count: int) -> float:
         """Return how long a flow may be queued, in seconds.
@@ -202,17 +218,18 @@
         return actions.Forward(flow.agent, flow.packet.datagram, placement)
 
     def _queue_or_refuse(
-        self, flow: PendingFlow, agent_count: int, now: float, timeout_seconds: float
+        self, flow: PendingFlow, decision: flow_placement.Decision, now: float
     ) -> list[actions.Action]:
-        """Queue a flow until an agent has capacity, refuse it after its timeout."""
+        """Queue a flow until it can be placed, refuse it after its timeout."""
+        assert decision.reason is not None
+        flow_id = flow.packet.flow
         flow.agent = None
-        if now - flow.opened_at < timeout_seconds:
-            self._queue.setdefault(flow.packet.flow, flow)
-            return []
-        reason = actions.Reason.NO_CAPACITY
-        if agent_count == 0:
-            reason = actions.Reason.NO_SERVER
-        return self._refuse(flow, agent_count, now, reason)
+        if now - flow.opened_at >= self._queue_seconds(flow_id, decision):
+            return self._refuse(flow, len(decision.candidates), now, decision.reason)
+        self._queue.setdefault(flow_id, flow)
+        if decision.reason is actions.Reason.NO_ROUTE:
+            self._without_route.add(flow_id)
+        return []
 
     def _refuse(
         self, flow: PendingFlow, agent_count: int, now: float, reason: actions.Reason
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -16,6 +16,7 @@
 from cactushall_platform import calls
 from cactushall_platform import packets as layout
 from cactushall_rpc import http as http_calls
+from cactushall_rpc import where
 
 TICK_SECONDS = 0.05
 MAX_STOP_SECONDS = 3.0
@@ -52,6 +53,7 @@
             on_routes=self._on_routes,
             on_message=self._on_message,
             gauges=self._read_gauges,
+            peer_calls={where.PATH: self._handle_where_call},
         )
         self._received_counter = self._node.counters.cell(counters.Counter.RECEIVED)
 
@@ -129,6 +131,16 @@
     def _on_routes(self, route_table: routes.RouteTable) -> None:
         self._execute(self._flows.update_routes(route_table, self._loop.time()))
 
+    def _handle_where_call(self, request: http_calls.Request) -> http_calls.Response:
+        """Explain where a new flow would go now."""
+        try:
+            question = where.decode_question(request.query)
+        except ValueError as error:
+            return http_calls.Response(http.HTTPStatus.BAD_REQUEST, str(error).encode())
+        now = self._node.gossip.check_for_pause()
+        answer = self._flows.explain(question.address, question.zone, now)
+        return http_calls.Response(body=where.encode_answer(answer))
+
     def _handle_readiness_call(
         self, request: http_calls.Request
     ) -> http_calls.Response:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -12,6 +12,7 @@
 import secrets
 import socket
 import time
+import types
 
 from cactushall_core import addresses, adoption, exceptions, identifiers
 from cactushall_core.flows import messages, routes
@@ -48,6 +49,7 @@
 TABLE_TIMEOUT_SECONDS = 0.5
 CONFIGURATION_PATH = "/configuration"
 MEMBERS_PATH = "/members"
+NO_CALLS: collections.abc.Mapping[str, http_calls.Handler] = types.MappingProxyType({})
 
 MessageCallback = collections.abc.Callable[[addresses.Address, messages.Message], None]
 RoutesCallback = collections.abc.Callable[[routes.RouteTable], None]
@@ -83,6 +85,7 @@
         on_routes: RoutesCallback,
         on_message: MessageCallback,
         gauges: metrics.Gauges,
+        peer_calls: collections.abc.Mapping[str, http_calls.Handler] = NO_CALLS,
     ) -> None:
         """Create the node without binding an address or sending anything.
 
@@ -94,7 +97,10 @@
             on_routes: Called when a newer route table is adopted.
             on_message: Called for each message about flows.
             gauges: Returns the gauges that only this role has, by name.
+            peer_calls: Handlers of the calls that only this role answers at its peer
+                address, by path.
         """
+        self._role_peer_calls = peer_calls
         self._on_routes = on_routes
         self._on_message = on_message
         self._counters = counters.Counters()
@@ -274,11 +280,15 @@
         self._gossip.membership.set_revision(route_table.revision)
         self._on_routes(route_table)
 
-    def _handle_peer_call(self, request: http_calls.Request) -> http_calls.Response:
+    def _handle_peer_call(
+        self, request: http_calls.Request
+    ) -> http_calls.Response | collections.abc.Awaitable[http_calls.Response]:
         if request.path == CONFIGURATION_PATH:
             return http_calls.Response(body=self._follower.value)
         if request.path == MEMBERS_PATH:
             return self._handle_table_request(request)
+        if request.path in self._role_peer_calls:
+            return self._role_peer_calls[request.path](request)
         return http_calls.Response(http.HTTPStatus.NOT_FOUND)
 
     def _handle_table_request(self, request: http_calls.Request) -> http_calls.Response:
--- a/packages/cactushall-rpc/cactushall_rpc/http.py
+++ b/packages/cactushall-rpc/cactushall_rpc/http.py
@@ -35,11 +35,13 @@
         method: HTTP method.
         path: Path without the query.
         body: Body, empty if there is none.
+        query: Query without the question mark, empty if there is none.
     """
 
     method: str
     path: str
     body: bytes
+    query: str = ""
 
 
 class Response(msgspec.Struct, frozen=True):
@@ -114,8 +116,8 @@
         return None
     body = await _read_body(connection, reader)
     target = head.target.decode("ascii")
-    path = target.partition("?")[0]
-    return Request(head.method.decode("ascii"), path, body)
+    path, _, query = target.partition("?")
+    return Request(head.method.decode("ascii"), path, body, query)
 
 
 def _encode_response(connection: h11.Connection, response: Response) -> bytes:
