Entries use a share of an allowance that all of them are told

Cause: a report of a cold server's allowance reaches all entries at once; in a surge through 59 entries agents declined 14.1 flows for the limit for each one that they let through. Change: each entry uses eight times its share of a report, at most all of it, rounded at random. Ruled out: twice and four times, which leave allowance over (docs/design/cold-start.md).

--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -74,8 +74,10 @@
 
 def has_cold_allowance(agent: directory.Agent, now: float) -> bool:
     """Return whether an agent has no limit, or is likely to be within it."""
+    if agent.cold_allowance < 0:
+        return True
     return cold_start.has_allowance(
-        agent.load,
+        agent.cold_allowance,
         now - agent.load_at,
         agent.unacknowledged_count(now),
         agent.cold_refill_per_second,
--- a/packages/cactushall-core/cactushall_core/flows/cold_start.py
+++ b/packages/cactushall-core/cactushall_core/flows/cold_start.py
@@ -8,12 +8,16 @@
 from __future__ import annotations
 
 import math
+import random
 
 from cactushall_core import token_bucket
-from cactushall_core.flows import messages, reports, routes, servers
+from cactushall_core.flows import reports, routes, servers
 
 # Deliveries may be this much closer together at the server than at the agent.
 DELIVERY_JITTER_SECONDS = 0.1
+# Flows that all entries together may send for each one that a report allows. With less,
+# allowance is left over at agents while other entries refuse flows.
+OVERBOOKING = 8.0
 WINDOW_SECONDS = 1.0 + DELIVERY_JITTER_SECONDS
 NO_LIMIT = -1.0
 
@@ -129,23 +133,38 @@
         return bucket
 
 
+def draw_share(allowance: float, entry_count: int, rng: random.Random) -> float:
+    """Return how much of an allowance that all entries were told one entry may use.
+
+    If each entry used all of it, most of their flows would be declined. The share is
+    rounded at random, so that some entries use an allowance that is too small for all.
+
+    Args:
+        allowance: The reported allowance; negative for no limit.
+        entry_count: Number of entries.
+        rng: Source of random choices.
+    """
+    if allowance < 0:
+        return allowance
+    share = OVERBOOKING * allowance / max(1, entry_count)
+    return min(allowance, math.floor(share + rng.random()))
+
+
 def has_allowance(
-    load: messages.Load,
+    allowance: float,
     age_seconds: float,
     unacknowledged: int,
     refill_per_second: float,
 ) -> bool:
-    """Return whether an agent is likely to let one more flow through to its server.
+    """Return whether an agent with a limit is likely to let one more flow through.
 
     Args:
-        load: The load that the agent last reported.
+        allowance: How much of the agent's last reported allowance this entry may use.
         age_seconds: Age of the report.
         unacknowledged: New flows sent there that the report may not include.
         refill_per_second: This entry's part of what the server may get each second.
     """
-    if load.cold_allowance < 0:
-        return True
     # A load that has changed would have been reported within the interval.
     refill_seconds = min(age_seconds, reports.REPORT_INTERVAL_SECONDS)
     refilled = refill_per_second * refill_seconds
-    return load.cold_allowance + refilled - unacknowledged >= 1.0
+    return allowance + refilled - unacknowledged >= 1.0
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -31,6 +31,8 @@
         unacknowledged: Flows sent to it that it has neither accepted nor declined,
             with the times when they were sent.
         full_until: End of the backoff after it declined a flow for lack of capacity.
+        cold_allowance: How many flows this entry may send it at once while its backend
+            server is cold; negative for no limit.
         cold_refill_per_second: This entry's part of the new flows that its backend
             server may get each second while it is cold.
     """
@@ -43,6 +45,7 @@
     load_at: float = float("-inf")
     unacknowledged: dict[packets.FlowId, float] = msgspec.field(default_factory=dict)
     full_until: float = float("-inf")
+    cold_allowance: float = NO_LOAD.cold_allowance
     cold_refill_per_second: float = 0.0
 
     @property
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -14,6 +14,7 @@
 from cactushall_core.flows import (
     actions,
     cluster_view,
+    cold_start,
     directory,
     explanation,
     lookups,
@@ -70,6 +71,7 @@
             rng: Source of random choices.
             now: Current time in seconds.
         """
+        self._rng = rng
         self._view = cluster_view.ClusterView()
         self._pending = pending_flows.PendingFlows(self._view, zone, rng)
         self._registered = registered_owners.RegisteredOwners()
@@ -175,8 +177,7 @@
         now: float,
     ) -> list[actions.Action]:
         agent.update_load(message.load, now)
-        if message.load.cold_allowance >= 0:
-            agent.cold_refill_per_second = self._view.cold_refill_per_second(agent)
+        self._update_cold_allowance(agent, message)
         if isinstance(message, messages.Declined):
             return self._pending.handle_declined(agent, message, now)
         decided: list[actions.Action] = []
@@ -184,6 +185,20 @@
             decided += self._handle_accepted(agent, message, now)
         return decided + self._pending.place_queued(now)
 
+    def _update_cold_allowance(
+        self,
+        agent: directory.Agent,
+        message: messages.Accepted | messages.Declined | messages.LoadReport,
+    ) -> None:
+        """Store what this entry may use of an allowance; reports go to all entries."""
+        allowance = message.load.cold_allowance
+        if allowance >= 0:
+            agent.cold_refill_per_second = self._view.cold_refill_per_second(agent)
+        if isinstance(message, messages.LoadReport):
+            entry_count = len(self._view.entries)
+            allowance = cold_start.draw_share(allowance, entry_count, self._rng)
+        agent.cold_allowance = allowance
+
     def explain(
         self,
         address: routes.ServiceAddress,
--- a/tests/core/flows/test_cold_start.py
+++ b/tests/core/flows/test_cold_start.py
@@ -273,6 +273,7 @@
         view.entries.update(builders.entry_record(number))
     one = view.agents.by_packet_address(record.member.tunnel_address)
     one.update_load(load, 0.0)
+    one.cold_allowance = load.cold_allowance
     one.cold_refill_per_second = view.cold_refill_per_second(one)
     return one
 
@@ -296,6 +297,23 @@
     assert not agent_selection.has_cold_allowance(shared, 0.2)
 
 
+@hypothesis.given(strategies.integers(0, 100), strategies.integers(1, 100))
+def test_entries_together_use_an_allowance_a_bounded_number_of_times(
+    allowance, entries
+):
+    rng = random.Random(allowance)
+    shares = [cold_start.draw_share(allowance, entries, rng) for _ in range(entries)]
+    assert all(0 <= share <= allowance for share in shares)
+    # All shares are rounded by less than one.
+    together = min(entries, cold_start.OVERBOOKING) * allowance
+    assert abs(sum(shares) - together) < entries
+    assert cold_start.draw_share(allowance, 1, rng) == allowance
+
+
+def test_no_limit_is_not_shared():
+    assert cold_start.draw_share(-1.0, 23, random.Random(1)) < 0
+
+
 def test_a_load_that_was_not_reported_again_is_unchanged():
     one = agent_with(load(0.0), entries=4)
     assert not agent_selection.has_cold_allowance(one, 60.0)
--- a/tests/core/flows/test_loads.py
+++ b/tests/core/flows/test_loads.py
@@ -5,10 +5,12 @@
 import dataclasses
 import functools
 import statistics
+from unittest import mock
 
 import pytest
 
 from bench import loads
+from cactushall_core.flows import cold_start
 from tests.standins import load_site
 
 # The mean worth of two seeds differs by 0.03 from that of many.
@@ -57,7 +59,11 @@
 )
 MOST_OPENED_COLD = 20
 LIMITED_COLD_SURGE = dataclasses.replace(
-    COLD_SURGE, cold_per_second=10.0, cold_overage=1.5, cold_slack=5.0
+    COLD_SURGE,
+    cold_per_second=10.0,
+    cold_overage=1.5,
+    cold_slack=5.0,
+    knows_entries=True,
 )
 
 
@@ -65,15 +71,31 @@
     with loads.POLICIES[policy]():
         site = load_site.LoadSite(plan, 1)
         site.run()
-    return load_site.most_opened_cold(site)
+    return site
 
 
 @pytest.mark.parametrize("policy", ["own", "random placement"])
 def test_a_surge_onto_cold_servers_stays_within_the_limit(policy):
-    assert surge_onto_cold_servers(policy, LIMITED_COLD_SURGE) <= MOST_OPENED_COLD
+    site = surge_onto_cold_servers(policy, LIMITED_COLD_SURGE)
+    assert load_site.most_opened_cold(site) <= MOST_OPENED_COLD
 
 
 @pytest.mark.parametrize("policy", ["own", "random placement"])
 def test_the_same_surge_exceeds_the_limit_where_none_is_configured(policy):
     """Guards against a load that could not show a missing limit."""
-    assert surge_onto_cold_servers(policy, COLD_SURGE) > MOST_OPENED_COLD
+    site = surge_onto_cold_servers(policy, COLD_SURGE)
+    assert load_site.most_opened_cold(site) > MOST_OPENED_COLD
+
+
+def test_entries_that_share_an_allowance_are_seldom_declined():
+    """Guards against all entries using the whole allowance of each report."""
+    plan = dataclasses.replace(LIMITED_COLD_SURGE, entry_count=59)
+    shared = surge_onto_cold_servers("own", plan)
+    with mock.patch.object(cold_start, "draw_share", lambda allowance, *_: allowance):
+        whole = surge_onto_cold_servers("own", plan)
+    assert shared.declined_cold < whole.declined_cold / 2
+
+    def opened(site):
+        return sum(len(server.opened_cold_at) for server in site.servers)
+
+    assert opened(shared) > 0.85 * opened(whole)
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -86,6 +86,8 @@
             operators configure it; 0 for no limit.
         cold_overage: Factor by which new flows may exceed that.
         cold_slack: New flows in a second that are allowed beyond that.
+        knows_entries: Whether entries know each other; their queries to each other are
+            not simulated.
     """
 
     seconds: float
@@ -111,6 +113,7 @@
     cold_per_second: float = 0.0
     cold_overage: float = 1.0
     cold_slack: float = 0.0
+    knows_entries: bool = False
 
 
 @dataclasses.dataclass
@@ -228,6 +231,7 @@
         now: Simulated time in seconds.
         results: Outcomes of the requests that were sent in each time window.
         declined: Number of new flows that agents declined.
+        declined_cold: Number of those that a cold server had no allowance for.
     """
 
     def __init__(self, plan, seed):
@@ -244,6 +248,7 @@
         self._busy_users = set()
         self.results = collections.defaultdict(Result)
         self.declined = 0
+        self.declined_cold = 0
         self._starts = itertools.count(1)
         self._servers = {n: Server(self, n) for n in range(1, plan.server_count + 1)}
         self._agents = {}
@@ -338,6 +343,9 @@
         made = entry.EntryFlows(zone, random.Random(index), self.now)
         self._entries[index] = made
         made.update_routes(self._table, self.now)
+        if self.plan.knows_entries:
+            for number in range(self.plan.entry_count):
+                made.update_member(builders.entry_record(number), self.now)
         for record in self._records.values():
             self.schedule(
                 MEMBERSHIP_DELAY_SECONDS, lambda r=record: self._update_member(made, r)
@@ -589,6 +597,7 @@
     def _send_message(self, number, action):
         if isinstance(action.message, messages.Declined):
             self.declined += 1
+            self.declined_cold += action.message.load.cold_allowance == 0
         index = int(action.address.host.rpartition(".")[2])
         peer = builders.agent_record(number).member.control_address
 
