--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -11,7 +11,7 @@
 import typing
 
 from cactushall_core import identifiers
-from cactushall_core.flows import admission, directory
+from cactushall_core.flows import admission, cold_start, directory, exclusions
 
 OPEN_FLOW_WEIGHT = 0.05
 REMOTE_ZONE_PENALTY = 0.1
@@ -78,11 +78,38 @@
         now: Current time in seconds.
         reserved_requests: Requests per slot that it may use beyond the regular limit.
     """
+    exclusion = find_exclusion(agent, objective_seconds, now, reserved_requests)
+    return exclusion is None
+
+
+def find_exclusion(
+    agent: directory.Agent,
+    objective_seconds: float,
+    now: float,
+    reserved_requests: float = 0.0,
+) -> exclusions.Exclusion | None:
+    """Return why an agent that accepts flows lacks capacity, None where it has some."""
     if agent.full_until > now:
-        return False
+        return exclusions.Exclusion.BACKING_OFF
+    if not has_cold_allowance(agent, now):
+        return exclusions.Exclusion.COLD
     change = agent.expected_change(now)
-    return admission.has_capacity(
+    if not admission.has_capacity(
         agent.load, change, objective_seconds, reserved_requests
+    ):
+        return exclusions.Exclusion.FULL
+    return None
+
+
+def has_cold_allowance(agent: directory.Agent, now: float) -> bool:
+    """Return whether an agent has no limit, or is likely to be within it."""
+    if agent.cold_allowance < 0:
+        return True
+    return cold_start.has_allowance(
+        agent.cold_allowance,
+        now - agent.load_at,
+        agent.unacknowledged_count(now),
+        agent.cold_refill_per_second,
     )
 
 
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from cactushall_core import addresses, identifiers
-from cactushall_core.flows import admission, messages, packets
+from cactushall_core.flows import admission, exclusions, messages, packets
 from cactushall_core.membership import records
 
 MAX_FULL_BACKOFF_SECONDS = 0.1
@@ -36,6 +36,10 @@
             has capacity.
         packet_address: Address at which it receives callers' packets.
         peer_address: Address at which it receives messages.
+        cold_allowance: How many flows this entry may send it at once while its backend
+            server is cold; negative for no limit.
+        cold_refill_per_second: This entry's part of the new flows that its backend
+            server may get each second while it is cold.
     """
 
     member: records.Member
@@ -49,6 +53,8 @@
     held_back_until: float = float("-inf")
     packet_address: addresses.Address = NO_ADDRESS
     peer_address: addresses.Address = NO_ADDRESS
+    cold_allowance: float = NO_LOAD.cold_allowance
+    cold_refill_per_second: float = 0.0
 
     def __post_init__(self) -> None:
         """Derive the addresses, which are read for each packet."""
@@ -100,9 +106,21 @@
 
     def accepts(self, service: identifiers.ServiceName) -> bool:
         """Return whether it announces that it accepts new flows of a service."""
-        return self.status is records.Status.ALIVE and any(
-            e.service == service and not e.is_draining for e in self.member.endpoints
-        )
+        return self.find_exclusion(service) is None
+
+    def find_exclusion(
+        self, service: identifiers.ServiceName
+    ) -> exclusions.Exclusion | None:
+        """Return why it accepts no new flows of a service, None where it does."""
+        if self.status is not records.Status.ALIVE:
+            return exclusions.Exclusion.NOT_ALIVE
+        exclusion = exclusions.Exclusion.NO_SERVER
+        for endpoint in self.member.endpoints:
+            if endpoint.service == service:
+                if not endpoint.is_draining:
+                    return None
+                exclusion = exclusions.Exclusion.DRAINING
+        return exclusion
 
 
 AgentCallback = collections.abc.Callable[[Agent], None]
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -14,7 +14,9 @@
 from cactushall_core.flows import (
     actions,
     cluster_view,
+    cold_start,
     directory,
+    explanation,
     lookups,
     messages,
     packets,
@@ -69,6 +71,7 @@
             rng: Source of random choices.
             now: Current time in seconds.
         """
+        self._rng = rng
         self._view = cluster_view.ClusterView(rng)
         self._pending = pending_flows.PendingFlows(self._view, zone, rng)
         self._registered = registered_owners.RegisteredOwners()
@@ -195,6 +198,7 @@
         now: float,
     ) -> list[actions.Action]:
         agent.update_load(message.load, now)
+        self._update_cold_allowance(agent, message)
         if isinstance(message, messages.Declined):
             return self._pending.handle_declined(agent, message, now)
         decided: list[actions.Action] = []
@@ -202,6 +206,35 @@
             decided += self._handle_accepted(agent, message, now)
         return decided + self._pending.place_queued_at(agent, now)
 
+    def _update_cold_allowance(
+        self,
+        agent: directory.Agent,
+        message: messages.Accepted | messages.Declined | messages.LoadReport,
+    ) -> None:
+        """Store what this entry may use of an allowance; reports go to all entries."""
+        allowance = message.load.cold_allowance
+        if allowance >= 0:
+            agent.cold_refill_per_second = self._view.cold_refill_per_second(agent)
+        if isinstance(message, messages.LoadReport):
+            entry_count = len(self._view.entries)
+            allowance = cold_start.draw_share(allowance, entry_count, self._rng)
+        agent.cold_allowance = allowance
+
+    def explain(
+        self,
+        address: routes.ServiceAddress,
+        zone: identifiers.ZoneName | None,
+        now: float,
+    ) -> explanation.Explanation:
+        """Explain where a new flow to an address would go now.
+
+        Args:
+            address: The address that the caller sends to.
+            zone: Availability zone of the caller, None for that of this entry.
+            now: Current time in seconds.
+        """
+        return self._pending.explain(address, zone, now)
+
     def tick(self, now: float) -> list[actions.Action]:
         """Make the decisions that had to be deferred when the packets arrived."""
         self._view.tick(now)
--- a/packages/cactushall-core/cactushall_core/flows/flow_queue.py
+++ b/packages/cactushall-core/cactushall_core/flows/flow_queue.py
@@ -91,6 +91,11 @@
         self._size += 1
         return Verdict(True, displaced)
 
+    def has_room(self, route: routes.Route, limit: float, share: int) -> bool:
+        """Return whether `add` would queue one more flow of a route."""
+        queue = self._routes.get(route.address) or RouteQueue(route)
+        return self._size < limit or self._find_victim(queue, share) is not None
+
     def must_shed(self, route: routes.Route, limit: float, share: int) -> bool:
         """Return whether a queued flow of a route has to leave the full queue.
 
@@ -221,8 +226,7 @@
             agent_count: Number of agents that may get it.
             route_count: Number of routes to the service.
         """
-        limit = max(MIN_LIMIT, FLOWS_PER_AGENT * agent_count)
-        share = max(1, int(limit / route_count))
+        limit, share = _limits(agent_count, route_count)
         known = self._service_of.get(flow_id)
         if known == service:
             is_queued = not self._services[service].must_shed(route, limit, share)
@@ -236,6 +240,17 @@
             del self._service_of[verdict.displaced]
         return verdict
 
+    def has_room(
+        self,
+        route: routes.Route,
+        service: identifiers.ServiceName,
+        agent_count: int,
+        route_count: int,
+    ) -> bool:
+        """Return whether `add` would queue a new flow of a route."""
+        limit, share = _limits(agent_count, route_count)
+        return self.of_service(service).has_room(route, limit, share)
+
     def remove(self, flow_id: packets.FlowId) -> None:
         """Remove a flow where it is queued."""
         service = self._service_of.pop(flow_id, None)
@@ -243,6 +258,12 @@
             self._services[service].remove(flow_id)
 
 
+def _limits(agent_count: int, route_count: int) -> tuple[float, int]:
+    """Return the limit of a service's queue, and the guaranteed share of a route."""
+    limit = max(MIN_LIMIT, FLOWS_PER_AGENT * agent_count)
+    return limit, max(1, int(limit / route_count))
+
+
 def _alternate(queues: typing.Sequence[RouteQueue]) -> list[packets.FlowId]:
     """Return the flows of some routes, one of each route in turn."""
     ordered = sorted(queues, key=lambda queue: queue.last_turn)
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -15,6 +15,8 @@
     agent_selection,
     cluster_view,
     directory,
+    explanation,
+    flow_placement,
     flow_queue,
     messages,
     packets,
@@ -187,6 +189,30 @@
                 decided += self._place_queued_of(service, now)
         return decided
 
+    def explain(
+        self,
+        address: routes.ServiceAddress,
+        zone: identifiers.ZoneName | None,
+        now: float,
+    ) -> explanation.Explanation:
+        """Explain where a new flow would go now.
+
+        Args:
+            address: The address that the caller sends to.
+            zone: Availability zone of the caller, None for that of most callers.
+            now: Current time in seconds.
+        """
+        zone = zone if zone is not None else self._zone
+        return explanation.explain(
+            self._view,
+            address,
+            zone,
+            self._rng,
+            self._priorities.reserved_requests,
+            functools.partial(self._queue_seconds, now=now),
+            now,
+        )
+
     def expire(self, now: float) -> None:
         """Forget flows whose callers have given up."""
         for flow_id, flow in list(self._flows.items()):
@@ -303,46 +329,42 @@
     def _place(self, flow: PendingFlow, now: float) -> list[actions.Action]:
         """Forward an opening packet, preferably to an agent that has not had it."""
         flow_id = flow.packet.flow
-        table = self._view.route_table
-        self._priorities.update_routes(table)
-        if not table.is_known:
-            return self._await_view(flow, now)
-        route = table.find(flow_id)
-        if route is None:
-            return self._await_route(flow, now)
-        service = route.service_of(flow_id)
-        accepting = self._view.accepting(service)
-        candidates = [a for a in accepting if a.packet_address not in flow.declined]
-        if not candidates and self._view.is_complete:
-            return self._refuse(flow, 0, now, actions.RefusalCause.NO_SERVER)
-        if not candidates:
-            return self._await_view(flow, now)
-        untried = [a for a in candidates if a.packet_address not in flow.tried]
-        objective = route.objective_seconds
-        reserved = self._priorities.reserved_requests(service, route.priority)
-        agent = agent_selection.select_agent(
-            untried or candidates, self._zone, objective, self._rng, now, reserved
+        self._priorities.update_routes(self._view.route_table)
+        decision = flow_placement.decide(
+            self._view,
+            flow_id,
+            self._zone,
+            self._rng,
+            now,
+            self._priorities.reserved_requests,
+            flow_placement.Attempts(flow.tried, flow.declined),
         )
-        if agent is None:
-            return self._queue_for_capacity(flow, route, candidates, now)
-        self._record_placed(flow, route, service)
-        return [self._forward(flow, agent, now)]
+        if decision.agent is not None and decision.route is not None:
+            self._record_placed(flow, decision.route)
+            return [self._forward(flow, decision.agent, now)]
+        if decision.reason is actions.Reason.NO_ROUTE:
+            return self._await_route(flow, now)
+        if decision.reason is actions.Reason.NO_SERVER or decision.route is None:
+            return self._await_agents(flow, now)
+        return self._queue_for_capacity(flow, decision.route, decision.candidates, now)
 
     def _record_placed(
         self,
         flow: PendingFlow,
         route: routes.Route,
-        service: identifiers.ServiceName,
     ) -> None:
         """Record whose turn it was."""
+        service = route.service_of(flow.packet.flow)
         if len(self._queue):
             self._queue.of_service(service).record_turn(route.address)
         if not flow.tried:
             self._priorities.record_admitted(service, route.priority)
             self._retry_budget.record_opening(service)
 
-    def _await_view(self, flow: PendingFlow, now: float) -> list[actions.Action]:
+    def _await_agents(self, flow: PendingFlow, now: float) -> list[actions.Action]:
         """Queue a flow while its agents, or all routes, may not be known yet."""
+        if self._view.is_complete:
+            return self._refuse(flow, 0, now, actions.RefusalCause.NO_SERVER)
         if now - flow.opened_at >= packets.OPENING_TIMEOUT_SECONDS:
             return self._refuse(flow, 0, now, actions.RefusalCause.NO_SERVER)
         self._move_to_awaiting(flow)
@@ -380,8 +402,7 @@
         if remaining <= 0:
             return self._refuse(flow, count, now, actions.RefusalCause.TIMEOUT)
         service = route.service_of(flow_id)
-        seconds = self._seconds_until_capacity(route, service, candidates, now)
-        if seconds > FORESEEN_FACTOR * remaining:
+        if not self._is_capacity_expected(route, service, candidates, remaining, now):
             return self._refuse(flow, count, now, actions.RefusalCause.FORESEEN)
         route_count = self._priorities.route_count(service)
         verdict = self._queue.add(flow_id, route, service, count, route_count)
@@ -393,18 +414,44 @@
         displaced = self._flows[verdict.displaced]
         return self._refuse(displaced, count, now, actions.RefusalCause.DISPLACED)
 
-    def _seconds_until_capacity(
+    def _queue_seconds(
+        self, flow_id: packets.FlowId, decision: flow_placement.Decision, now: float
+    ) -> float:
+        """Return how long a new flow that gets no agent may be queued.
+
+        Its route may be in a revision that is not adopted yet, and its agents may be
+        unknown while the table of members is incomplete.
+        """
+        route, service = decision.route, decision.service
+        if decision.candidates and route is not None and service is not None:
+            count = len(decision.candidates)
+            route_count = self._priorities.route_count(service)
+            is_queued = self._is_capacity_expected(
+                route, service, decision.candidates, QUEUE_TIMEOUT_SECONDS, now
+            ) and self._queue.has_room(route, service, count, route_count)
+            return QUEUE_TIMEOUT_SECONDS if is_queued else 0.0
+        if decision.reason is actions.Reason.NO_ROUTE:
+            is_certain = self._view.certainly_lacks_route(flow_id)
+        else:
+            is_certain = self._view.is_complete
+        return 0.0 if is_certain else packets.OPENING_TIMEOUT_SECONDS
+
+    def _is_capacity_expected(
         self,
         route: routes.Route,
         service: identifiers.ServiceName,
         candidates: list[directory.Agent],
+        seconds: float,
         now: float,
-    ) -> float:
-        """Estimate when the first agent has capacity, 0 without an objective."""
+    ) -> bool:
+        """Return whether an agent may have capacity for a flow within a time.
+
+        A route without an objective has no limit that could be foreseen to be missed.
+        """
         if route.objective_seconds <= 0:
-            return 0.0
+            return True
         reserved = self._priorities.reserved_requests(service, route.priority)
-        return min(
+        soonest = min(
             admission.seconds_until_capacity(
                 agent.load,
                 agent.expected_change(now),
@@ -413,6 +460,7 @@
             )
             for agent in candidates
         )
+        return soonest <= FORESEEN_FACTOR * seconds
 
     def _forward(
         self, flow: PendingFlow, agent: directory.Agent, now: float
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -104,6 +104,7 @@
             count_flows: Returns how many flows are open in a zone, None if unknown.
         """
         self._count_flows = count_flows
+        self._role_peer_calls: dict[str, http_calls.Handler] = {}
         self._on_routes = on_routes
         self._on_message = on_message
         self._counters = counters.Counters()
@@ -211,6 +212,10 @@
         except OSError as error:
             raise sockets.BindError(f"cannot bind TCP {address}: {error}") from error
 
+    def answer_peer_calls(self, path: str, handler: http_calls.Handler) -> None:
+        """Answer the calls of a path at the peer address, beside those of all roles."""
+        self._role_peer_calls[path] = handler
+
     def serve_as_contact(self) -> None:
         """Act as a contact point that new processes find in the store."""
         member = self._gossip.membership.member
@@ -323,16 +328,26 @@
                 return
 
     def _adopt(self, route_table: routes.RouteTable) -> None:
+        for finding in route_table.findings:
+            log.error(
+                events.Event.CONFIGURATION_FIELD_REFUSED,
+                revision=route_table.revision,
+                why=str(finding),
+            )
         self._gossip.membership.set_revision(route_table.revision)
         self._on_routes(route_table)
 
-    def _handle_peer_call(self, request: http_calls.Request) -> http_calls.Response:
+    def _handle_peer_call(
+        self, request: http_calls.Request
+    ) -> http_calls.Response | collections.abc.Awaitable[http_calls.Response]:
         if request.path == CONFIGURATION_PATH:
             return http_calls.Response(body=self._follower.value)
         if request.path == EVACUATIONS_PATH:
             return http_calls.Response(body=self._render_evacuations())
         if request.path == MEMBERS_PATH:
             return self._handle_table_request(request)
+        if request.path in self._role_peer_calls:
+            return self._role_peer_calls[request.path](request)
         return http_calls.Response(http.HTTPStatus.NOT_FOUND)
 
     def _handle_table_request(self, request: http_calls.Request) -> http_calls.Response:
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import dataclasses
 import functools
@@ -15,10 +16,13 @@
 import random
 import typing
 
+import msgspec
+
 from cactushall_core import addresses, identifiers
 from cactushall_core.flows import (
     actions,
     agent,
+    cold_start,
     entry,
     messages,
     packets,
@@ -120,6 +124,12 @@
             service time, the objective and the scores of the plan. At most one has
             long flows.
         other_server_count: How many of the servers belong to the other service.
+        cold_per_second: Requests a second that a cold server can handle, as the
+            operators configure it; 0 for no limit.
+        cold_overage: Factor by which new flows may exceed that.
+        cold_slack: New flows in a second that are allowed beyond that.
+        knows_entries: Whether entries know each other; their queries to each other are
+            not simulated.
     """
 
     seconds: float
@@ -143,6 +153,10 @@
     outage: tuple[float, float] | None = None
     cold_seconds: float = 2.0
     cold_factor: float = 1.6
+    cold_per_second: float = 0.0
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+    knows_entries: bool = False
     kinds: tuple[Kind, ...] = ()
     other_server_count: int = 0
 
@@ -248,6 +262,7 @@
         self._queue = collections.deque()
         self._running = 0
         self.cold_until = float("-inf")
+        self.opened_cold_at = []
 
     def restart(self, now):
         """Lose all state, and be slower for the plan's `cold_seconds`."""
@@ -260,6 +275,8 @@
         """Handle a packet that the agent delivers."""
         site = self._site
         if packet.is_opening:
+            if packet.flow not in self.flows and site.now < self.cold_until:
+                self.opened_cold_at.append(site.now)
             self.flows[packet.flow] = self.flows
             start = builders.SERVER_START + self.number * 100_000
             site.handle_server_packet(
@@ -304,6 +321,7 @@
         results: Outcomes of the requests that were sent in each time window.
         kind_results: Outcomes of the requests of each kind in each zone.
         declined: Number of new flows that agents declined.
+        declined_cold: Number of those that a cold server had no allowance for.
     """
 
     def __init__(self, plan, seed):
@@ -314,13 +332,14 @@
         self._events = []
         self._order = itertools.count()
         self._ports = itertools.count(1000)
-        self._table = plan.table
+        self._table = _route_table(plan)
         self._flows = {}
         self._user_flows = {}
         self._busy_users = set()
         self.results = collections.defaultdict(Result)
         self.kind_results = collections.defaultdict(Result)
         self.declined = 0
+        self.declined_cold = 0
         self._starts = itertools.count(1)
         self._servers = {n: Server(self, n) for n in range(1, plan.server_count + 1)}
         self._agents = {}
@@ -329,6 +348,11 @@
         self._entries = {}
         self._start_all()
 
+    @property
+    def servers(self):
+        """The backend servers."""
+        return list(self._servers.values())
+
     def run(self):
         """Run the simulation and return the outcomes of all requests."""
         for kind in self.plan.kinds or (None,):
@@ -380,12 +404,19 @@
     def _start_agent(self, number):
         service = self.plan.service_of(number)
         server = servers.Server(service, 1.2)
-        made = agent.AgentFlows(server, self.now)
+        cold = cold_start.ColdStart(self.plan.cold_overage, self.plan.cold_slack)
+        made = agent.AgentFlows(server, self.now, cold)
         self._agents[number] = made
         self._reporters[number] = reports.LoadReporter(self.now)
         start = next(self._starts)
         said = servers.Announcement(
-            f"s{number}", start, 1, service, self.plan.slots, False
+            f"s{number}",
+            start,
+            1,
+            service,
+            self.plan.slots,
+            False,
+            max(0.0, self._servers[number].cold_until - self.now),
         )
         made.handle_announcement(said, self.now)
         made.update_routes(self._table, self.now)
@@ -407,6 +438,9 @@
         made = entry.EntryFlows(zone, random.Random(index), self.now)
         self._entries[index] = made
         made.update_routes(self._table, self.now)
+        if self.plan.knows_entries:
+            for number in range(self.plan.entry_count):
+                made.update_member(builders.entry_record(number), self.now)
         for record in self._records.values():
             self.schedule(
                 MEMBERSHIP_DELAY_SECONDS, lambda r=record: self._update_member(made, r)
@@ -676,6 +710,7 @@
     def _send_message(self, number, action):
         if isinstance(action.message, messages.Declined):
             self.declined += 1
+            self.declined_cold += action.message.load.cold_allowance == 0
         index = int(action.address.host.rpartition(".")[2])
         peer = builders.agent_record(number).member.control_address
 
@@ -708,6 +743,23 @@
     return total
 
 
+def _route_table(plan):
+    table = plan.table
+    if plan.cold_per_second <= 0:
+        return table
+    limit = routes.ColdLimit(0.0, plan.cold_per_second)
+    return msgspec.structs.replace(table, cold_limits={builders.SERVICE: limit})
+
+
+def most_opened_cold(site):
+    """Return the most new flows that a cold server got in one second."""
+    return max(
+        bisect.bisect_right(times, at + 1.0) - index
+        for times in (server.opened_cold_at for server in site.servers)
+        for index, at in enumerate(times)
+    )
+
+
 def worst_windows(site, count=2):
     """Return the outcomes in the time windows with the lowest scores."""
     late_score = site.plan.late_score
