Openings that stay unanswered are offered to a second agent, off by default

A lost opening packet, or one sent to a dead or frozen server, cost the caller 200 ms until its retransmission. An entry now offers it to a second agent after the time that nearly all openings of the service take, within hedging_percent of openings. The loser is told once the caller's acknowledgement shows which answer it took, and frees the flow and its slot.

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -62,6 +62,23 @@
     SERVER_GONE = "server-gone"
 
 
+class HedgeOutcome(enum.Enum):
+    """What became of a second offer of an opening packet.
+
+    OFFERED: The opening packet was offered to a second agent.
+    WON: The caller took the answer of the second agent's backend server.
+    LOST: The caller took another answer, or the second agent declined.
+    LATE: Both backend servers had answered before the loser was told.
+    WITHHELD: The limit did not allow the offer.
+    """
+
+    OFFERED = "offered"
+    WON = "won"
+    LOST = "lost"
+    LATE = "late"
+    WITHHELD = "withheld"
+
+
 class Placement(msgspec.Struct, frozen=True):
     """What the choice of an agent for an opening packet was based on.
 
@@ -245,6 +262,22 @@
     denials: dict[packets.FlowId, DenialBasis]
 
 
+class RecordHedge(typing.NamedTuple):
+    """Record what became of a second offer of an opening packet.
+
+    Attributes:
+        flow: The flow.
+        outcome: What became of it.
+        agent: Packet address of the second agent, None where there is none.
+        delay_seconds: Delay after the first offer that decided, 0 where none did.
+    """
+
+    flow: packets.FlowId
+    outcome: HedgeOutcome
+    agent: addresses.Address | None = None
+    delay_seconds: float = 0.0
+
+
 class RecordLatency(typing.NamedTuple):
     """Record a latency."""
 
@@ -252,7 +285,9 @@
     seconds: float
 
 
-Record = RecordLookupStarted | RecordOwnerFound | RecordAnswer | RecordLatency
+Record = (
+    RecordLookupStarted | RecordOwnerFound | RecordAnswer | RecordHedge | RecordLatency
+)
 
 Action = (
     Forward
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -109,6 +109,9 @@
         # the backend server may hold them nevertheless.
         self._forgotten: dict[packets.FlowId, float] = {}
         self._awaiting_request: dict[packets.FlowId, float] = {}
+        # Flows whose callers have taken another server's answer, with the sequence
+        # numbers of their opening packets and when that became known.
+        self._released: dict[packets.FlowId, tuple[int, float]] = {}
         self._queue: dict[packets.FlowId, QueuedOpening] = {}
         self._meter = requests.RequestMeter()
         self._entries = known_entries.KnownEntries()
@@ -220,6 +223,25 @@
             )
         return decided
 
+    def handle_release(
+        self, flow_id: packets.FlowId, opening_sequence: int, now: float
+    ) -> list[actions.Action]:
+        """Forget a flow whose caller has taken another backend server's answer.
+
+        The opening packet may arrive after the message. A flow that the backend server
+        holds is kept, and so is one with another opening packet on the same port.
+        """
+        flow = self._flows.get(flow_id)
+        if flow is not None:
+            is_open = flow.state in (State.OPENING_DELIVERED, State.OPENING_ANSWERED)
+            if not is_open or flow.opening_sequence != opening_sequence:
+                return []
+            is_late = flow.state is State.OPENING_ANSWERED
+            self._forget(flow_id)
+        self._released[flow_id] = (opening_sequence, now)
+        late = actions.RecordHedge(flow_id, actions.HedgeOutcome.LATE)
+        return [late] if flow is not None and is_late else []
+
     def handle_server_packet(
         self, packet: packets.Packet, now: float
     ) -> list[actions.Action]:
@@ -228,6 +250,8 @@
         flow = self._flows.get(packet.flow)
         if packet.is_bounced or _is_probe_reset(packet, flow):
             return self._handle_bounced(packet, flow)
+        if flow is None and packet.flow in self._released:
+            return []
         if flow is None:
             return [actions.SendToCaller(packet.flow, packet.datagram)]
         flow.last_packet_at = now
@@ -281,6 +305,7 @@
         oldest = now - self._routes.idle_timeout_seconds
         self._not_owned = {f: at for f, at in self._not_owned.items() if at > oldest}
         self._forgotten = {f: at for f, at in self._forgotten.items() if at > oldest}
+        self._expire_released(now)
 
     # New flows.
 
@@ -294,6 +319,8 @@
         if not self._routes.is_known and len(self._queue) < MAX_QUEUED_OPENINGS:
             self._queue[packet.flow] = QueuedOpening(packet, entry, now)
             return []
+        if self._is_released(packet):
+            return []
         refusal = self._refusal(packet)
         if refusal is not None:
             return [self._decline(packet.flow, entry, refusal)]
@@ -311,6 +338,14 @@
         self._server.record_opening_sent(now)
         return [actions.DeliverToServer(packet.datagram)]
 
+    def _is_released(self, packet: packets.Packet) -> bool:
+        """Return whether an opening packet arrives after its flow was released."""
+        released = self._released.get(packet.flow)
+        if released is not None and released[0] != packet.sequence:
+            del self._released[packet.flow]
+            return False
+        return released is not None
+
     def _refusal(self, packet: packets.Packet) -> messages.Refusal | None:
         """Return why a new flow is declined, None where it is accepted."""
         if not self._routes.is_known:
@@ -451,6 +486,11 @@
             if now - queued.arrived_at > packets.OPENING_TIMEOUT_SECONDS:
                 del self._queue[flow_id]
 
+    def _expire_released(self, now: float) -> None:
+        oldest = now - CLOSED_RETENTION_SECONDS
+        kept = {f: entry for f, entry in self._released.items() if entry[1] > oldest}
+        self._released = kept
+
     def _expire_requests(self, now: float) -> None:
         """Stop counting requests whose answers must have been missed."""
         long_timeout = REQUEST_TIMEOUT_SERVICE_TIMES * self._meter.service_seconds
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -57,6 +57,11 @@
         """Whether it is believed to run."""
         return self.status <= records.Status.SUSPECT
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether its backend server is slower because it has just started."""
+        return self.load.cold_allowance >= 0
+
     @property
     def has_no_flows(self) -> bool:
         """Whether it has stopped after its backend server had, which ends all flows."""
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -15,6 +15,7 @@
     actions,
     cluster_view,
     directory,
+    hedging,
     lookups,
     messages,
     packets,
@@ -43,6 +44,7 @@
             the opening packet; None once the caller's choice among them is known.
         acknowledged: The caller's latest acknowledgement number.
         is_closing: Whether the caller has closed it.
+        second_offer: The offer to a second agent, until the caller's choice is known.
     """
 
     agent: addresses.Address
@@ -51,6 +53,7 @@
     server_sequences: dict[addresses.Address, int] | None = None
     acknowledged: int = 0
     is_closing: bool = False
+    second_offer: hedging.SecondOffer | None = None
 
 
 class EntryFlows:
@@ -70,7 +73,8 @@
             now: Current time in seconds.
         """
         self._view = cluster_view.ClusterView()
-        self._pending = pending_flows.PendingFlows(self._view, zone, rng)
+        self._hedges = hedging.Hedging()
+        self._pending = pending_flows.PendingFlows(self._view, zone, rng, self._hedges)
         self._registered = registered_owners.RegisteredOwners()
         self._lookups = lookups.Lookups(self._view, self._registered)
         self._owned: dict[packets.FlowId, OwnedFlow] = {}
@@ -95,6 +99,15 @@
         """Return the age of the oldest lookup, 0 without lookups."""
         return self._lookups.oldest_seconds(now)
 
+    @property
+    def next_offer_at(self) -> float | None:
+        """When the next second offer is due, None where none is scheduled."""
+        return self._hedges.next_due_at
+
+    def set_hedging_limit(self, percent: float) -> None:
+        """Set how many second offers may be made, as a percentage of openings."""
+        self._hedges.set_limit(percent)
+
     def update_routes(
         self, table: routes.RouteTable, now: float
     ) -> list[actions.Action]:
@@ -139,11 +152,12 @@
         if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
             flow.is_closing = True
         _resolve_owner(flow, packet)
+        decided = self._settle_second_offer(flow, packet)
         agent = self._view.agents.by_packet_address(flow.agent)
         if agent is None or lookups.is_confirmed_gone(agent, now):
             del self._owned[packet.flow]
-            return self._look_up(packet, now)
-        return [actions.Forward(flow.agent, packet.datagram)]
+            return decided + self._look_up(packet, now)
+        return [actions.Forward(flow.agent, packet.datagram), *decided]
 
     def handle_message(
         self, sender: addresses.Address, message: messages.Message, now: float
@@ -181,9 +195,14 @@
             decided += self._handle_accepted(agent, message, now)
         return decided + self._pending.place_queued(now)
 
+    def offer_due(self, now: float) -> list[actions.Action]:
+        """Make the second offers that are due."""
+        return self._pending.offer_due(now)
+
     def tick(self, now: float) -> list[actions.Action]:
         """Make the decisions that had to be deferred when the packets arrived."""
         decided = self._pending.place_queued(now)
+        decided += self._pending.offer_due(now)
         decided += self._lookups.tick(now)
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
@@ -213,8 +232,13 @@
             server_sequences = {address: message.sequence}
             sequence = pending.packet.sequence
             self._owned[message.flow] = OwnedFlow(
-                address, sequence, now, server_sequences
+                address,
+                sequence,
+                now,
+                server_sequences,
+                second_offer=pending.second_offer,
             )
+            self._record_opened(message.flow, now - pending.first_sent_at)
             seconds = now - pending.opened_at
             return [actions.RecordLatency(actions.Latency.FLOW_OPENED, seconds)]
         flow = self._owned.get(message.flow)
@@ -232,10 +256,44 @@
         if pending is None or pending.agent is None:
             return None
         self._pending.remove(flow_id)
-        flow = OwnedFlow(pending.agent, pending.packet.sequence, now, {})
+        flow = OwnedFlow(
+            pending.agent,
+            pending.packet.sequence,
+            now,
+            {},
+            second_offer=pending.second_offer,
+        )
         self._owned[flow_id] = flow
         return flow
 
+    def _record_opened(self, flow_id: packets.FlowId, seconds: float) -> None:
+        route = self._view.route_table.find(flow_id)
+        if route is not None:
+            self._hedges.record_opened(route.service_of(flow_id), seconds)
+
+    def _settle_second_offer(
+        self, flow: OwnedFlow, packet: packets.Packet
+    ) -> list[actions.Action]:
+        """Tell the agents whose answer the caller has not taken to forget the flow."""
+        offer = flow.second_offer
+        is_chosen = flow.server_sequences is None
+        if offer is None or not (is_chosen or packet.flags & packets.Flags.RST):
+            return []
+        flow.second_offer = None
+        has_won = is_chosen and flow.agent == offer.agent
+        outcome = actions.HedgeOutcome.WON if has_won else actions.HedgeOutcome.LOST
+        decided: list[actions.Action] = [
+            actions.RecordHedge(packet.flow, outcome, offer.agent)
+        ]
+        for address in sorted(offer.offered - {flow.agent}):
+            agent = self._view.agents.by_packet_address(address)
+            if agent is None or flow.opening_sequence is None:
+                continue
+            agent.unacknowledged.pop(packet.flow, None)
+            message = messages.ReleaseFlow(packet.flow, flow.opening_sequence)
+            decided.append(actions.SendMessage(agent.peer_address, message))
+        return decided
+
     # Flows with unknown owner.
 
     def _handle_entry_message(
--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -145,6 +145,18 @@
     owner: addresses.Address | None
 
 
+class ReleaseFlow(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Tells an agent that a flow's caller has taken another backend server's answer.
+
+    Attributes:
+        flow: The flow.
+        opening_sequence: Sequence number of its opening packet.
+    """
+
+    flow: packets.FlowId
+    opening_sequence: int
+
+
 AgentMessage = (
     OwnershipConfirmed
     | OwnershipDenied
@@ -154,7 +166,7 @@
     | OwnershipAnswer
     | RegisterFlows
 )
-EntryMessage = LookupRequest | OwnershipQuery | OwnerQuery | OwnerAnswer
+EntryMessage = LookupRequest | OwnershipQuery | OwnerQuery | OwnerAnswer | ReleaseFlow
 Message = AgentMessage | EntryMessage
 
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -12,8 +12,10 @@
     agent_selection,
     cluster_view,
     directory,
+    hedging,
     messages,
     packets,
+    routes,
 )
 
 RETRY_ELSEWHERE_SECONDS = 0.15
@@ -33,6 +35,8 @@
             flow is queued.
         tried: All agents that it was sent to.
         declined: Those of them that declined it for another reason than being full.
+        first_sent_at: When it was first sent to an agent.
+        second_offer: Its offer to a second agent beside `agent`, if any.
     """
 
     packet: packets.Packet
@@ -41,6 +45,8 @@
     agent: addresses.Address | None = None
     tried: set[addresses.Address] = msgspec.field(default_factory=set)
     declined: set[addresses.Address] = msgspec.field(default_factory=set)
+    first_sent_at: float = float("-inf")
+    second_offer: hedging.SecondOffer | None = None
 
 
 class PendingFlows:
@@ -51,6 +57,7 @@
         view: cluster_view.ClusterView,
         zone: identifiers.ZoneName,
         rng: random.Random,
+        hedges: hedging.Hedging,
     ) -> None:
         """Start without flows.
 
@@ -58,7 +65,9 @@
             view: Routes and agents.
             zone: Availability zone of most callers.
             rng: Breaks ties.
+            hedges: Decides on second offers.
         """
+        self._hedges = hedges
         self._view = view
         self._zone = zone
         self._rng = rng
@@ -108,6 +117,8 @@
             return []
         if message.refusal is not messages.Refusal.FULL:
             flow.declined.add(agent.packet_address)
+        if flow.second_offer is not None and not _is_settled(flow):
+            return self._handle_hedged_declined(flow, flow.second_offer, agent)
         if flow.agent != agent.packet_address:
             return []
         return self._place(flow, now)
@@ -123,6 +134,15 @@
             decided += self._place(flow, now)
         return decided
 
+    def offer_due(self, now: float) -> list[actions.Action]:
+        """Make the second offers that are due."""
+        decided: list[actions.Action] = []
+        for offer in self._hedges.take_due(now):
+            flow = self._flows.get(offer.flow)
+            if flow is not None and flow.packet.sequence == offer.opening_sequence:
+                decided += self._offer_second(flow, offer, now)
+        return decided
+
     def expire(self, now: float) -> None:
         """Forget flows whose callers have given up."""
         for flow_id, flow in list(self._flows.items()):
@@ -145,9 +165,10 @@
         if route is None:
             return self._queue_without_route(flow, now)
         self._without_route.discard(flow_id)
-        accepting = self._view.agents.accepting(route.service_of(flow_id))
-        candidates = [a for a in accepting if a.packet_address not in flow.declined]
+        service = route.service_of(flow_id)
+        candidates = self._candidates(flow, service)
         if not candidates:
+            self._hedges.record_contention(service, now)
             timeout = 0.0 if self._view.is_complete else packets.OPENING_TIMEOUT_SECONDS
             return self._queue_or_refuse(flow, 0, now, timeout)
         untried = [a for a in candidates if a.packet_address not in flow.tried]
@@ -156,9 +177,88 @@
             untried or candidates, self._zone, objective, self._rng, now
         )
         if agent is None:
+            self._hedges.record_contention(service, now)
             timeout = self._queue_timeout(len(candidates))
             return self._queue_or_refuse(flow, len(candidates), now, timeout)
-        return [self._forward(flow, agent, now)]
+        if not flow.tried:
+            self._schedule_second_offer(flow, route, service, now)
+        flow.agent = agent.packet_address
+        flow.sent_at = now
+        forward = self._forward(flow, agent, now)
+        if flow.second_offer is not None:
+            second = flow.second_offer.agent
+            flow.second_offer = hedging.SecondOffer(second, frozenset(flow.tried))
+        return [forward]
+
+    def _candidates(
+        self, flow: PendingFlow, service: identifiers.ServiceName
+    ) -> list[directory.Agent]:
+        """Return the agents that may get a flow of a service."""
+        accepting = self._view.agents.accepting(service)
+        return [a for a in accepting if a.packet_address not in flow.declined]
+
+    # Second offers.
+
+    def _schedule_second_offer(
+        self,
+        flow: PendingFlow,
+        route: routes.Route,
+        service: identifiers.ServiceName,
+        now: float,
+    ) -> None:
+        flow.first_sent_at = now
+        self._hedges.record_opening(service)
+        if route.repeatability is routes.Repeatability.IDEMPOTENT:
+            packet = flow.packet
+            self._hedges.schedule(service, packet.flow, packet.sequence, now)
+
+    def _offer_second(
+        self, flow: PendingFlow, offer: hedging.ScheduledOffer, now: float
+    ) -> list[actions.Action]:
+        """Offer an opening packet that is unanswered at one agent to another one."""
+        flow_id = flow.packet.flow
+        route = self._view.route_table.find(flow_id)
+        if route is None or route.repeatability is not routes.Repeatability.IDEMPOTENT:
+            return []
+        service = route.service_of(flow_id)
+        is_waiting_at_one = flow.agent is not None and len(flow.tried) == 1
+        if not is_waiting_at_one or self._hedges.is_suspended(service, now):
+            return []
+        candidates = [
+            agent
+            for agent in self._candidates(flow, service)
+            if agent.packet_address not in flow.tried and not agent.is_cold
+        ]
+        agent = agent_selection.select_agent(
+            candidates, self._zone, route.objective_seconds, self._rng, now
+        )
+        if agent is None:
+            return []
+        if not self._hedges.try_spend(service):
+            withheld = actions.HedgeOutcome.WITHHELD
+            return [actions.RecordHedge(flow_id, withheld)]
+        forward = self._forward(flow, agent, now)
+        address = agent.packet_address
+        flow.second_offer = hedging.SecondOffer(address, frozenset(flow.tried))
+        offered = actions.HedgeOutcome.OFFERED
+        record = actions.RecordHedge(flow_id, offered, address, offer.delay_seconds)
+        return [forward, record]
+
+    def _handle_hedged_declined(
+        self,
+        flow: PendingFlow,
+        second_offer: hedging.SecondOffer,
+        agent: directory.Agent,
+    ) -> list[actions.Action]:
+        """Leave a flow to the one of two agents that has not declined it."""
+        if agent.packet_address == flow.agent:
+            flow.agent = second_offer.agent
+            return []
+        if agent.packet_address != second_offer.agent:
+            return []
+        flow.second_offer = None
+        lost = actions.HedgeOutcome.LOST
+        return [actions.RecordHedge(flow.packet.flow, lost, second_offer.agent)]
 
     def _queue_without_route(
         self, flow: PendingFlow, now: float
@@ -196,10 +296,8 @@
             load_age_seconds=now - agent.load_at,
         )
         agent.unacknowledged[flow.packet.flow] = now
-        flow.agent = agent.packet_address
-        flow.sent_at = now
         flow.tried.add(agent.packet_address)
-        return actions.Forward(flow.agent, flow.packet.datagram, placement)
+        return actions.Forward(agent.packet_address, flow.packet.datagram, placement)
 
     def _queue_or_refuse(
         self, flow: PendingFlow, agent_count: int, now: float, timeout_seconds: float
@@ -222,3 +320,8 @@
         waited = now - flow.opened_at
         evidence = actions.RefusalEvidence(agent_count, len(flow.tried), waited)
         return [actions.Reset(flow_id, 0, reason, evidence)]
+
+
+def _is_settled(flow: PendingFlow) -> bool:
+    """Return whether only the second agent is left, because the first declined."""
+    return flow.second_offer is not None and flow.second_offer.agent == flow.agent
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -42,6 +42,7 @@
     FLOW_RESET_BY_SERVER = (2106, "flow reset by its backend server")
     FLOW_LOOKUP_STARTED = (2107, "flow lookup started")
     FLOW_OWNER_FOUND = (2108, "flow owner found")
+    FLOW_HEDGED = (2109, "flow offered to a second agent")
     FLOW_RESET = (2101, "flow reset")
     SERVER_CHANGED = (2201, "backend server changed its state")
     SERVER_UNRESPONSIVE = (2202, "backend server unresponsive")
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -161,6 +161,12 @@
     def _on_message(self, sender: addresses.Address, message: messages.Message) -> None:
         if isinstance(message, messages.OwnershipQuery):
             self._execute(self._flows.handle_query(message.flows, sender))
+        if isinstance(message, messages.ReleaseFlow):
+            self._execute(
+                self._flows.handle_release(
+                    message.flow, message.opening_sequence, self._loop.time()
+                )
+            )
         if not isinstance(message, messages.LookupRequest):
             return
         packet = self._count_malformed(layout.decode_from_caller(message.datagram))
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -40,6 +40,8 @@
         self._flows = entry.EntryFlows(
             identifiers.ZoneName(settings.zone), random.Random(), self._loop.time()
         )
+        self._flows.set_hedging_limit(settings.hedging_percent)
+        self._offer_timer: asyncio.TimerHandle | None = None
         self._node = node.Node(
             settings,
             node.make_member(settings, records.Role.ENTRY, ()),
@@ -91,6 +93,7 @@
     def reload(self, settings: packet_schema.PacketEntrySettings) -> None:
         """Apply changed settings."""
         self._settings = settings
+        self._flows.set_hedging_limit(settings.hedging_percent)
         self._node.reload(settings)
 
     def _read_gauges(self) -> dict[str, float]:
@@ -114,6 +117,23 @@
     def _execute(self, decisions: list[actions.Action]) -> None:
         if self._executor is not None:
             self._executor.execute(decisions)
+        self._schedule_offers()
+
+    def _schedule_offers(self) -> None:
+        """Wake up when the next second offer is due."""
+        due_at = self._flows.next_offer_at
+        if due_at is None:
+            return
+        if self._offer_timer is not None:
+            if self._offer_timer.when() <= due_at:
+                return
+            self._offer_timer.cancel()
+        self._offer_timer = self._loop.call_at(due_at, self._offer_due)
+
+    def _offer_due(self) -> None:
+        self._offer_timer = None
+        now = self._node.gossip.check_for_pause()
+        self._execute(self._flows.offer_due(now))
 
     def _on_message(self, sender: addresses.Address, message: messages.Message) -> None:
         now = self._node.gossip.check_for_pause()
--- a/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
@@ -24,6 +24,14 @@
 # Nearly all agents answer a lookup on this basis, so that it is only counted.
 UNLOGGED_BASES = (None, actions.DenialBasis.NEVER_TRACKED)
 
+HEDGE_COUNTERS = {
+    actions.HedgeOutcome.OFFERED: counters.Counter.HEDGES_OFFERED,
+    actions.HedgeOutcome.WON: counters.Counter.HEDGES_WON,
+    actions.HedgeOutcome.LOST: counters.Counter.HEDGES_LOST,
+    actions.HedgeOutcome.LATE: counters.Counter.HEDGES_LATE,
+    actions.HedgeOutcome.WITHHELD: counters.Counter.HEDGES_WITHHELD,
+}
+
 SendToServer = collections.abc.Callable[[bytes], None]
 
 
@@ -137,6 +145,10 @@
             _log_lookup_started(action)
         elif isinstance(action, actions.RecordAnswer):
             self._record_answer(action)
+        elif isinstance(action, actions.RecordHedge):
+            self._counters.add(HEDGE_COUNTERS[action.outcome])
+            if action.outcome is actions.HedgeOutcome.OFFERED:
+                _log_hedged(action)
         else:
             _log_owner_found(action)
 
@@ -188,6 +200,15 @@
     )
 
 
+def _log_hedged(action: actions.RecordHedge) -> None:
+    log.info(
+        events.Event.FLOW_HEDGED,
+        flow=str(action.flow),
+        agent=action.agent.host if action.agent is not None else None,
+        delay_seconds=_format_value(action.delay_seconds),
+    )
+
+
 def _log_load_message(message: messages.Message) -> None:
     """Log the answer to an opening packet, with the load that it tells."""
     if isinstance(message, messages.Accepted):
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -75,11 +75,20 @@
     return route_table(revision=2, flows=(FLOW, NEW_ROUTE_FLOW))
 
 
-def route_table(*services, revision=1, idle=15.0, objective=0.0, flows=(FLOW,)):
+def route_table(
+    *services,
+    revision=1,
+    idle=15.0,
+    objective=0.0,
+    flows=(FLOW,),
+    repeatability=routes.Repeatability.ONCE,
+):
     """Return a table with the routes of some flows, shared evenly by services."""
     shares = tuple(routes.Share(service, 1.0) for service in services or (SERVICE,))
     made = [
-        routes.Route("board", address, shares, objective_seconds=objective)
+        routes.Route(
+            "board", address, shares, repeatability, objective_seconds=objective
+        )
         for address in map(service_address, flows)
     ]
     return routes.RouteTable(
--- a/tests/daemon/packets/test_executor.py
+++ b/tests/daemon/packets/test_executor.py
@@ -177,3 +177,17 @@
     }
     assert counted(node) == {counters.Counter.FLOW_LOOKUPS_HELD: 1}
     assert node.sent == [(builders.ENTRY, message)]
+
+
+@pytest.mark.parametrize("outcome", actions.HedgeOutcome)
+def test_second_offers_are_counted_and_only_those_made_are_logged(
+    execute, node, outcome
+):
+    lines = execute(actions.RecordHedge(builders.FLOW, outcome, AGENT, 0.02))
+    assert counted(node) == {executor.HEDGE_COUNTERS[outcome]: 1}
+    if outcome is not actions.HedgeOutcome.OFFERED:
+        assert lines == []
+        return
+    (line,) = lines
+    assert line["event"] is events.Event.FLOW_HEDGED
+    assert (line["agent"], line["delay_seconds"]) == (AGENT.host, 0.02)
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -22,6 +22,7 @@
     messages,
     packets,
     reports,
+    routes,
     servers,
 )
 from cactushall_core.membership import completeness
@@ -34,6 +35,8 @@
 CROSS_ZONE_LATENCY_SECONDS = 0.005
 MEMBERSHIP_DELAY_SECONDS = 0.05
 SERVER_QUEUE = 8
+# Servers announce themselves only once.
+HEARTBEAT_SECONDS = 3600.0
 ZONES = 3
 WINDOW_SECONDS = 2.0
 
@@ -77,6 +80,13 @@
         outage: Start and end of an outage of all processes, in seconds.
         cold_seconds: How long servers are slower after the outage.
         cold_factor: How many times slower they are then.
+        hedging_percent: Limit of second offers as a percentage of openings.
+        opening_loss: Share of openings that are lost between an entry and an agent.
+        failing_shares: Share of requests that a server answers with an error at once,
+            by its number.
+        hanging_shares: Share of requests that a server never answers, by its number.
+        frozen_servers: Start and end of the time in which a server answers nothing,
+            by its number.
     """
 
     seconds: float
@@ -99,6 +109,13 @@
     outage: tuple[float, float] | None = None
     cold_seconds: float = 2.0
     cold_factor: float = 1.6
+    hedging_percent: float = 0.0
+    opening_loss: float = 0.0
+    failing_shares: typing.Mapping[int, float] = dataclasses.field(default_factory=dict)
+    hanging_shares: typing.Mapping[int, float] = dataclasses.field(default_factory=dict)
+    frozen_servers: typing.Mapping[int, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass
@@ -169,6 +186,9 @@
     def handle_packet(self, packet):
         """Handle a packet that the agent delivers."""
         site = self._site
+        begin, end = site.plan.frozen_servers.get(self.number, (math.inf, math.inf))
+        if begin <= site.now < end:
+            return
         if packet.is_opening:
             self.flows[packet.flow] = self.flows
             start = builders.SERVER_START + self.number * 100_000
@@ -177,12 +197,21 @@
             )
         elif packet.flow not in self.flows:
             site.handle_server_packet(self.number, builders.bounced_packet(packet))
-        elif packet.length and len(self._queue) >= SERVER_QUEUE:
+        elif packet.length and self._sheds(site.plan.failing_shares):
             self._answer(packet.flow, is_shed=True)
+        elif packet.length and self._fails(site.plan.hanging_shares):
+            site.hung += 1
         elif packet.length:
             self._queue.append((packet.flow, self.flows))
             self._run()
 
+    def _sheds(self, shares):
+        return len(self._queue) >= SERVER_QUEUE or self._fails(shares)
+
+    def _fails(self, shares):
+        share = shares.get(self.number, 0.0)
+        return share > 0 and self._site.rng.random() < share
+
     def _run(self):
         plan = self._site.plan
         while self._queue and self._running < plan.slots:
@@ -213,6 +242,10 @@
         now: Simulated time in seconds.
         results: Outcomes of the requests that were sent in each time window.
         declined: Number of new flows that agents declined.
+        hung: Number of requests that servers left without an answer.
+        waits: Time until the answer of each request that was answered, in seconds.
+        openings: Number of flows that were opened.
+        hedges: Number of second offers by their outcome.
     """
 
     def __init__(self, plan, seed):
@@ -223,12 +256,20 @@
         self._events = []
         self._order = itertools.count()
         self._ports = itertools.count(1000)
-        self._table = builders.route_table(objective=plan.objective_seconds)
+        self._table = builders.route_table(
+            objective=plan.objective_seconds,
+            repeatability=routes.Repeatability.IDEMPOTENT,
+        )
         self._flows = {}
         self._user_flows = {}
         self._busy_users = set()
         self.results = collections.defaultdict(Result)
         self.declined = 0
+        self.hung = 0
+        self.waits = []
+        self.openings = 0
+        self.hedges = collections.Counter()
+        self._offers_at = {}
         self._starts = itertools.count(1)
         self._servers = {n: Server(self, n) for n in range(1, plan.server_count + 1)}
         self._agents = {}
@@ -284,8 +325,8 @@
             self.schedule(delay, lambda i=index: self._start_entry(i))
 
     def _start_agent(self, number):
-        server = servers.Server(builders.SERVICE, 1.2)
-        made = agent.AgentFlows(server, self.now)
+        server = servers.Server(builders.SERVICE, HEARTBEAT_SECONDS)
+        made = self.make_agent(server)
         self._agents[number] = made
         self._reporters[number] = reports.LoadReporter(self.now)
         start = next(self._starts)
@@ -299,16 +340,26 @@
             self.schedule(
                 MEMBERSHIP_DELAY_SECONDS, lambda o=one: self._update_member(o, record)
             )
-        self._tick_agent(number, made)
+        self._tick_agent(number, made, server)
         self._records[number] = record
 
+    def make_agent(self, server):
+        """Return the deciding code of an agent."""
+        return agent.AgentFlows(server, self.now)
+
+    def make_entry(self, zone, index):
+        """Return the deciding code of an entry."""
+        made = entry.EntryFlows(zone, random.Random(index), self.now)
+        made.set_hedging_limit(self.plan.hedging_percent)
+        return made
+
     def _record(self, number, start):
         zone = identifiers.ZoneName(str(number % ZONES))
         return builders.agent_record(number, start=start, zone=zone)
 
     def _start_entry(self, index):
         zone = identifiers.ZoneName(str(index % ZONES))
-        made = entry.EntryFlows(zone, random.Random(index), self.now)
+        made = self.make_entry(zone, index)
         self._entries[index] = made
         made.update_routes(self._table, self.now)
         for record in self._records.values():
@@ -337,16 +388,35 @@
             self._execute_entry_actions(index, made.tick(self.now))
             self.schedule(TICK_INTERVAL_SECONDS, lambda: self._tick_entry(index, made))
 
-    def _tick_agent(self, number, made):
+    def _tick_agent(self, number, made, server):
         if self._agents.get(number) is not made:
             return
+        if server.tick(self.now):
+            self._announce_unresponsive(number)
         self._execute_agent_actions(number, made.tick(self.now))
         if self._reporters[number].is_due(made.load, self.now):
             for index in self._entries:
                 address = addresses.Address(f"10.0.0.{index}", 7735)
                 report = messages.LoadReport(made.load)
                 self._send_message(number, actions.SendMessage(address, report))
-        self.schedule(TICK_INTERVAL_SECONDS, lambda: self._tick_agent(number, made))
+        self.schedule(
+            TICK_INTERVAL_SECONDS, lambda: self._tick_agent(number, made, server)
+        )
+
+    def _announce_unresponsive(self, number):
+        """Tell the entries that a server does not accept new flows any more."""
+        known = self._records[number]
+        record = builders.agent_record(
+            number,
+            incarnation=2,
+            is_draining=True,
+            start=known.member.id >> 32,
+            zone=known.member.zone,
+        )
+        for one in self._entries.values():
+            self.schedule(
+                MEMBERSHIP_DELAY_SECONDS, lambda o=one: self._update_member(o, record)
+            )
 
     def service_seconds(self, server):
         """Return the service time of a server's next request in seconds."""
@@ -419,6 +489,7 @@
         is_long = request.user is not None
         flow = Flow(flow_id, zone, request, self.now, is_long)
         self._flows[flow_id] = flow
+        self.openings += 1
         if is_long:
             self._user_flows[request.user] = flow
         self._send_opening(flow, 0)
@@ -484,6 +555,7 @@
         request.is_over = True
         if request.user is not None:
             self._busy_users.discard(request.user)
+        self.waits.append(self.now - request.sent_at)
         result = self._window(request)
         if self.now - request.sent_at <= self.plan.objective_seconds:
             result.on_time += 1
@@ -505,6 +577,27 @@
                 self._to_agent(index, own, host, packet, asks=False)
             elif isinstance(action, actions.SendMessage):
                 self._message_to_agent(index, own, action)
+            elif isinstance(action, actions.RecordHedge):
+                self.hedges[action.outcome] += 1
+        self._schedule_offers(index)
+
+    def _schedule_offers(self, index):
+        """Wake an entry when its next second offer is due."""
+        one = self._entries.get(index)
+        due_at = one.next_offer_at if one is not None else None
+        if due_at is None or self._offers_at.get(index, -1.0) >= due_at:
+            return
+        self._offers_at[index] = due_at
+        self.schedule(due_at - self.now, lambda: self._offer_due(index, one))
+
+    def _offer_due(self, index, one):
+        self._offers_at.pop(index, None)
+        if self._entries.get(index) is one:
+            self._execute_entry_actions(index, one.offer_due(self.now))
+
+    def _is_lost(self):
+        share = self.plan.opening_loss
+        return share > 0 and self.rng.random() < share
 
     def _at_reset(self, action):
         flow = self._flows.get(action.flow)
@@ -513,6 +606,8 @@
 
     def _to_agent(self, index, own, host, packet, *, asks):
         number = int(host.rpartition(".")[2])
+        if packet.is_opening and self._is_lost():
+            return
 
         def arrive():
             made = self._agents.get(number)
@@ -531,6 +626,11 @@
             self._to_agent(index, own, host, message.datagram.packet, asks=True)
             return
         number = int(host.rpartition(".")[2])
+        if isinstance(message, messages.ReleaseFlow):
+            self.schedule(
+                self._latency(index, number), lambda: self._release(number, message)
+            )
+            return
 
         def arrive():
             made = self._agents.get(number)
@@ -540,6 +640,14 @@
 
         self.schedule(self._latency(index, number), arrive)
 
+    def _release(self, number, message):
+        made = self._agents.get(number)
+        if made is not None:
+            decided = made.handle_release(
+                message.flow, message.opening_sequence, self.now
+            )
+            self._execute_agent_actions(number, decided)
+
     def _latency(self, index, number):
         is_same_zone = index % ZONES == number % ZONES
         return IN_ZONE_LATENCY_SECONDS if is_same_zone else CROSS_ZONE_LATENCY_SECONDS
@@ -558,6 +666,8 @@
                 )
             elif isinstance(action, actions.SendMessage):
                 self._send_message(number, action)
+            elif isinstance(action, actions.RecordHedge):
+                self.hedges[action.outcome] += 1
 
     def _send_message(self, number, action):
         if isinstance(action.message, messages.Declined):
