--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import typing
 
 import msgspec
 
@@ -30,6 +31,8 @@
 MAX_QUEUED_OPENINGS = 1000
 FIRST_ANNOUNCEMENT_NUMBER = 1
 
+ValueT = typing.TypeVar("ValueT")
+
 
 class State(enum.Enum):
     """State of a flow at its agent.
@@ -174,7 +177,7 @@
         flow.entry = entry
         flow.last_packet_at = now
         flow.acknowledged = packet.acknowledgement
-        if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
+        if packet.flags & packets.CLOSING_FLAGS:
             self._mark_closing(packet.flow, flow)
             self._meter.record_end(flow.progress)
         if flow.state is State.OPENING_ANSWERED and not self._chose_this_server(
@@ -238,7 +241,7 @@
                 return []
             is_late = flow.state is State.OPENING_ANSWERED
             self._forget(flow_id)
-        self._released[flow_id] = (opening_sequence, now)
+        _put_bounded(self._released, flow_id, (opening_sequence, now))
         late = actions.RecordHedge(flow_id, actions.HedgeOutcome.LATE)
         return [late] if flow is not None and is_late else []
 
@@ -256,7 +259,7 @@
             return [actions.SendToCaller(packet.flow, packet.datagram)]
         flow.last_packet_at = now
         seconds = self._meter.handle_server_packet(flow.progress, packet, now)
-        if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
+        if packet.flags & packets.CLOSING_FLAGS:
             self._mark_closing(packet.flow, flow)
         decided = self._notify_entry(packet, flow, now)
         decided.append(actions.SendToCaller(packet.flow, packet.datagram))
@@ -526,12 +529,12 @@
 
 
 def _put_bounded(
-    times: dict[packets.FlowId, float], flow_id: packets.FlowId, time: float
+    flows: dict[packets.FlowId, ValueT], flow_id: packets.FlowId, value: ValueT
 ) -> None:
     """Add a flow to a dictionary, and remove the first where there are too many."""
-    if len(times) >= MAX_FLOWS:
-        del times[next(iter(times))]
-    times[flow_id] = time
+    if len(flows) >= MAX_FLOWS:
+        del flows[next(iter(flows))]
+    flows[flow_id] = value
 
 
 def _deny(
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -149,10 +149,12 @@
             return self._look_up(packet, now)
         flow.last_packet_at = now
         flow.acknowledged = packet.acknowledgement
-        if packet.flags & (packets.Flags.FIN | packets.Flags.RST):
+        if packet.flags & packets.CLOSING_FLAGS:
             flow.is_closing = True
         _resolve_owner(flow, packet)
-        decided = self._settle_second_offer(flow, packet)
+        decided: list[actions.Action] = []
+        if flow.second_offer is not None:
+            decided = self._settle_second_offer(flow, flow.second_offer, packet)
         agent = self._view.agents.by_packet_address(flow.agent)
         if agent is None or lookups.is_confirmed_gone(agent, now):
             del self._owned[packet.flow]
@@ -163,7 +165,7 @@
         self, sender: addresses.Address, message: messages.Message, now: float
     ) -> list[actions.Action]:
         """Handle a message of an agent or of another entry."""
-        if isinstance(message, messages.EntryMessage):
+        if isinstance(message, messages.ENTRY_MESSAGES):
             return self._handle_entry_message(sender, message, now)
         if isinstance(message, messages.RegisterFlows):
             self._registered.put(message.flows, sender, now)
@@ -171,15 +173,15 @@
         if agent is None:
             return [actions.ReportUnknownSender(sender)]
         agent.last_message_at = now
-        if isinstance(message, messages.RegisterFlows):
-            return []
+        if isinstance(message, messages.LOAD_MESSAGES):
+            return self._handle_load_message(agent, message, now)
         if isinstance(message, messages.OwnershipConfirmed):
             return self._handle_owned(agent, message.flow, now)
         if isinstance(message, messages.OwnershipDenied):
             return self._handle_not_owned(agent, message.flow, now)
         if isinstance(message, messages.OwnershipAnswer):
             return self._handle_ownership_answer(agent, message, now)
-        return self._handle_load_message(agent, message, now)
+        return []
 
     def _handle_load_message(
         self,
@@ -272,12 +274,11 @@
             self._hedges.record_opened(route.service_of(flow_id), seconds)
 
     def _settle_second_offer(
-        self, flow: OwnedFlow, packet: packets.Packet
+        self, flow: OwnedFlow, offer: hedging.SecondOffer, packet: packets.Packet
     ) -> list[actions.Action]:
         """Tell the agents whose answer the caller has not taken to forget the flow."""
-        offer = flow.second_offer
         is_chosen = flow.server_sequences is None
-        if offer is None or not (is_chosen or packet.flags & packets.Flags.RST):
+        if not is_chosen and not packet.flags & packets.Flags.RST:
             return []
         flow.second_offer = None
         has_won = is_chosen and flow.agent == offer.agent
