--- a/bench/hedging.py
+++ b/bench/hedging.py
@@ -224,12 +224,14 @@
 
     Attributes:
         waits: Callers' waits in seconds, infinite for requests without an answer.
+        opening_waits: Callers' waits for answers of opening packets in seconds.
         openings: Number of flows that were opened.
         offered: Number of second offers.
         won: Number of second offers that the caller took.
     """
 
     waits: list[float]
+    opening_waits: list[float]
     openings: int
     offered: int
     won: int
@@ -248,6 +250,7 @@
     unanswered = total.sent - len(site.waits)
     return Outcome(
         site.waits + [math.inf] * unanswered,
+        site.opening_waits,
         site.openings,
         site.hedges[actions.HedgeOutcome.OFFERED],
         site.hedges[actions.HedgeOutcome.WON],
@@ -277,6 +280,7 @@
 
 def _figures(name: str, group: list[Outcome]) -> list[results.Figure]:
     waits = sorted(wait for one in group for wait in one.waits)
+    opening_waits = sorted(wait for one in group for wait in one.opening_waits)
     openings = sum(one.openings for one in group)
     offered = sum(one.offered for one in group)
     won = sum(one.won for one in group)
@@ -284,6 +288,14 @@
         results.Figure(f"{name}: wait, quantile {q}", waits[int(q * len(waits))], "s")
         for q in QUANTILES
     ]
+    figures += [
+        results.Figure(
+            f"{name}: opening, quantile {q}",
+            opening_waits[int(q * len(opening_waits))],
+            "s",
+        )
+        for q in QUANTILES
+    ]
     figures.append(results.Figure(f"{name}: extra openings", offered / openings, ""))
     figures.append(results.Figure(f"{name}: won", won / max(1, offered), ""))
     return figures
--- a/tests/core/flows/test_hedging.py
+++ b/tests/core/flows/test_hedging.py
@@ -534,6 +534,42 @@
     assert (flows.load.flows, flows.load.requests) == (0, 0)
 
 
+def test_where_the_entry_dies_between_choice_and_release_one_agent_delivers():
+    agents = {number: make_agent()[0] for number in (1, 2)}
+    starts = {1: builders.SERVER_START, 2: OTHER_SERVER_START}
+    for number, flows in agents.items():
+        open_at(flows)
+        answer = builders.opening_answer(sequence=starts[number])
+        flows.handle_server_packet(answer, 1.001)
+    taken = builders.packet(acknowledgement=OTHER_SERVER_START + 1, length=10)
+    successor = make_entry(agents=(1, 2))
+    asked = successor.handle_packet(taken, 1.002)
+    delivered = []
+    for action in [a for a in asked if isinstance(a, actions.SendMessage)]:
+        number = number_of(action.address)
+        answers = agents[number].handle_query(action.message.flows, builders.ENTRY)
+        told = successor.handle_message(action.address, answers[0].message, 1.003)
+        for lookup in [a for a in told if isinstance(a, actions.SendMessage)]:
+            number = number_of(lookup.address)
+            decided = agents[number].handle_lookup(taken, builders.ENTRY, 1.004)
+            delivered += [
+                number for a in decided if isinstance(a, actions.DeliverToServer)
+            ]
+    assert delivered == [2]
+    assert agents[1].load.requests == 0
+
+
+def test_entry_that_dies_before_the_second_offer_leaves_none_behind():
+    flows = make_entry()
+    open_usual_flows(flows)
+    flows.handle_packet(builders.opening_packet(), 20.0)
+    successor = make_entry()
+    (again,) = successor.handle_packet(builders.opening_packet(1), 20.2)
+    assert isinstance(again, actions.Forward)
+    assert successor.next_offer_at is None
+    assert successor.offer_due(20.5) == []
+
+
 # The previous release.
 
 
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -250,6 +250,8 @@
         declined: Number of new flows that agents declined.
         hung: Number of requests that servers left without an answer.
         waits: Time until the answer of each request that was answered, in seconds.
+        opening_waits: Time until the answer of each opening packet that was
+            answered, in seconds.
         openings: Number of flows that were opened.
         hedges: Number of second offers by their outcome.
     """
@@ -273,6 +275,7 @@
         self.declined = 0
         self.hung = 0
         self.waits = []
+        self.opening_waits = []
         self.openings = 0
         self.hedges = collections.Counter()
         self._offers_at = {}
@@ -546,6 +549,7 @@
         if packet.flags & packets.Flags.SYN:
             if flow.acknowledged is None:
                 flow.acknowledged = packet.sequence + 1
+                self.opening_waits.append(self.now - flow.opened_at)
                 self._send_request(flow)
         elif packet.length and flow.request is not None:
             self._handle_answer(flow, is_shed=packet.sequence == 503)
