--- a/bench/hedging.py
+++ b/bench/hedging.py
@@ -32,6 +32,7 @@
 LIMITS_PERCENT = (1, 2, 5, 10)
 QUANTILES = (0.5, 0.99, 0.999)
 RETRY_SECONDS = 0.15
+SLOW_OPENING_SECONDS = 0.1
 HOLD_SECONDS = 0.15
 LOW, USUAL, FULL = 0.3, 0.6, 0.9
 
@@ -62,6 +63,10 @@
         USUAL, frozen_servers={n: (1.0 + n, 3.0 + n) for n in range(1, 5)}
     ),
     "usual load, 1% of openings lost": _plan(USUAL, opening_loss=0.01),
+    "low load, 1% of openings lost": _plan(LOW, opening_loss=0.01),
+    "low load, 4 servers freeze": _plan(
+        LOW, frozen_servers={n: (1.0 + n, 3.0 + n) for n in range(1, 5)}
+    ),
     "low load": _plan(LOW),
     "usual load": _plan(USUAL),
     "full load": _plan(FULL),
@@ -296,6 +301,9 @@
         )
         for q in QUANTILES
     ]
+    slow = sum(wait > SLOW_OPENING_SECONDS for wait in opening_waits)
+    slow_share = slow / len(opening_waits)
+    figures.append(results.Figure(f"{name}: openings over 0.1 s", slow_share, ""))
     figures.append(results.Figure(f"{name}: extra openings", offered / openings, ""))
     figures.append(results.Figure(f"{name}: won", won / max(1, offered), ""))
     return figures
--- a/packages/cactushall-core/cactushall_core/flows/hedging.py
+++ b/packages/cactushall-core/cactushall_core/flows/hedging.py
@@ -103,13 +103,13 @@
     Attributes:
         due_at: When it is made.
         flow: The flow.
-        opening_sequence: Sequence number of the opening packet.
+        sent_at: When the opening packet was sent to the first agent.
         delay_seconds: Time between the two offers.
     """
 
     due_at: float
     flow: packets.FlowId
-    opening_sequence: int
+    sent_at: float
     delay_seconds: float
 
 
@@ -175,7 +175,6 @@
         self,
         service: identifiers.ServiceName,
         flow: packets.FlowId,
-        opening_sequence: int,
         now: float,
     ) -> None:
         """Schedule the second offer of an opening packet that is sent now.
@@ -189,7 +188,7 @@
         delay = self._service(service).opening_times.value(1 - self._share)
         if delay is not None:
             delay = max(delay, MIN_DELAY_SECONDS)
-            offer = ScheduledOffer(now + delay, flow, opening_sequence, delay)
+            offer = ScheduledOffer(now + delay, flow, now, delay)
             heapq.heappush(self._scheduled, offer)
 
     def take_due(self, now: float) -> list[ScheduledOffer]:
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -35,7 +35,8 @@
             flow is queued.
         tried: All agents that it was sent to.
         declined: Those of them that declined it for another reason than being full.
-        first_sent_at: When it was first sent to an agent.
+        offered_at: When it was last sent to an agent for another reason than the
+            silence of the one before.
         second_offer: Its offer to a second agent beside `agent`, if any.
     """
 
@@ -45,7 +46,7 @@
     agent: addresses.Address | None = None
     tried: set[addresses.Address] = msgspec.field(default_factory=set)
     declined: set[addresses.Address] = msgspec.field(default_factory=set)
-    first_sent_at: float = float("-inf")
+    offered_at: float = float("-inf")
     second_offer: hedging.SecondOffer | None = None
 
 
@@ -121,6 +122,7 @@
             return self._handle_hedged_declined(flow, flow.second_offer, agent)
         if flow.agent != agent.packet_address:
             return []
+        flow.agent = None
         return self._place(flow, now)
 
     def place_queued(self, now: float) -> list[actions.Action]:
@@ -139,7 +141,7 @@
         decided: list[actions.Action] = []
         for offer in self._hedges.take_due(now):
             flow = self._flows.get(offer.flow)
-            if flow is not None and flow.packet.sequence == offer.opening_sequence:
+            if flow is not None and flow.sent_at == offer.sent_at:
                 decided += self._offer_second(flow, offer, now)
         return decided
 
@@ -181,6 +183,8 @@
             timeout = self._queue_timeout(len(candidates))
             return self._queue_or_refuse(flow, len(candidates), now, timeout)
         if not flow.tried:
+            self._hedges.record_opening(service)
+        if flow.agent is None:
             self._schedule_second_offer(flow, route, service, now)
         flow.agent = agent.packet_address
         flow.sent_at = now
@@ -194,7 +198,7 @@
         self, flow: PendingFlow, service: identifiers.ServiceName
     ) -> list[directory.Agent]:
         """Return the agents that may get a flow of a service."""
-        accepting = self._view.agents.accepting(service)
+        accepting = self._view.accepting(service)
         return [a for a in accepting if a.packet_address not in flow.declined]
 
     # Second offers.
@@ -206,11 +210,9 @@
         service: identifiers.ServiceName,
         now: float,
     ) -> None:
-        flow.first_sent_at = now
-        self._hedges.record_opening(service)
+        flow.offered_at = now
         if route.repeatability is routes.Repeatability.IDEMPOTENT:
-            packet = flow.packet
-            self._hedges.schedule(service, packet.flow, packet.sequence, now)
+            self._hedges.schedule(service, flow.packet.flow, now)
 
     def _offer_second(
         self, flow: PendingFlow, offer: hedging.ScheduledOffer, now: float
@@ -221,8 +223,7 @@
         if route is None or route.repeatability is not routes.Repeatability.IDEMPOTENT:
             return []
         service = route.service_of(flow_id)
-        is_waiting_at_one = flow.agent is not None and len(flow.tried) == 1
-        if not is_waiting_at_one or self._hedges.is_suspended(service, now):
+        if flow.agent is None or self._hedges.is_suspended(service, now):
             return []
         candidates = [
             agent
--- a/tests/core/flows/test_hedging.py
+++ b/tests/core/flows/test_hedging.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import strategies
 
+from cactushall_core import identifiers
 from cactushall_core.flows import (
     actions,
     agent,
@@ -16,6 +17,7 @@
     hedging,
     messages,
     packets,
+    pending_flows,
     servers,
 )
 from cactushall_core.flows import routes as flow_routes
@@ -162,6 +164,14 @@
             assert spent[end] - spent[begin] <= allowed
 
 
+def test_unused_openings_allow_no_more_than_a_burst():
+    limit = hedging.HedgingLimit()
+    for _ in range(100 * hedging.BURST_OPENINGS):
+        limit.record_opening(0.05)
+    spent = sum(limit.try_spend() for _ in range(hedging.BURST_OPENINGS))
+    assert spent == 0.05 * hedging.BURST_OPENINGS
+
+
 # Offers.
 
 
@@ -203,15 +213,38 @@
 
 def test_reused_port_does_not_get_the_offer_of_the_former_flow(flows):
     flows.handle_packet(builders.opening_packet(), 20.0)
-    flows.handle_packet(builders.opening_packet(sequence=5), 20.009)
-    assert flows.offer_due(20.012) == []
+    flows.handle_packet(builders.opening_packet(sequence=5), 20.0 + OPENING_SECONDS / 2)
+    assert flows.offer_due(20.0 + 1.1 * OPENING_SECONDS) == []
+    assert flows.offer_due(20.0 + 2 * OPENING_SECONDS) != []
+
+
+def test_delay_starts_again_at_the_agent_after_one_that_declined(flows):
+    (first,) = flows.handle_packet(builders.opening_packet(), 20.0)
+    later = 20.0 + OPENING_SECONDS / 2
+    (second,) = decline(flows, number_of(first.address), builders.FLOW, later)
+    assert flows.offer_due(20.0 + 1.1 * OPENING_SECONDS) == []
+    forward, _ = flows.offer_due(later + 1.1 * OPENING_SECONDS)
+    assert forward.address not in (first.address, second.address)
+
+
+def test_retry_of_a_silent_opening_is_followed_by_no_second_offer():
+    flows = make_entry()
+    slow = pending_flows.RETRY_ELSEWHERE_SECONDS + 0.1
+    for _ in range(hedging.MIN_SAMPLES):
+        flows._hedges.record_opened(builders.SERVICE, slow)
+        flows._hedges.record_opening(builders.SERVICE)
+    flows.handle_packet(builders.opening_packet(), 20.0)
+    (again,) = flows.handle_packet(builders.opening_packet(1), 20.2)
+    assert isinstance(again, actions.Forward)
+    assert flows.offer_due(20.0 + 2 * slow) == []
 
 
 def test_requests_that_may_run_once_are_not_offered_again():
     flows = make_entry(flow_routes.Repeatability.ONCE)
     open_usual_flows(flows)
-    assert offers_of_unanswered(flows) == []
+    flows.handle_packet(builders.opening_packet(), 20.0)
     assert flows.next_offer_at is None
+    assert flows.offer_due(20.1) == []
 
 
 def test_route_that_has_changed_to_run_once_stops_a_scheduled_offer(flows):
@@ -242,33 +275,57 @@
     assert flows.offer_due(20.0 + 1.1 * OPENING_SECONDS) == []
 
 
+def test_agents_of_an_evacuated_zone_get_no_second_offer():
+    other_zone = identifiers.ZoneName("b")
+    flows = make_entry(agents=(1,))
+    open_usual_flows(flows)
+    flows.update_member(builders.agent_record(2, zone=other_zone), 19.0)
+    flows.update_evacuated(frozenset([other_zone]), 19.5)
+    assert offers_of_unanswered(flows) == []
+    flows.update_evacuated(frozenset(), 30.0)
+    assert offers_of_unanswered(flows, 60.0) != []
+
+
 def test_full_agent_gets_no_second_offer(flows):
     (first,) = flows.handle_packet(builders.opening_packet(), 20.0)
+    due_at = flows.next_offer_at
     for number in set(AGENTS) - {number_of(first.address)}:
-        decline(flows, number, flow_id(99), 20.009, messages.Refusal.FULL)
-    assert flows.offer_due(20.0105) == []
+        decline(flows, number, flow_id(99), due_at, messages.Refusal.FULL)
+    assert flows.offer_due(due_at + 0.001) == []
+
+
+def report(flows, load, now):
+    for number in AGENTS:
+        flows.handle_message(peer_address_of(number), messages.LoadReport(load), now)
 
 
-def full_report(number):
-    load = messages.Load(9, 9, 1, 1.0)
-    return peer_address_of(number), messages.LoadReport(load)
+def open_again(flows, number, now):
+    """Open a flow on the port of a former one."""
+    opening = builders.opening_packet(flow=flow_id(number), sequence=9)
+    return flows.handle_packet(opening, now)
 
 
 def test_no_second_offers_while_a_flow_is_queued(flows):
-    (first,) = flows.handle_packet(builders.opening_packet(), 20.0)
-    for number in AGENTS:
-        flows.handle_message(*full_report(number), 20.0)
-    assert flows.handle_packet(open_packet(0)._replace(sequence=9), 20.001) == []
-    for number in AGENTS:
-        report = messages.LoadReport(builders.IDLE_LOAD)
-        flows.handle_message(peer_address_of(number), report, 20.002)
-    assert flows.offer_due(20.02) == []
-    assert offers_of_unanswered_flow(flows, 20.02 + hedging.CONTENTION_SECONDS)
+    flows.handle_packet(builders.opening_packet(), 20.0)
+    report(flows, messages.Load(9, 9, 1, 1.0), 20.001)
+    assert open_again(flows, 0, 20.002) == []
+    report(flows, builders.IDLE_LOAD, 20.003)
+    assert flows.offer_due(20.0 + 2 * OPENING_SECONDS) == []
+    later = 20.002 + hedging.CONTENTION_SECONDS
+    open_again(flows, 1, later)
+    assert outcomes(flows.offer_due(later + 2 * OPENING_SECONDS)) != []
 
 
-def offers_of_unanswered_flow(flows, now):
-    flows.handle_packet(open_packet(1)._replace(sequence=9), now)
-    return flows.offer_due(now + 2 * OPENING_SECONDS)
+def test_no_second_offers_after_a_refusal(flows):
+    flows.handle_packet(builders.opening_packet(), 20.0)
+    for number in AGENTS:
+        record = builders.agent_record(number, is_draining=True, incarnation=2)
+        flows.update_member(record, 20.001)
+    (refused,) = open_again(flows, 0, 20.002)
+    assert refused.reason is actions.Reason.NO_SERVER
+    for number in AGENTS:
+        flows.update_member(builders.agent_record(number, incarnation=3), 20.003)
+    assert flows.offer_due(20.0 + 2 * OPENING_SECONDS) == []
 
 
 def test_limit_withholds_offers():
@@ -365,9 +422,9 @@
     first, second = offer(flows)
     (third,) = flows.handle_packet(builders.opening_packet(1), 20.2)
     number = number_of(third.address)
-    accept(flows, number, builders.FLOW, 20.21)
+    accept(flows, first, builders.FLOW, 20.21)
     assert released(choose(flows, builders.SERVER_START + 1, 20.22)) == sorted(
-        {first, second, number} - {number}
+        {second, number}
     )
 
 
