--- a/tests/core/flows/test_hedging.py
+++ b/tests/core/flows/test_hedging.py
@@ -288,7 +288,7 @@
 
 def test_full_agent_gets_no_second_offer(flows):
     (first,) = flows.handle_packet(builders.opening_packet(), 20.0)
-    due_at = flows.next_offer_at
+    due_at = 20.0 + 1.01 * OPENING_SECONDS
     for number in set(AGENTS) - {number_of(first.address)}:
         decline(flows, number, flow_id(99), due_at, messages.Refusal.FULL)
     assert flows.offer_due(due_at + 0.001) == []
