--- a/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import enum
 import functools
 import ipaddress
 import math
@@ -23,6 +24,14 @@
 MAX_CACHED_HOSTS = 4096
 # Nearly all agents answer a lookup on this basis, so that it is only counted.
 UNLOGGED_BASES = (None, actions.DenialBasis.NEVER_TRACKED)
+REFUSAL_COUNTERS = {
+    actions.RefusalCause.NO_ROUTE: counters.Counter.FLOWS_REFUSED_NO_ROUTE,
+    actions.RefusalCause.NO_SERVER: counters.Counter.FLOWS_REFUSED_NO_SERVER,
+    actions.RefusalCause.QUEUE_FULL: counters.Counter.FLOWS_REFUSED_QUEUE_FULL,
+    actions.RefusalCause.DISPLACED: counters.Counter.FLOWS_REFUSED_DISPLACED,
+    actions.RefusalCause.TIMEOUT: counters.Counter.FLOWS_REFUSED_TIMEOUT,
+    actions.RefusalCause.FORESEEN: counters.Counter.FLOWS_REFUSED_FORESEEN,
+}
 
 HEDGE_COUNTERS = {
     actions.HedgeOutcome.OFFERED: counters.Counter.HEDGES_OFFERED,
@@ -77,6 +86,7 @@
             actions.RecordAnswer: self._record_answer,
             actions.RecordOwnerFound: _log_owner_found,
             actions.RecordHedge: self._record_hedge,
+            actions.RecordRetryWithheld: self._record_retry_withheld,
         }
 
     def execute(self, decisions: list[actions.Action]) -> None:
@@ -89,6 +99,8 @@
         self._forwarded_counter.value += 1
         self._node.send_datagram(action.address, action.datagram)
         if action.placement is not None:
+            if action.placement.is_retry:
+                self._counters.add(counters.Counter.FLOW_RETRIES)
             self._log_placement(action, action.placement)
 
     def _log_placement(
@@ -106,6 +118,8 @@
         evidence_fields = (
             _log_fields(action.evidence) if action.evidence is not None else {}
         )
+        if isinstance(action.evidence, actions.RefusalEvidence):
+            self._counters.add(REFUSAL_COUNTERS[action.evidence.cause])
         log.info(
             events.Event.FLOW_RESET,
             flow=str(action.flow),
@@ -158,6 +172,10 @@
         if action.outcome is actions.HedgeOutcome.OFFERED:
             _log_hedged(action)
 
+    def _record_retry_withheld(self, action: actions.RecordRetryWithheld) -> None:
+        self._counters.add(counters.Counter.FLOW_RETRIES_WITHHELD)
+        _log_retry_withheld(action)
+
     def _record_answer(self, action: actions.RecordAnswer) -> None:
         held, denied = len(action.owned), len(action.denials)
         self._counters.add(counters.Counter.FLOW_LOOKUPS_HELD, held)
@@ -183,6 +201,8 @@
         return str(value)
     if isinstance(value, float):
         return round(value, 4) if math.isfinite(value) else None
+    if isinstance(value, enum.Enum):
+        return value.value
     return value
 
 
@@ -196,6 +216,14 @@
     )
 
 
+def _log_retry_withheld(action: actions.RecordRetryWithheld) -> None:
+    log.info(
+        events.Event.FLOW_RETRY_WITHHELD,
+        flow=str(action.flow),
+        agent=action.agent.host,
+    )
+
+
 def _log_owner_found(action: actions.RecordOwnerFound) -> None:
     log.info(
         events.Event.FLOW_OWNER_FOUND,
--- a/tests/daemon/packets/test_executor.py
+++ b/tests/daemon/packets/test_executor.py
@@ -208,6 +208,7 @@
     actions.RecordAnswer(AGENT, (), {}),
     actions.RecordHedge(builders.FLOW, actions.HedgeOutcome.WON, AGENT),
     actions.RecordLatency(actions.Latency.FLOW_OPENED, 0.1),
+    actions.RecordRetryWithheld(builders.FLOW, AGENT),
 ]
 
 
