--- a/tests/core/flows/test_pending_flows.py
+++ b/tests/core/flows/test_pending_flows.py
@@ -219,13 +219,14 @@
 
 
 def test_a_decline_costs_no_budget():
-    site = Site(messages.Load(0, 0, 100, 0.001))
+    has_room = messages.Load(0, 0, 100, 0.001)
+    site = Site(has_room)
     for number in range(100):
         (sent,) = site.open(LOW, number)
         agent = int(sent.address.host.rpartition(".")[2])
         peer = builders.agent_record(agent).member.control_address
         refusal = messages.Refusal.NOT_READY
-        declined = messages.Declined(flow(LOW, number), refusal, 1, IDLE)
+        declined = messages.Declined(flow(LOW, number), refusal, 1, has_room)
         (again,) = site.entry.handle_message(peer, declined, NOW)
         assert again.placement.tries == 1
         assert not again.placement.is_retry
