--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -145,6 +145,18 @@
     owner: addresses.Address | None
 
 
+class ReleaseFlow(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """Tells an agent that a flow's caller has taken another backend server's answer.
+
+    Attributes:
+        flow: The flow.
+        opening_sequence: Sequence number of its opening packet.
+    """
+
+    flow: packets.FlowId
+    opening_sequence: int
+
+
 AgentMessage = (
     OwnershipConfirmed
     | OwnershipDenied
@@ -154,12 +166,12 @@
     | OwnershipAnswer
     | RegisterFlows
 )
-EntryMessage = LookupRequest | OwnershipQuery | OwnerQuery | OwnerAnswer
+EntryMessage = LookupRequest | OwnershipQuery | OwnerQuery | OwnerAnswer | ReleaseFlow
 Message = AgentMessage | EntryMessage
 
 # `isinstance` is several times faster with a tuple of classes than with their union.
 LOAD_MESSAGES = (LoadReport, Accepted, Declined)
-ENTRY_MESSAGES = (LookupRequest, OwnershipQuery, OwnerQuery, OwnerAnswer)
+ENTRY_MESSAGES = (LookupRequest, OwnershipQuery, OwnerQuery, OwnerAnswer, ReleaseFlow)
 
 _decoder = msgspec.msgpack.Decoder(Message)
 
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -18,6 +18,7 @@
     explanation,
     flow_placement,
     flow_queue,
+    hedging,
     messages,
     packets,
     priorities,
@@ -51,6 +52,9 @@
         tried: All agents that it was sent to.
         declined: Those of them that declined it for another reason than being full.
         is_retry: Whether the agent that it was last sent to has not answered.
+        offered_at: When it was last sent to an agent for another reason than the
+            silence of the one before.
+        second_offer: Its offer to a second agent beside `agent`, if any.
     """
 
     packet: packets.Packet
@@ -60,6 +64,8 @@
     tried: set[addresses.Address] = msgspec.field(default_factory=set)
     declined: set[addresses.Address] = msgspec.field(default_factory=set)
     is_retry: bool = False
+    offered_at: float = float("-inf")
+    second_offer: hedging.SecondOffer | None = None
 
 
 class QueueLengths(typing.NamedTuple):
@@ -90,6 +96,7 @@
         view: cluster_view.ClusterView,
         zone: identifiers.ZoneName,
         rng: random.Random,
+        hedges: hedging.Hedging,
     ) -> None:
         """Start without flows.
 
@@ -97,7 +104,9 @@
             view: Routes and agents.
             zone: Availability zone of most callers.
             rng: Breaks ties.
+            hedges: Decides on second offers.
         """
+        self._hedges = hedges
         self._view = view
         self._zone = zone
         self._rng = rng
@@ -164,8 +173,11 @@
             return []
         if message.refusal is not messages.Refusal.FULL:
             flow.declined.add(agent.packet_address)
+        if flow.second_offer is not None and not _is_settled(flow):
+            return self._handle_hedged_declined(flow, flow.second_offer, agent)
         if flow.agent != agent.packet_address:
             return []
+        flow.agent = None
         return self._place(flow, now)
 
     def place_queued(self, now: float) -> list[actions.Action]:
@@ -213,6 +225,15 @@
             now,
         )
 
+    def offer_due(self, now: float) -> list[actions.Action]:
+        """Make the second offers that are due."""
+        decided: list[actions.Action] = []
+        for offer in self._hedges.take_due(now):
+            flow = self._flows.get(offer.flow)
+            if flow is not None and flow.sent_at == offer.sent_at:
+                decided += self._offer_second(flow, offer, now)
+        return decided
+
     def expire(self, now: float) -> None:
         """Forget flows whose callers have given up."""
         for flow_id, flow in list(self._flows.items()):
@@ -339,27 +360,41 @@
             self._priorities.reserved_requests,
             flow_placement.Attempts(flow.tried, flow.declined),
         )
-        if decision.agent is not None and decision.route is not None:
-            self._record_placed(flow, decision.route)
-            return [self._forward(flow, decision.agent, now)]
         if decision.reason is actions.Reason.NO_ROUTE:
             return self._await_route(flow, now)
-        if decision.reason is actions.Reason.NO_SERVER or decision.route is None:
+        route, service = decision.route, decision.service
+        if route is None or service is None:
             return self._await_agents(flow, now)
-        return self._queue_for_capacity(flow, decision.route, decision.candidates, now)
+        if decision.agent is None:
+            self._hedges.record_contention(service, now)
+            if not decision.candidates:
+                return self._await_agents(flow, now)
+            return self._queue_for_capacity(flow, route, decision.candidates, now)
+        self._record_placed(flow, route, service)
+        if flow.agent is None:
+            self._schedule_second_offer(flow, route, service, now)
+        return [self._forward(flow, decision.agent, now)]
+
+    def _candidates(
+        self, flow: PendingFlow, service: identifiers.ServiceName
+    ) -> list[directory.Agent]:
+        """Return the agents that may get a flow of a service."""
+        accepting = self._view.accepting(service)
+        return [a for a in accepting if a.packet_address not in flow.declined]
 
     def _record_placed(
         self,
         flow: PendingFlow,
         route: routes.Route,
+        service: identifiers.ServiceName,
     ) -> None:
         """Record whose turn it was."""
-        service = route.service_of(flow.packet.flow)
         if len(self._queue):
             self._queue.of_service(service).record_turn(route.address)
         if not flow.tried:
             self._priorities.record_admitted(service, route.priority)
             self._retry_budget.record_opening(service)
+            self._hedges.record_opening(service)
 
     def _await_agents(self, flow: PendingFlow, now: float) -> list[actions.Action]:
         """Queue a flow while its agents, or all routes, may not be known yet."""
@@ -464,6 +499,19 @@
 
     def _forward(
         self, flow: PendingFlow, agent: directory.Agent, now: float
+    ) -> actions.Forward:
+        """Forward an opening packet to the agent that is to get the flow."""
+        forward = self._offer(flow, agent, now)
+        flow.agent = agent.packet_address
+        flow.sent_at = now
+        flow.is_retry = False
+        if flow.second_offer is not None:
+            second = flow.second_offer.agent
+            flow.second_offer = hedging.SecondOffer(second, frozenset(flow.tried))
+        return forward
+
+    def _offer(
+        self, flow: PendingFlow, agent: directory.Agent, now: float
     ) -> actions.Forward:
         if flow.agent is None:
             self._remove_from_queue(flow.packet.flow)
@@ -477,11 +525,8 @@
             is_retry=flow.is_retry,
         )
         agent.unacknowledged[flow.packet.flow] = now
-        flow.agent = agent.packet_address
-        flow.sent_at = now
-        flow.is_retry = False
         flow.tried.add(agent.packet_address)
-        return actions.Forward(flow.agent, flow.packet.datagram, placement)
+        return actions.Forward(agent.packet_address, flow.packet.datagram, placement)
 
     def _refuse(
         self,
@@ -508,3 +553,68 @@
         if route is None:
             return len(self._awaiting_view)
         return len(self._queue.of_service(route.service_of(flow_id)))
+
+    # Second offers.
+
+    def _schedule_second_offer(
+        self,
+        flow: PendingFlow,
+        route: routes.Route,
+        service: identifiers.ServiceName,
+        now: float,
+    ) -> None:
+        flow.offered_at = now
+        if route.repeatability is routes.Repeatability.IDEMPOTENT:
+            self._hedges.schedule(service, flow.packet.flow, now)
+
+    def _offer_second(
+        self, flow: PendingFlow, offer: hedging.ScheduledOffer, now: float
+    ) -> list[actions.Action]:
+        """Offer an opening packet that is unanswered at one agent to another one."""
+        flow_id = flow.packet.flow
+        route = self._view.route_table.find(flow_id)
+        if route is None or route.repeatability is not routes.Repeatability.IDEMPOTENT:
+            return []
+        service = route.service_of(flow_id)
+        if flow.agent is None or self._hedges.is_suspended(service, now):
+            return []
+        candidates = [
+            agent
+            for agent in self._candidates(flow, service)
+            if agent.packet_address not in flow.tried and not agent.is_cold
+        ]
+        agent = agent_selection.select_agent(
+            candidates, self._zone, route.objective_seconds, self._rng, now
+        )
+        if agent is None:
+            return []
+        if not self._hedges.try_spend(service):
+            withheld = actions.HedgeOutcome.WITHHELD
+            return [actions.RecordHedge(flow_id, withheld)]
+        forward = self._offer(flow, agent, now)
+        address = agent.packet_address
+        flow.second_offer = hedging.SecondOffer(address, frozenset(flow.tried))
+        offered = actions.HedgeOutcome.OFFERED
+        record = actions.RecordHedge(flow_id, offered, address, offer.delay_seconds)
+        return [forward, record]
+
+    def _handle_hedged_declined(
+        self,
+        flow: PendingFlow,
+        second_offer: hedging.SecondOffer,
+        agent: directory.Agent,
+    ) -> list[actions.Action]:
+        """Leave a flow to the one of two agents that has not declined it."""
+        if agent.packet_address == flow.agent:
+            flow.agent = second_offer.agent
+            return []
+        if agent.packet_address != second_offer.agent:
+            return []
+        flow.second_offer = None
+        lost = actions.HedgeOutcome.LOST
+        return [actions.RecordHedge(flow.packet.flow, lost, second_offer.agent)]
+
+
+def _is_settled(flow: PendingFlow) -> bool:
+    """Return whether only the second agent is left, because the first declined."""
+    return flow.second_offer is not None and flow.second_offer.agent == flow.agent
--- a/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
@@ -33,6 +33,14 @@
     actions.RefusalCause.FORESEEN: counters.Counter.FLOWS_REFUSED_FORESEEN,
 }
 
+HEDGE_COUNTERS = {
+    actions.HedgeOutcome.OFFERED: counters.Counter.HEDGES_OFFERED,
+    actions.HedgeOutcome.WON: counters.Counter.HEDGES_WON,
+    actions.HedgeOutcome.LOST: counters.Counter.HEDGES_LOST,
+    actions.HedgeOutcome.LATE: counters.Counter.HEDGES_LATE,
+    actions.HedgeOutcome.WITHHELD: counters.Counter.HEDGES_WITHHELD,
+}
+
 SendToServer = collections.abc.Callable[[bytes], None]
 
 
@@ -77,6 +85,7 @@
             actions.RecordLookupStarted: self._record_lookup_started,
             actions.RecordAnswer: self._record_answer,
             actions.RecordOwnerFound: _log_owner_found,
+            actions.RecordHedge: self._record_hedge,
             actions.RecordRetryWithheld: self._record_retry_withheld,
         }
 
@@ -158,6 +167,11 @@
         self._counters.add(counters.Counter.FLOW_LOOKUPS_STARTED)
         _log_lookup_started(action)
 
+    def _record_hedge(self, action: actions.RecordHedge) -> None:
+        self._counters.add(HEDGE_COUNTERS[action.outcome])
+        if action.outcome is actions.HedgeOutcome.OFFERED:
+            _log_hedged(action)
+
     def _record_retry_withheld(self, action: actions.RecordRetryWithheld) -> None:
         self._counters.add(counters.Counter.FLOW_RETRIES_WITHHELD)
         _log_retry_withheld(action)
@@ -220,6 +234,15 @@
     )
 
 
+def _log_hedged(action: actions.RecordHedge) -> None:
+    log.info(
+        events.Event.FLOW_HEDGED,
+        flow=str(action.flow),
+        agent=action.agent.host if action.agent is not None else None,
+        delay_seconds=_format_value(action.delay_seconds),
+    )
+
+
 def _log_load_message(message: messages.Message) -> None:
     """Log the answer to an opening packet, with the load that it tells."""
     if isinstance(message, messages.Accepted):
--- a/tests/daemon/packets/test_executor.py
+++ b/tests/daemon/packets/test_executor.py
@@ -181,6 +181,20 @@
     assert node.sent == [(builders.ENTRY, message)]
 
 
+@pytest.mark.parametrize("outcome", actions.HedgeOutcome)
+def test_second_offers_are_counted_and_only_those_made_are_logged(
+    execute, node, outcome
+):
+    lines = execute(actions.RecordHedge(builders.FLOW, outcome, AGENT, 0.02))
+    assert counted(node) == {executor.HEDGE_COUNTERS[outcome]: 1}
+    if outcome is not actions.HedgeOutcome.OFFERED:
+        assert lines == []
+        return
+    (line,) = lines
+    assert line["event"] is events.Event.FLOW_HEDGED
+    assert (line["agent"], line["delay_seconds"]) == (AGENT.host, 0.02)
+
+
 EXAMPLES = [
     actions.Forward(AGENT, b"packet"),
     actions.DeliverToServer(b"packet"),
@@ -192,6 +206,7 @@
     actions.RecordLookupStarted(builders.FLOW, 1, 2, 3),
     actions.RecordOwnerFound(builders.FLOW, AGENT, 0.1, 1),
     actions.RecordAnswer(AGENT, (), {}),
+    actions.RecordHedge(builders.FLOW, actions.HedgeOutcome.WON, AGENT),
     actions.RecordLatency(actions.Latency.FLOW_OPENED, 0.1),
     actions.RecordRetryWithheld(builders.FLOW, AGENT),
 ]
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -40,6 +40,8 @@
 CROSS_ZONE_LATENCY_SECONDS = 0.005
 MEMBERSHIP_DELAY_SECONDS = 0.05
 SERVER_QUEUE = 8
+# Servers announce themselves only once.
+HEARTBEAT_SECONDS = 3600.0
 ZONES = 3
 WINDOW_SECONDS = 2.0
 
@@ -120,6 +122,13 @@
         outage: Start and end of an outage of all processes, in seconds.
         cold_seconds: How long servers are slower after the outage.
         cold_factor: How many times slower they are then.
+        hedging_percent: Limit of second offers as a percentage of openings.
+        opening_loss: Share of openings that are lost between an entry and an agent.
+        failing_shares: Share of requests that a server answers with an error at once,
+            by its number.
+        hanging_shares: Share of requests that a server never answers, by its number.
+        frozen_servers: Start and end of the time in which a server answers nothing,
+            by its number.
         kinds: Kinds of requests, where there are several; they replace the rate, the
             service time, the objective and the scores of the plan. At most one has
             long flows.
@@ -157,6 +166,13 @@
     cold_overage: float = 1.0
     cold_slack: float = 0.0
     knows_entries: bool = False
+    hedging_percent: float = 0.0
+    opening_loss: float = 0.0
+    failing_shares: typing.Mapping[int, float] = dataclasses.field(default_factory=dict)
+    hanging_shares: typing.Mapping[int, float] = dataclasses.field(default_factory=dict)
+    frozen_servers: typing.Mapping[int, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
     kinds: tuple[Kind, ...] = ()
     other_server_count: int = 0
 
@@ -164,7 +180,10 @@
     def table(self):
         """The routes of all kinds of requests."""
         if not self.kinds:
-            return builders.route_table(objective=self.objective_seconds)
+            return builders.route_table(
+                objective=self.objective_seconds,
+                repeatability=routes.Repeatability.IDEMPOTENT,
+            )
         made = {}
         for kind in self.kinds:
             address = builders.service_address(self.flow_of(kind))
@@ -274,6 +293,9 @@
     def handle_packet(self, packet):
         """Handle a packet that the agent delivers."""
         site = self._site
+        begin, end = site.plan.frozen_servers.get(self.number, (math.inf, math.inf))
+        if begin <= site.now < end:
+            return
         if packet.is_opening:
             if packet.flow not in self.flows and site.now < self.cold_until:
                 self.opened_cold_at.append(site.now)
@@ -284,12 +306,21 @@
             )
         elif packet.flow not in self.flows:
             site.handle_server_packet(self.number, builders.bounced_packet(packet))
-        elif packet.length and len(self._queue) >= SERVER_QUEUE:
+        elif packet.length and self._sheds(site.plan.failing_shares):
             self._answer(packet.flow, is_shed=True)
+        elif packet.length and self._fails(site.plan.hanging_shares):
+            site.hung += 1
         elif packet.length:
             self._queue.append((packet.flow, self.flows))
             self._run()
 
+    def _sheds(self, shares):
+        return len(self._queue) >= SERVER_QUEUE or self._fails(shares)
+
+    def _fails(self, shares):
+        share = shares.get(self.number, 0.0)
+        return share > 0 and self._site.rng.random() < share
+
     def _run(self):
         plan = self._site.plan
         while self._queue and self._running < plan.slots:
@@ -322,6 +353,12 @@
         kind_results: Outcomes of the requests of each kind in each zone.
         declined: Number of new flows that agents declined.
         declined_cold: Number of those that a cold server had no allowance for.
+        hung: Number of requests that servers left without an answer.
+        waits: Time until the answer of each request that was answered, in seconds.
+        opening_waits: Time until the answer of each opening packet that was
+            answered, in seconds.
+        openings: Number of flows that were opened.
+        hedges: Number of second offers by their outcome.
     """
 
     def __init__(self, plan, seed):
@@ -340,6 +377,12 @@
         self.kind_results = collections.defaultdict(Result)
         self.declined = 0
         self.declined_cold = 0
+        self.hung = 0
+        self.waits = []
+        self.opening_waits = []
+        self.openings = 0
+        self.hedges = collections.Counter()
+        self._offers_at = {}
         self._starts = itertools.count(1)
         self._servers = {n: Server(self, n) for n in range(1, plan.server_count + 1)}
         self._agents = {}
@@ -403,9 +446,8 @@
 
     def _start_agent(self, number):
         service = self.plan.service_of(number)
-        server = servers.Server(service, 1.2)
-        cold = cold_start.ColdStart(self.plan.cold_overage, self.plan.cold_slack)
-        made = agent.AgentFlows(server, self.now, cold)
+        server = servers.Server(service, HEARTBEAT_SECONDS)
+        made = self.make_agent(server)
         self._agents[number] = made
         self._reporters[number] = reports.LoadReporter(self.now)
         start = next(self._starts)
@@ -425,9 +467,20 @@
             self.schedule(
                 MEMBERSHIP_DELAY_SECONDS, lambda o=one: self._update_member(o, record)
             )
-        self._tick_agent(number, made)
+        self._tick_agent(number, made, server)
         self._records[number] = record
 
+    def make_agent(self, server):
+        """Return the deciding code of an agent."""
+        cold = cold_start.ColdStart(self.plan.cold_overage, self.plan.cold_slack)
+        return agent.AgentFlows(server, self.now, cold)
+
+    def make_entry(self, zone, index):
+        """Return the deciding code of an entry."""
+        made = entry.EntryFlows(zone, random.Random(index), self.now)
+        made.set_hedging_limit(self.plan.hedging_percent)
+        return made
+
     def _record(self, number, start):
         zone = identifiers.ZoneName(str(number % ZONES))
         service = self.plan.service_of(number)
@@ -435,7 +488,7 @@
 
     def _start_entry(self, index):
         zone = identifiers.ZoneName(str(index % ZONES))
-        made = entry.EntryFlows(zone, random.Random(index), self.now)
+        made = self.make_entry(zone, index)
         self._entries[index] = made
         made.update_routes(self._table, self.now)
         if self.plan.knows_entries:
@@ -467,16 +520,35 @@
             self._execute_entry_actions(index, made.tick(self.now))
             self.schedule(TICK_INTERVAL_SECONDS, lambda: self._tick_entry(index, made))
 
-    def _tick_agent(self, number, made):
+    def _tick_agent(self, number, made, server):
         if self._agents.get(number) is not made:
             return
+        if server.tick(self.now):
+            self._announce_unresponsive(number)
         self._execute_agent_actions(number, made.tick(self.now))
         if self._reporters[number].is_due(made.load, self.now):
             for index in self._entries:
                 address = addresses.Address(f"10.0.0.{index}", 7735)
                 report = messages.LoadReport(made.load)
                 self._send_message(number, actions.SendMessage(address, report))
-        self.schedule(TICK_INTERVAL_SECONDS, lambda: self._tick_agent(number, made))
+        self.schedule(
+            TICK_INTERVAL_SECONDS, lambda: self._tick_agent(number, made, server)
+        )
+
+    def _announce_unresponsive(self, number):
+        """Tell the entries that a server does not accept new flows any more."""
+        known = self._records[number]
+        record = builders.agent_record(
+            number,
+            incarnation=2,
+            is_draining=True,
+            start=known.member.id >> 32,
+            zone=known.member.zone,
+        )
+        for one in self._entries.values():
+            self.schedule(
+                MEMBERSHIP_DELAY_SECONDS, lambda o=one: self._update_member(o, record)
+            )
 
     def service_seconds(self, server, flow_id):
         """Return the service time of a server's next request in seconds."""
@@ -560,6 +632,7 @@
         is_long = request.user is not None
         flow = Flow(flow_id, zone, request, self.now, is_long)
         self._flows[flow_id] = flow
+        self.openings += 1
         if is_long:
             self._user_flows[request.user] = flow
         self._send_opening(flow, 0)
@@ -615,6 +688,7 @@
         if packet.flags & packets.Flags.SYN:
             if flow.acknowledged is None:
                 flow.acknowledged = packet.sequence + 1
+                self.opening_waits.append(self.now - flow.opened_at)
                 self._send_request(flow)
         elif packet.length and flow.request is not None:
             self._handle_answer(flow, is_shed=packet.sequence == 503)
@@ -631,6 +705,7 @@
         request.is_over = True
         if request.user is not None:
             self._busy_users.discard(request.user)
+        self.waits.append(self.now - request.sent_at)
         objective_seconds = (request.kind or self.plan).objective_seconds
         is_on_time = self.now - request.sent_at <= objective_seconds
         for result in self._results_of(request):
@@ -653,6 +728,27 @@
                 self._to_agent(index, own, host, packet, asks=False)
             elif isinstance(action, actions.SendMessage):
                 self._message_to_agent(index, own, action)
+            elif isinstance(action, actions.RecordHedge):
+                self.hedges[action.outcome] += 1
+        self._schedule_offers(index)
+
+    def _schedule_offers(self, index):
+        """Wake an entry when its next second offer is due."""
+        one = self._entries.get(index)
+        due_at = one.next_offer_at if one is not None else None
+        if due_at is None or self._offers_at.get(index, -1.0) >= due_at:
+            return
+        self._offers_at[index] = due_at
+        self.schedule(due_at - self.now, lambda: self._offer_due(index, one))
+
+    def _offer_due(self, index, one):
+        self._offers_at.pop(index, None)
+        if self._entries.get(index) is one:
+            self._execute_entry_actions(index, one.offer_due(self.now))
+
+    def _is_lost(self):
+        share = self.plan.opening_loss
+        return share > 0 and self.rng.random() < share
 
     def _at_reset(self, action):
         flow = self._flows.get(action.flow)
@@ -661,6 +757,8 @@
 
     def _to_agent(self, index, own, host, packet, *, asks):
         number = int(host.rpartition(".")[2])
+        if packet.is_opening and self._is_lost():
+            return
 
         def arrive():
             made = self._agents.get(number)
@@ -679,6 +777,11 @@
             self._to_agent(index, own, host, message.datagram.packet, asks=True)
             return
         number = int(host.rpartition(".")[2])
+        if isinstance(message, messages.ReleaseFlow):
+            self.schedule(
+                self._latency(index, number), lambda: self._release(number, message)
+            )
+            return
 
         def arrive():
             made = self._agents.get(number)
@@ -688,6 +791,14 @@
 
         self.schedule(self._latency(index, number), arrive)
 
+    def _release(self, number, message):
+        made = self._agents.get(number)
+        if made is not None:
+            decided = made.handle_release(
+                message.flow, message.opening_sequence, self.now
+            )
+            self._execute_agent_actions(number, decided)
+
     def _latency(self, index, number):
         is_same_zone = index % ZONES == number % ZONES
         return IN_ZONE_LATENCY_SECONDS if is_same_zone else CROSS_ZONE_LATENCY_SECONDS
@@ -706,6 +817,8 @@
                 )
             elif isinstance(action, actions.SendMessage):
                 self._send_message(number, action)
+            elif isinstance(action, actions.RecordHedge):
+                self.hedges[action.outcome] += 1
 
     def _send_message(self, number, action):
         if isinstance(action.message, messages.Declined):
