Only routes in use count for priorities and shares

Cause: in a deployment of the users, 242 configured routes of priority 0 get no flows and lead to the main service. They were the highest priority, so that flows of priority 1 had no reserve, and each route's share of the queue was one flow. A route counts where it got one of the latest 100 openings of its service. A limit by time was ruled out: after a restart, unused routes would count for seconds when the reserve is needed most.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -349,6 +349,10 @@
         if self._is_released(packet):
             return []
         is_new = flow is None or _is_port_reused(flow, packet)
+        if is_new:
+            self._priorities.record_opening(
+                self._server.service, routes.address_of(packet.flow)
+            )
         refusal = self._refusal(packet)
         if refusal is None and is_new and not self._cold.take(now):
             refusal = messages.Refusal.FULL
--- a/packages/cactushall-core/cactushall_core/flows/flow_queue.py
+++ b/packages/cactushall-core/cactushall_core/flows/flow_queue.py
@@ -111,7 +111,7 @@
 
     def remove(self, flow_id: packets.FlowId) -> None:
         """Remove a flow."""
-        address = routes.ServiceAddress(flow_id.service_host, flow_id.service_port)
+        address = routes.address_of(flow_id)
         del self._routes[address].flows[flow_id]
         self._size -= 1
 
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -251,14 +251,16 @@
 
     def _place_new(self, flow: PendingFlow, now: float) -> list[actions.Action]:
         """Place a new flow, after queued flows of other routes that go before it."""
-        decided: list[actions.Action] = []
-        if not len(self._queue):
+        table = self._view.route_table
+        route = table.find(flow.packet.flow)
+        if route is None:
             return self._place(flow, now)
-        route = self._view.route_table.find(flow.packet.flow)
-        if route is not None:
-            service = route.service_of(flow.packet.flow)
-            if self._queue.of_service(service).is_ahead(route):
-                decided += self._place_queued_of(service, now)
+        service = route.service_of(flow.packet.flow)
+        self._priorities.update_routes(table)
+        self._priorities.record_opening(service, route.address)
+        decided: list[actions.Action] = []
+        if len(self._queue) and self._queue.of_service(service).is_ahead(route):
+            decided += self._place_queued_of(service, now)
         return decided + self._place(flow, now)
 
     def _retry(
--- a/packages/cactushall-core/cactushall_core/flows/priorities.py
+++ b/packages/cactushall-core/cactushall_core/flows/priorities.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from cactushall_core import identifiers
 from cactushall_core.flows import routes
 
@@ -15,11 +17,51 @@
 # A priority gets one flow for every 8 flows of higher priorities.
 MIN_SHARE = 0.125
 MAX_CREDIT = 2.0
+# A route that got none of so many openings of its service is not in use.
+RECENT_OPENINGS = 100
+
+
+class RouteUse(msgspec.Struct):
+    """How a route to a service is used.
+
+    Attributes:
+        priority: Its priority.
+        last_opening: Number of the service's opening that was its latest one.
+    """
+
+    priority: int
+    last_opening: int
+
+
+class ServiceUse(msgspec.Struct):
+    """How the routes to a service are used.
+
+    Attributes:
+        openings: Number of openings of the service so far.
+        routes: All routes to it, by address.
+        priorities: The priorities of those in use, the highest first.
+        route_count: How many of them are in use.
+    """
+
+    openings: int = 0
+    routes: dict[routes.ServiceAddress, RouteUse] = msgspec.field(default_factory=dict)
+    priorities: tuple[int, ...] = ()
+    route_count: int = 0
+
+    def update(self) -> None:
+        """Find the routes in use."""
+        oldest = self.openings - RECENT_OPENINGS
+        used = [u.priority for u in self.routes.values() if u.last_opening >= oldest]
+        self.priorities = tuple(sorted(set(used)))
+        self.route_count = len(used)
 
 
 class Priorities:
     """The priorities of each service, and the flows that each is owed.
 
+    Only routes in use count: many are configured that get no flows, and would take the
+    reserve and the shares from those that do. A new route counts as in use at first.
+
     Each admitted flow gives credit to the lower priorities of its service, and costs
     its own priority credit. A priority whose credit is at least 1 is due: its next flow
     is treated like one of the highest priority, so that no priority starves.
@@ -28,8 +70,7 @@
     def __init__(self) -> None:
         """Start without routes."""
         self._table = routes.EMPTY
-        self._priorities: dict[identifiers.ServiceName, tuple[int, ...]] = {}
-        self._route_counts: dict[identifiers.ServiceName, int] = {}
+        self._uses: dict[identifiers.ServiceName, ServiceUse] = {}
         self._credits: dict[tuple[identifiers.ServiceName, int], float] = {}
 
     def update_routes(self, table: routes.RouteTable) -> None:
@@ -37,25 +78,46 @@
         if table is self._table:
             return
         self._table = table
-        found: dict[identifiers.ServiceName, list[int]] = {}
+        former, self._uses = self._uses, {}
         for route in table.routes.values():
             for share in route.shares:
-                found.setdefault(share.service, []).append(route.priority)
-        self._route_counts = {service: len(found[service]) for service in found}
-        self._priorities = {s: tuple(sorted(set(found[s]))) for s in found}
+                known = former.get(share.service, ServiceUse())
+                use = self._uses.setdefault(
+                    share.service, ServiceUse(openings=known.openings)
+                )
+                last = known.routes.get(route.address)
+                last_opening = known.openings if last is None else last.last_opening
+                use.routes[route.address] = RouteUse(route.priority, last_opening)
+        for use in self._uses.values():
+            use.update()
         self._credits = {
             key: credit
             for key, credit in self._credits.items()
-            if key[1] in self._priorities.get(key[0], ())
+            if key[1] in self._known(key[0])
         }
 
+    def record_opening(
+        self, service: identifiers.ServiceName, address: routes.ServiceAddress
+    ) -> None:
+        """Record that a flow of a route is opened, whether it is admitted or not."""
+        use = self._uses.get(service)
+        route = use.routes.get(address) if use is not None else None
+        if use is None or route is None:
+            return
+        use.openings += 1
+        was_used = route.last_opening >= use.openings - RECENT_OPENINGS
+        route.last_opening = use.openings
+        if not was_used or use.openings % RECENT_OPENINGS == 0:
+            use.update()
+
     def route_count(self, service: identifiers.ServiceName) -> int:
-        """Return how many routes lead to a service, at least 1."""
-        return self._route_counts.get(service, 1)
+        """Return how many routes to a service are in use, at least 1."""
+        use = self._uses.get(service)
+        return max(1, use.route_count) if use is not None else 1
 
     def is_highest(self, service: identifiers.ServiceName, priority: int) -> bool:
-        """Return whether no route to a service has a higher priority."""
-        return priority <= self._priorities.get(service, (priority,))[0]
+        """Return whether no route in use to a service has a higher priority."""
+        return priority <= min(self._known(service), default=priority)
 
     def is_due(self, service: identifiers.ServiceName, priority: int) -> bool:
         """Return whether a priority is owed a flow."""
@@ -66,9 +128,9 @@
     ) -> float:
         """Return how many requests per slot a flow may use beyond the regular limit.
 
-        It is 0 for a service whose routes all have one priority.
+        It is 0 for a service whose routes in use all have one priority.
         """
-        known = self._priorities.get(service, ())
+        known = self._known(service)
         if len(known) < 2:
             return 0.0
         if priority == known[0] or self.is_due(service, priority):
@@ -77,7 +139,7 @@
 
     def record_admitted(self, service: identifiers.ServiceName, priority: int) -> None:
         """Record that a flow was admitted."""
-        known = self._priorities.get(service, ())
+        known = self._known(service)
         if len(known) < 2:
             return
         for other in known:
@@ -87,3 +149,7 @@
                 self._credits[key] = min(MAX_CREDIT, credit)
             elif other == priority:
                 self._credits[key] = max(0.0, self._credits.get(key, 0.0) - 1.0)
+
+    def _known(self, service: identifiers.ServiceName) -> tuple[int, ...]:
+        use = self._uses.get(service)
+        return use.priorities if use is not None else ()
--- a/packages/cactushall-core/cactushall_core/flows/routes.py
+++ b/packages/cactushall-core/cactushall_core/flows/routes.py
@@ -27,6 +27,11 @@
     port: int
 
 
+def address_of(flow: packets.FlowId) -> ServiceAddress:
+    """Return the service address that the caller of a flow sends to."""
+    return ServiceAddress(flow.service_host, flow.service_port)
+
+
 class Share(typing.NamedTuple):
     """A service's share of the new flows of a route."""
 
@@ -113,7 +118,7 @@
 
     def find(self, flow: packets.FlowId) -> Route | None:
         """Return the route of a flow, None where there is none."""
-        return self.routes.get(ServiceAddress(flow.service_host, flow.service_port))
+        return self.routes.get(address_of(flow))
 
 
 EMPTY = RouteTable()
--- a/tests/core/flows/test_priorities.py
+++ b/tests/core/flows/test_priorities.py
@@ -51,3 +51,43 @@
         made.record_admitted(builders.SERVICE, 2)
         owed += 1
     assert owed == priorities.MAX_CREDIT
+
+
+def test_routes_without_flows_take_neither_reserve_nor_share():
+    """Guards against configured but unused routes of a higher priority."""
+    made = priorities.Priorities()
+    table = builders.priority_table(0, 0, 0, 1, 2)
+    made.update_routes(table)
+    *_, high, low = table.routes
+    assert made.route_count(builders.SERVICE) == 5
+    for _ in range(priorities.RECENT_OPENINGS):
+        made.record_opening(builders.SERVICE, low)
+        made.record_opening(builders.SERVICE, high)
+    assert made.route_count(builders.SERVICE) == 2
+    assert made.is_highest(builders.SERVICE, 1)
+    assert made.reserved_requests(builders.SERVICE, 1) > 0
+    assert made.reserved_requests(builders.SERVICE, 2) == 0
+
+
+def test_a_route_that_is_used_again_counts_at_once():
+    made = priorities.Priorities()
+    table = builders.priority_table(1, 2)
+    made.update_routes(table)
+    high, low = table.routes
+    for _ in range(2 * priorities.RECENT_OPENINGS):
+        made.record_opening(builders.SERVICE, low)
+    assert made.reserved_requests(builders.SERVICE, 1) == 0
+    made.record_opening(builders.SERVICE, high)
+    assert made.reserved_requests(builders.SERVICE, 1) > 0
+
+
+def test_a_newer_table_keeps_what_is_known_of_its_routes():
+    made = priorities.Priorities()
+    table = builders.priority_table(0, 1, 2)
+    made.update_routes(table)
+    _, high, low = table.routes
+    for _ in range(priorities.RECENT_OPENINGS):
+        made.record_opening(builders.SERVICE, low)
+        made.record_opening(builders.SERVICE, high)
+    made.update_routes(builders.priority_table(0, 1, 2))
+    assert made.route_count(builders.SERVICE) == 2
