Findings of the review: evacuations of one revision, explanations that change placement, lost reports

- Two evacuation keys that one transaction wrote share a revision; the second one was not remembered, and the next change ended it.
The change counts now.
- cactushall where drew for the slow start of a returned zone.
It takes the eligible agents.
- A retry away from a silent agent of an evacuated zone costs no budget and goes elsewhere.
- A report that a server is not cold any more may be lost: an allowance is believed for 2 s.
- The limit of a service's queue is the same for all its routes.

--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -20,6 +20,9 @@
 # Estimates of requests are fractions; a smaller one is more likely a busy slot.
 MIN_IDLE_SLOTS = 0.5
 
+# A report that the server is not cold any more may be lost; the agent keeps the limit.
+ALLOWANCE_RETENTION_SECONDS = 2.0
+
 Predicate = collections.abc.Callable[[directory.Agent], bool]
 
 
@@ -103,11 +106,12 @@
 
 def has_cold_allowance(agent: directory.Agent, now: float) -> bool:
     """Return whether an agent has no limit, or is likely to be within it."""
-    if agent.cold_allowance < 0:
+    age_seconds = now - agent.load_at
+    if agent.cold_allowance < 0 or age_seconds > ALLOWANCE_RETENTION_SECONDS:
         return True
     return cold_start.has_allowance(
         agent.cold_allowance,
-        now - agent.load_at,
+        age_seconds,
         agent.unacknowledged_count(now),
         agent.cold_refill_per_second,
     )
--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -75,17 +75,22 @@
         self._slow_start.tick(now)
 
     def accepting(self, service: identifiers.ServiceName) -> list[directory.Agent]:
-        """Return the agents that may get new flows of a service now.
+        """Return the agents that may get the next new flow of a service.
 
         Agents of evacuated zones are left out; those of zones that have returned
-        recently are held back from some of the flows.
+        recently are held back from some of the flows, which is drawn for each flow.
         """
-        accepting = self._agents.accepting(service)
-        if self._evacuated:
-            accepting = [a for a in accepting if a.member.zone not in self._evacuated]
+        accepting = self.eligible(service)
         self._slow_start.hold_back(accepting)
         return accepting
 
+    def eligible(self, service: identifiers.ServiceName) -> list[directory.Agent]:
+        """Return the agents that may get new flows of a service, without a draw."""
+        accepting = self._agents.accepting(service)
+        if not self._evacuated:
+            return accepting
+        return [a for a in accepting if a.member.zone not in self._evacuated]
+
     def update_routes(self, table: routes.RouteTable) -> None:
         """Replace the routes by a newer revision."""
         self._dropped_addresses |= self._route_table.routes.keys()
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 import msgspec
@@ -295,7 +296,9 @@
                 server_sequences,
                 second_offer=pending.second_offer,
             )
-            self._record_opened(message.flow, now - pending.offered_at)
+            # A late acceptance may be that of the former flow of the port.
+            if math.isfinite(pending.offered_at):
+                self._record_opened(message.flow, now - pending.offered_at)
             seconds = now - pending.opened_at
             return [actions.RecordLatency(actions.Latency.FLOW_OPENED, seconds)]
         flow = self._owned.get(message.flow)
--- a/packages/cactushall-core/cactushall_core/flows/evacuations.py
+++ b/packages/cactushall-core/cactushall_core/flows/evacuations.py
@@ -113,7 +113,8 @@
         """
         changed = self._apply_all((state,))
         read = self._read
-        if read is None or state.era != read.era or state.revision <= read.revision:
+        # Keys that one transaction has written share a revision.
+        if read is None or state.era != read.era or state.revision < read.revision:
             return changed
         written = {z: r for z, r in read.written.items() if z != state.zone}
         if state.is_evacuated:
--- a/packages/cactushall-core/cactushall_core/flows/explanation.py
+++ b/packages/cactushall-core/cactushall_core/flows/explanation.py
@@ -120,7 +120,7 @@
         view: Routes and agents.
         address: The address that the caller sends to.
         zone: Availability zone of the caller.
-        rng: Breaks ties as for the next flow that is placed; it is not changed.
+        rng: Draws agents as for the next flow that is placed; it is not changed.
         reserved_requests: Returns how many requests per slot a flow of a service may
             use beyond the regular limit, by the priority of its route.
         queue_seconds: Returns how long a flow that gets no agent may be queued.
@@ -141,7 +141,13 @@
 
     def explain_service(share: routes.Share) -> ServiceExplanation:
         decision = flow_placement.select(
-            view, route, share.service, zone, copy.copy(rng), now, reserved_requests
+            view.eligible(share.service),
+            route,
+            share.service,
+            zone,
+            copy.copy(rng),
+            now,
+            reserved_requests,
         )
         return ServiceExplanation(
             share.service,
@@ -192,9 +198,7 @@
         return view.exclusion(agent, service) or exclusions.Exclusion.LEFT_OUT
 
     known = [(agent, exclusion_of(agent)) for agent in view.agents.of_service(service)]
-    median = agent_selection.median_service_seconds(
-        [agent for agent, exclusion in known if exclusion is None]
-    )
+    median = agent_selection.median_service_seconds(decision.candidates)
     described = [
         Candidate(
             node=agent.member.name,
--- a/packages/cactushall-core/cactushall_core/flows/flow_placement.py
+++ b/packages/cactushall-core/cactushall_core/flows/flow_placement.py
@@ -72,7 +72,7 @@
         view: Routes and agents.
         flow_id: The flow.
         zone: Availability zone of the caller.
-        rng: Breaks ties.
+        rng: Draws agents.
         now: Current time in seconds.
         reserved_requests: Returns how many requests per slot a flow of a service may
             use beyond the regular limit, by the priority of its route.
@@ -85,11 +85,14 @@
     if route is None:
         return Decision(reason=actions.Reason.NO_ROUTE)
     service = route.service_of(flow_id)
-    return select(view, route, service, zone, rng, now, reserved_requests, attempts)
+    accepting = view.accepting(service)
+    return select(
+        accepting, route, service, zone, rng, now, reserved_requests, attempts
+    )
 
 
 def select(
-    view: cluster_view.ClusterView,
+    accepting: list[directory.Agent],
     route: routes.Route,
     service: identifiers.ServiceName,
     zone: identifiers.ZoneName,
@@ -98,8 +101,7 @@
     reserved_requests: ReservedRequests,
     attempts: Attempts = NO_ATTEMPTS,
 ) -> Decision:
-    """Decide which agent of a service gets a flow of a route; see `decide`."""
-    accepting = view.accepting(service)
+    """Decide which of some agents of a service gets a flow; see `decide`."""
     candidates = [a for a in accepting if a.packet_address not in attempts.declined]
     if not candidates:
         return Decision(route, service, reason=actions.Reason.NO_SERVER)
--- a/packages/cactushall-core/cactushall_core/flows/flow_queue.py
+++ b/packages/cactushall-core/cactushall_core/flows/flow_queue.py
@@ -225,7 +225,7 @@
             agent_count: Number of agents that may get it.
             route_count: Number of routes to the service.
         """
-        limit, share = _limits(route, agent_count, route_count)
+        limit, share = self._limits(route, service, agent_count, route_count)
         known = self._service_of.get(flow_id)
         if known == service:
             is_queued = not self._services[service].must_shed(route, limit, share)
@@ -247,9 +247,27 @@
         route_count: int,
     ) -> bool:
         """Return whether `add` would queue a new flow of a route."""
-        limit, share = _limits(route, agent_count, route_count)
+        limit, share = self._limits(route, service, agent_count, route_count)
         return self.of_service(service).has_room(route, limit, share)
 
+    def _limits(
+        self,
+        route: routes.Route,
+        service: identifiers.ServiceName,
+        agent_count: int,
+        route_count: int,
+    ) -> tuple[float, int]:
+        """Return the limit of a service's queue, and the guaranteed share of a route.
+
+        They are the same for all its routes, so that none takes another's share by a
+        wider limit of its own.
+        """
+        queued = [other for other, _ in self.of_service(service).lengths]
+        limits = map(queue_limits.limits_of, [route, *queued])
+        flows_per_agent = max(limit.flows_per_agent for limit in limits)
+        limit = max(MIN_LIMIT, flows_per_agent * agent_count)
+        return limit, max(1, int(limit / route_count))
+
     def remove(self, flow_id: packets.FlowId) -> None:
         """Remove a flow where it is queued."""
         service = self._service_of.pop(flow_id, None)
@@ -257,15 +275,6 @@
             self._services[service].remove(flow_id)
 
 
-def _limits(
-    route: routes.Route, agent_count: int, route_count: int
-) -> tuple[float, int]:
-    """Return the limit of a service's queue, and the guaranteed share of a route."""
-    flows_per_agent = queue_limits.limits_of(route).flows_per_agent
-    limit = max(MIN_LIMIT, flows_per_agent * agent_count)
-    return limit, max(1, int(limit / route_count))
-
-
 def _alternate(queues: typing.Sequence[RouteQueue]) -> list[packets.FlowId]:
     """Return the flows of some routes, one of each route in turn."""
     ordered = sorted(queues, key=lambda queue: queue.last_turn)
--- a/packages/cactushall-core/cactushall_core/flows/hedging.py
+++ b/packages/cactushall-core/cactushall_core/flows/hedging.py
@@ -22,11 +22,10 @@
 MIN_SAMPLES = 64
 BURST_OPENINGS = 100
 MIN_BURST = 1.0
-# An opening packet and its answer take 11 ms between the farthest zones. A second offer
-# within that time rarely comes first, and one after it still comes long before the
+# Before that the first answer is usually still on its way; it is long before the
 # caller's retransmission.
 MIN_DELAY_SECONDS = 0.02
-# A queued flow is placed or refused within this time.
+# How long second offers stay suspended after a flow found no capacity.
 CONTENTION_SECONDS = 0.25
 
 
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -28,8 +28,8 @@
 )
 
 RETRY_ELSEWHERE_SECONDS = 0.15
-# A report can help only the flows of its agent's services, but time frees capacity at
-# the other agents as well, by the estimate of what they have answered.
+# Reports of agents without capacity start a pass at most this often; meanwhile other
+# agents may have answered requests.
 PASS_INTERVAL_SECONDS = 0.01
 # Callers that give up free a backend server earlier than the estimate says.
 FORESEEN_FACTOR = 2.0
@@ -178,6 +178,7 @@
         if flow.agent != agent.packet_address:
             return []
         flow.agent = None
+        flow.second_offer = None
         return self._place(flow, now)
 
     def place_queued(self, now: float) -> list[actions.Action]:
@@ -215,6 +216,7 @@
             now: Current time in seconds.
         """
         zone = zone if zone is not None else self._zone
+        self._priorities.update_routes(self._view.route_table)
         return explanation.explain(
             self._view,
             address,
@@ -277,7 +279,8 @@
         agent = self._view.agents.by_packet_address(silent)
         if route is not None and agent is not None:
             service = route.service_of(flow_id)
-            if agent.accepts(service) and not self._retry_budget.spend(service):
+            is_accepting = self._view.exclusion(agent, service) is None
+            if is_accepting and not self._retry_budget.spend(service):
                 return [
                     actions.Forward(silent, flow.packet.datagram),
                     actions.RecordRetryWithheld(flow_id, silent),
@@ -288,7 +291,7 @@
     def _is_pass_due(
         self, service: identifiers.ServiceName, agent: directory.Agent, now: float
     ) -> bool:
-        if now - self._passes_at.get(service, 0.0) >= PASS_INTERVAL_SECONDS:
+        if now - self._passes_at.get(service, float("-inf")) >= PASS_INTERVAL_SECONDS:
             return True
         return any(
             agent_selection.has_capacity(
@@ -391,7 +394,7 @@
         route: routes.Route,
         service: identifiers.ServiceName,
     ) -> None:
-        """Record whose turn it was."""
+        """Record that a flow is sent to an agent."""
         if len(self._queue):
             self._queue.of_service(service).record_turn(route.address)
         if not flow.tried:
--- a/packages/cactushall-core/cactushall_core/flows/queue_limits.py
+++ b/packages/cactushall-core/cactushall_core/flows/queue_limits.py
@@ -15,7 +15,7 @@
 
 # How often a caller usually opens a flow for one request.
 CALLER_ATTEMPTS = 3
-PATIENT_ROUTE_SECONDS = CALLER_ATTEMPTS * packets.OPENING_TIMEOUT_SECONDS
+LONG_ROUTE_TIMEOUT_SECONDS = CALLER_ATTEMPTS * packets.OPENING_TIMEOUT_SECONDS
 
 
 class QueueLimits(typing.NamedTuple):
@@ -30,9 +30,9 @@
     flows_per_agent: float
 
 
-USUAL = QueueLimits(timeout_seconds=0.15, flows_per_agent=0.5)
+DEFAULT = QueueLimits(timeout_seconds=0.15, flows_per_agent=0.5)
 # The timeout leaves time for the answer before the caller gives the attempt up.
-PATIENT = QueueLimits(timeout_seconds=1.2, flows_per_agent=1.0)
+LONG_TIMEOUT = QueueLimits(timeout_seconds=1.2, flows_per_agent=1.0)
 
 
 def limits_of(route: routes.Route) -> QueueLimits:
@@ -41,4 +41,6 @@
     They are wider where the route's timeout covers all attempts of a caller that each
     take as long as an opening may take.
     """
-    return PATIENT if route.timeout_seconds >= PATIENT_ROUTE_SECONDS else USUAL
+    return (
+        LONG_TIMEOUT if route.timeout_seconds >= LONG_ROUTE_TIMEOUT_SECONDS else DEFAULT
+    )
--- a/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
+++ b/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
@@ -119,7 +119,9 @@
     def schedule_read(self) -> None:
         """End the watch when the observer needs the next read of the store."""
         if self._watch_timeout is not None:
-            self._watch_timeout.reschedule(self._observer.next_read_at)
+            # Fails where the timeout has just ended the watch; a read follows anyway.
+            with contextlib.suppress(RuntimeError):
+                self._watch_timeout.reschedule(self._observer.next_read_at)
 
     def fetch_if_newer(
         self, member: records.Member, revision: identifiers.Revision
--- a/tests/core/flows/test_evacuations.py
+++ b/tests/core/flows/test_evacuations.py
@@ -201,3 +201,12 @@
     evacuated.handle_read(read(2, 5), 1.0)
     evacuated.merge((state(2, 6, False),), 2.0)
     assert evacuated.next_read_at is None
+
+
+def test_keys_that_one_transaction_has_written_all_stay_evacuated(evacuated):
+    """Guards against a zone that returns to service while its key exists."""
+    evacuated.handle_change(state(1, 20, zone=B), 0.1)
+    c = identifiers.ZoneName("c")
+    evacuated.handle_change(state(1, 20, zone=c), 0.1)
+    evacuated.handle_change(state(1, 25, False), 0.2)
+    assert evacuated.evacuated == {B, c}
--- a/tests/core/flows/test_zone_effects.py
+++ b/tests/core/flows/test_zone_effects.py
@@ -280,3 +280,26 @@
     decided = flows.update_routes(builders.route_table(), 0.2)
     assert refusal_of(decided) is messages.Refusal.DRAINING
     assert packets.OPENING_TIMEOUT_SECONDS > 0.2
+
+
+def test_an_explanation_does_not_change_where_later_flows_go():
+    """Guards against an explanation that draws which zones are held back."""
+    address = builders.service_address(builders.FLOW)
+
+    def open_after(explains):
+        made = entry.EntryFlows(A, random.Random(1), 0.0)
+        made.update_routes(builders.route_table(), 0.0)
+        for number, zone in ZONE_OF_AGENT.items():
+            made.update_member(builders.agent_record(number, zone=zone), 0.0)
+        made.update_completeness(builders.COMPLETE, 0.0)
+        made.update_evacuated(frozenset({A}), NOW)
+        made.update_evacuated(frozenset(), NOW)
+        numbers = []
+        for port in range(1, 50):
+            if explains:
+                made.explain(address, None, NOW + 1.0)
+            decided = made.handle_packet(opening_of(port), NOW + 1.0)
+            numbers += [number_of(a) for a in decided if isinstance(a, actions.Forward)]
+        return numbers
+
+    assert open_after(explains=True) == open_after(explains=False)
