--- a/packages/cactushall-daemon/cactushall_daemon/config/packet_schema.py
+++ b/packages/cactushall-daemon/cactushall_daemon/config/packet_schema.py
@@ -7,7 +7,6 @@
 
 MAX_PORT = addresses.MAX_PORT
 NO_ADDRESSES: tuple[addresses.Address, ...] = ()
-MAX_EJECTED_PERCENT = 50
 MAX_HEDGING_PERCENT = 20
 MAX_COLD_OVERAGE = 10.0
 MAX_COLD_SLACK = 1000.0
@@ -60,7 +59,6 @@
     """Settings of an entry."""
 
     grace_seconds = options.Option(options.seconds(0, 3600))
-    max_ejected_percent = options.Option(options.integer(0, MAX_EJECTED_PERCENT), 0)
     hedging_percent = options.Option(options.integer(0, MAX_HEDGING_PERCENT), 0)
 
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/evacuation_follower.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/evacuation_follower.py
@@ -117,7 +117,7 @@
             self._reported_zones.add(zone)
             key = operator_keys.EVACUATION_PREFIX.decode() + zone
             log.warning(
-                events.Event.EVACUATION_KEY_DOUBTFUL,
+                events.Event.EVACUATION_KEY_SUSPECT,
                 key=key,
                 why="no member of this zone is known",
             )
@@ -144,7 +144,7 @@
         except exceptions.DecodeError as error:
             if self._is_unreported(entry):
                 log.warning(
-                    events.Event.EVACUATION_KEY_DOUBTFUL,
+                    events.Event.EVACUATION_KEY_SUSPECT,
                     key=entry.key.decode(errors="replace"),
                     why=f"the value is not read, the key counts: {error}",
                 )
--- a/tests/daemon/packets/test_evacuations.py
+++ b/tests/daemon/packets/test_evacuations.py
@@ -100,7 +100,7 @@
     made.read(entry(KEY, 15, value))
     made.read(entry(KEY, 15, value), revision=22)
     assert made.follower.evacuated == {ZONE}
-    (found,) = logged.of(events.Event.EVACUATION_KEY_DOUBTFUL)
+    (found,) = logged.of(events.Event.EVACUATION_KEY_SUSPECT)
     assert found["key"] == KEY
 
 
@@ -119,7 +119,7 @@
 
 def test_a_zone_without_members_is_reported_once_all_members_are_known(made, logged):
     made.read(entry("op/evacuate/atica-a", 14), entry(KEY, 15))
-    doubtful = events.Event.EVACUATION_KEY_DOUBTFUL
+    doubtful = events.Event.EVACUATION_KEY_SUSPECT
     assert logged.of(doubtful) == []
     made.known = frozenset({ZONE})
     made.follower.check_zones()
@@ -293,7 +293,7 @@
     fleet, server, logged
 ):
     """Each process that starts would report each evacuated zone."""
-    doubtful = events.Event.EVACUATION_KEY_DOUBTFUL
+    doubtful = events.Event.EVACUATION_KEY_SUSPECT
     server.put("op/evacuate/elsewhere", b"{}")
     await fleet.start_node(FIRST, [SECOND], await server.start())
     await fleet.wait_for_zones([FIRST], "elsewhere")
