--- a/bench/hedging.py
+++ b/bench/hedging.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import concurrent.futures
+import dataclasses
 import itertools
 import math
 import typing
@@ -245,7 +246,7 @@
 def simulate(way: str, plan: str, percent: int, seed: int) -> Outcome:
     """Simulate one load with one way and limit."""
     site_type, delay, min_delay = WAYS[way]
-    changed = load_site.dataclasses.replace(PLANS[plan], hedging_percent=percent)
+    changed = dataclasses.replace(PLANS[plan], hedging_percent=percent)
     with (
         mock.patch.object(hedging.RunningQuantile, "value", delay),
         mock.patch.object(hedging, "MIN_DELAY_SECONDS", min_delay),
--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -169,7 +169,7 @@
 EntryMessage = LookupRequest | OwnershipQuery | OwnerQuery | OwnerAnswer | ReleaseFlow
 Message = AgentMessage | EntryMessage
 
-# `isinstance` is several times faster with a tuple of classes than with their union.
+# Tuples of classes, for tests of each message by `isinstance`.
 LOAD_MESSAGES = (LoadReport, Accepted, Declined)
 ENTRY_MESSAGES = (LookupRequest, OwnershipQuery, OwnerQuery, OwnerAnswer, ReleaseFlow)
 
--- a/packages/cactushall-core/cactushall_core/flows/packets.py
+++ b/packages/cactushall-core/cactushall_core/flows/packets.py
@@ -12,8 +12,7 @@
 class Flags:
     """Flags as in TCP; BOUNCED marks a packet that a backend server returned.
 
-    They are plain integers, because each operation on members of an enum makes another
-    member, which costs more than the rest of a packet's decision.
+    They are plain integers, because they are combined and tested for each packet.
     """
 
     NONE: typing.Final = 0
--- a/packages/cactushall-core/cactushall_core/flows/retry_budget.py
+++ b/packages/cactushall-core/cactushall_core/flows/retry_budget.py
@@ -8,8 +8,8 @@
 
 from cactushall_core import identifiers
 
-# Retries that each opening pays for. Silence of a fifth of the agents is bridged for as
-# long as it lasts, that of more only until the membership protocol has found them.
+# Retries that each opening allows: flows sent to silent agents can all be retried while
+# those are at most this share of the agents.
 TOKENS_PER_OPENING = 0.2
 MAX_TOKENS = 20.0
 
