--- a/bench/loads.py
+++ b/bench/loads.py
@@ -37,6 +37,9 @@
 from tests.core.flows import builders
 from tests.standins import load_site
 
+JobT = typing.TypeVar("JobT")
+OutcomeT = typing.TypeVar("OutcomeT")
+
 SEEDS = range(5)
 # Agents whose expected waits differ by less count as equally good, in service times.
 NEAR_BEST_WAIT = 0.3
@@ -468,11 +471,18 @@
     return simulate(*job)
 
 
+def _run_all(
+    simulate_job: collections.abc.Callable[[JobT], OutcomeT], jobs: list[JobT]
+) -> dict[JobT, OutcomeT]:
+    """Run some simulations on all processors, and return the outcome of each."""
+    with concurrent.futures.ProcessPoolExecutor(os.cpu_count()) as executor:
+        return dict(zip(jobs, executor.map(simulate_job, jobs), strict=True))
+
+
 def main() -> None:
     """Simulate all loads under all policies and report the figures."""
     jobs = list(itertools.product(POLICIES, PLANS, SEEDS))
-    with concurrent.futures.ProcessPoolExecutor(os.cpu_count()) as executor:
-        outcomes = dict(zip(jobs, executor.map(_simulate_job, jobs), strict=True))
+    outcomes = _run_all(_simulate_job, jobs)
     figures = []
     for plan, policy in itertools.product(PLANS, POLICIES):
         outcomes_by_seed = [outcomes[policy, plan, seed] for seed in SEEDS]
@@ -488,8 +498,7 @@
 def report_selection() -> None:
     """Simulate the loads of few and many entries and report the figures."""
     jobs = list(itertools.product(SELECTION_RULES, SELECTION_PLANS, SEEDS))
-    with concurrent.futures.ProcessPoolExecutor(os.cpu_count()) as executor:
-        outcomes = dict(zip(jobs, executor.map(_selection_job, jobs), strict=True))
+    outcomes = _run_all(_selection_job, jobs)
     figures = []
     for plan, rule in itertools.product(SELECTION_PLANS, SELECTION_RULES):
         by_seed = [outcomes[rule, plan, seed] for seed in SEEDS]
--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -40,7 +40,8 @@
     NO_ROUTE: No route leads from the service address.
     NO_SERVER: No backend server accepts it.
     QUEUE_FULL: The queue of its service is full, and it may not displace another flow.
-    DISPLACED: A flow with a better claim has taken its place in the queue.
+    DISPLACED: A flow of a higher priority, or of a route within its share, has taken
+        its place in the queue.
     TIMEOUT: No backend server has had capacity for it in time.
     FORESEEN: No backend server is expected to have capacity for it in time.
     """
@@ -109,7 +110,7 @@
         requests: Estimated number of requests in the agent's backend server.
         load_age_seconds: Age of the load report behind that estimate; infinite where
             the agent has not sent any.
-        is_retry: Whether the agent that it was last sent to has not answered.
+        is_retry: Whether it goes elsewhere because the agent before has not answered.
     """
 
     flow: packets.FlowId
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -300,11 +300,10 @@
         self._meter.set_slots(announcement.slots)
         self._cold.handle_announcement(announcement, latest_announcement, now)
         self._update_cold_limit(now)
+        is_first = servers.is_first_since_start(announcement, latest_announcement)
         if latest_announcement is None:
-            self._has_seen_all_flows = (
-                announcement.number <= servers.FIRST_ANNOUNCEMENT_NUMBER
-            )
-        elif not servers.is_same_start(announcement, latest_announcement):
+            self._has_seen_all_flows = is_first
+        elif is_first:
             self._forget_all()
         return outcome
 
--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -19,15 +19,12 @@
 CHOICES = 2
 # Estimates of requests are fractions; a smaller one is more likely a busy slot.
 MIN_IDLE_SLOTS = 0.5
-
 # A report that the server is not cold any more may be lost; the agent keeps the limit.
 ALLOWANCE_RETENTION_SECONDS = 2.0
 
-Predicate = collections.abc.Callable[[directory.Agent], bool]
-
 
 class Candidate(typing.NamedTuple):
-    """An agent with capacity.
+    """An agent that accepts new flows.
 
     Attributes:
         agent: The agent, without flows whose acknowledgement is overdue.
@@ -38,6 +35,9 @@
     expected_change: float
 
 
+Predicate = collections.abc.Callable[[Candidate], bool]
+
+
 def expected_wait(
     candidate: Candidate, zone: identifiers.ZoneName, median_service_seconds: float
 ) -> float:
@@ -81,24 +81,25 @@
         now: Current time in seconds.
         reserved_requests: Requests per slot that it may use beyond the regular limit.
     """
-    exclusion = find_exclusion(agent, objective_seconds, now, reserved_requests)
+    candidate = Candidate(agent, agent.expected_change(now))
+    exclusion = find_exclusion(candidate, objective_seconds, now, reserved_requests)
     return exclusion is None
 
 
 def find_exclusion(
-    agent: directory.Agent,
+    candidate: Candidate,
     objective_seconds: float,
     now: float,
     reserved_requests: float = 0.0,
 ) -> exclusions.Exclusion | None:
     """Return why an agent that accepts flows lacks capacity, None where it has some."""
+    agent = candidate.agent
     if agent.full_until > now:
         return exclusions.Exclusion.BACKING_OFF
     if not has_cold_allowance(agent, now):
         return exclusions.Exclusion.COLD
-    change = agent.expected_change(now)
     if not admission.has_capacity(
-        agent.load, change, objective_seconds, reserved_requests
+        agent.load, candidate.expected_change, objective_seconds, reserved_requests
     ):
         return exclusions.Exclusion.FULL
     return None
@@ -142,8 +143,9 @@
         reserved_requests: Requests per slot that it may use beyond the regular limit.
     """
 
-    def can_take(agent: directory.Agent) -> bool:
-        return has_capacity(agent, objective_seconds, now, reserved_requests)
+    def can_take(candidate: Candidate) -> bool:
+        exclusion = find_exclusion(candidate, objective_seconds, now, reserved_requests)
+        return exclusion is None
 
     regular = [agent for agent in agents if agent.held_back_until <= now]
     candidates = _draw_candidates(regular, zone, can_take, rng, now)
@@ -187,8 +189,9 @@
         index = int(rng.random() * len(agents))
         agents[index], agents[-1] = agents[-1], agents[index]
         agent = agents.pop()
-        if can_take(agent):
-            candidates.append(Candidate(agent, agent.expected_change(now)))
+        candidate = Candidate(agent, agent.expected_change(now))
+        if can_take(candidate):
+            candidates.append(candidate)
     return candidates
 
 
--- a/packages/cactushall-core/cactushall_core/flows/cluster_view.py
+++ b/packages/cactushall-core/cactushall_core/flows/cluster_view.py
@@ -110,7 +110,7 @@
         """
         if self._route_table.find(flow) is not None:
             return False
-        address = routes.ServiceAddress(flow.service_host, flow.service_port)
+        address = routes.address_of(flow)
         is_newest = self._route_table.revision >= self._newest_revision
         return address in self._dropped_addresses or (self.is_complete and is_newest)
 
--- a/packages/cactushall-core/cactushall_core/flows/cold_start.py
+++ b/packages/cactushall-core/cactushall_core/flows/cold_start.py
@@ -47,7 +47,7 @@
         self._rate = 0.0
         self._bucket: token_bucket.TokenBucket | None = None
         self._seen_start_at = float("-inf")
-        # Before the first announcement, nothing shows that the server is not cold.
+        # Cold until the first announcement.
         self._reported_until = float("inf")
         self._is_cold = False
         self._declined = 0
--- a/packages/cactushall-core/cactushall_core/flows/explanation.py
+++ b/packages/cactushall-core/cactushall_core/flows/explanation.py
@@ -190,34 +190,30 @@
 ) -> tuple[Candidate, ...]:
     """Describe all agents of a service, the chosen one and the best first."""
     accepting = {agent.packet_address for agent in decision.candidates}
+    median = agent_selection.median_service_seconds(decision.candidates)
 
-    def exclusion_of(agent: directory.Agent) -> exclusions.Exclusion | None:
+    def describe(agent: directory.Agent) -> Candidate:
+        known = agent_selection.Candidate(agent, agent.expected_change(now))
         if agent.packet_address in accepting:
-            objective = route.objective_seconds
-            return agent_selection.find_exclusion(agent, objective, now, reserved)
-        return view.exclusion(agent, service) or exclusions.Exclusion.LEFT_OUT
-
-    known = [(agent, exclusion_of(agent)) for agent in view.agents.of_service(service)]
-    median = agent_selection.median_service_seconds(decision.candidates)
-    described = [
-        Candidate(
+            exclusion = agent_selection.find_exclusion(
+                known, route.objective_seconds, now, reserved
+            )
+        else:
+            exclusion = view.exclusion(agent, service) or exclusions.Exclusion.LEFT_OUT
+        return Candidate(
             node=agent.member.name,
             address=str(agent.packet_address),
             zone=agent.member.zone,
             exclusion=exclusion,
             flows=agent.load.flows,
-            requests=max(0.0, agent.load.requests + agent.expected_change(now)),
+            requests=max(0.0, agent.load.requests + known.expected_change),
             slots=agent.load.slots,
             service_seconds=agent.load.service_seconds,
             load_age_seconds=_finite_age(agent, now),
-            expected_wait=agent_selection.expected_wait(
-                agent_selection.Candidate(agent, agent.expected_change(now)),
-                zone,
-                median,
-            ),
+            expected_wait=agent_selection.expected_wait(known, zone, median),
         )
-        for agent, exclusion in known
-    ]
+
+    described = [describe(agent) for agent in view.agents.of_service(service)]
     chosen = decision.agent.member.name if decision.agent is not None else None
     described.sort(
         key=lambda c: (c.node != chosen, c.exclusion is not None, c.expected_wait)
--- a/packages/cactushall-core/cactushall_core/flows/flow_placement.py
+++ b/packages/cactushall-core/cactushall_core/flows/flow_placement.py
@@ -102,7 +102,7 @@
     attempts: Attempts = NO_ATTEMPTS,
 ) -> Decision:
     """Decide which of some agents of a service gets a flow; see `decide`."""
-    candidates = [a for a in accepting if a.packet_address not in attempts.declined]
+    candidates = without_declined(accepting, attempts.declined)
     if not candidates:
         return Decision(route, service, reason=actions.Reason.NO_SERVER)
     untried = [a for a in candidates if a.packet_address not in attempts.tried]
@@ -116,3 +116,10 @@
     )
     reason = actions.Reason.NO_CAPACITY if agent is None else None
     return Decision(route, service, candidates, agent, reason)
+
+
+def without_declined(
+    agents: list[directory.Agent], declined: collections.abc.Set[addresses.Address]
+) -> list[directory.Agent]:
+    """Return the agents that have not declined a flow for another reason than full."""
+    return [agent for agent in agents if agent.packet_address not in declined]
--- a/packages/cactushall-core/cactushall_core/flows/hedging.py
+++ b/packages/cactushall-core/cactushall_core/flows/hedging.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from cactushall_core import addresses, identifiers
-from cactushall_core.flows import packets
+from cactushall_core.flows import opening_budget, packets
 
 MAX_SAMPLES = 512
 MIN_SAMPLES = 64
@@ -57,31 +57,28 @@
 
 
 class HedgingLimit:
-    """Bounds second offers to a share of openings: a token bucket filled by openings.
+    """Bounds second offers to a share of openings.
 
-    It starts empty, so that the share is never exceeded since the start, and in any
-    sequence of openings by at most the burst.
+    It starts without tokens, so that the share is never exceeded since the start, and
+    in any sequence of openings by at most the burst.
     """
 
     def __init__(self) -> None:
         """Start without tokens."""
-        self._tokens = 0.0
+        self._budget = opening_budget.OpeningBudget(0.0)
 
     def record_opening(self, share: float) -> None:
         """Add the part of a token that one opening allows."""
         burst = max(MIN_BURST, share * BURST_OPENINGS)
-        self._tokens = min(burst, self._tokens + share)
+        self._budget.record_opening(share, burst)
 
     def try_spend(self) -> bool:
         """Spend a token for a second offer; return whether there was one."""
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
+        return self._budget.try_spend()
 
     def clear(self) -> None:
         """Remove all tokens."""
-        self._tokens = 0.0
+        self._budget.clear()
 
 
 class SecondOffer(msgspec.Struct, frozen=True):
--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import typing
 
 import msgspec
 
@@ -171,7 +172,7 @@
 
 # Tuples of classes, for tests of each message by `isinstance`.
 LOAD_MESSAGES = (LoadReport, Accepted, Declined)
-ENTRY_MESSAGES = (LookupRequest, OwnershipQuery, OwnerQuery, OwnerAnswer, ReleaseFlow)
+ENTRY_MESSAGES = typing.get_args(EntryMessage)
 
 _decoder = msgspec.msgpack.Decoder(Message)
 
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -103,7 +103,7 @@
         Args:
             view: Routes and agents.
             zone: Availability zone of most callers.
-            rng: Breaks ties.
+            rng: Draws agents.
             hedges: Decides on second offers.
         """
         self._hedges = hedges
@@ -375,19 +375,14 @@
             self._hedges.record_contention(service, now)
             if not decision.candidates:
                 return self._await_agents(flow, now)
-            return self._queue_for_capacity(flow, route, decision.candidates, now)
+            return self._queue_for_capacity(
+                flow, route, service, decision.candidates, now
+            )
         self._record_placed(flow, route, service)
         if flow.agent is None:
             self._schedule_second_offer(flow, route, service, now)
         return [self._forward(flow, decision.agent, now)]
 
-    def _candidates(
-        self, flow: PendingFlow, service: identifiers.ServiceName
-    ) -> list[directory.Agent]:
-        """Return the agents that may get a flow of a service."""
-        accepting = self._view.accepting(service)
-        return [a for a in accepting if a.packet_address not in flow.declined]
-
     def _record_placed(
         self,
         flow: PendingFlow,
@@ -428,6 +423,7 @@
         self,
         flow: PendingFlow,
         route: routes.Route,
+        service: identifiers.ServiceName,
         candidates: list[directory.Agent],
         now: float,
     ) -> list[actions.Action]:
@@ -443,7 +439,6 @@
         remaining = limits.timeout_seconds - (now - flow.opened_at)
         if remaining <= 0:
             return self._refuse(flow, count, now, actions.RefusalCause.TIMEOUT)
-        service = route.service_of(flow_id)
         if not self._is_capacity_expected(route, service, candidates, remaining, now):
             return self._refuse(flow, count, now, actions.RefusalCause.FORESEEN)
         route_count = self._priorities.route_count(service)
@@ -586,9 +581,10 @@
         service = route.service_of(flow_id)
         if flow.agent is None or self._hedges.is_suspended(service, now):
             return []
+        accepting = self._view.accepting(service)
         candidates = [
             agent
-            for agent in self._candidates(flow, service)
+            for agent in flow_placement.without_declined(accepting, flow.declined)
             if agent.packet_address not in flow.tried and not agent.is_cold
         ]
         agent = agent_selection.select_agent(
--- a/packages/cactushall-core/cactushall_core/flows/routes.py
+++ b/packages/cactushall-core/cactushall_core/flows/routes.py
@@ -77,11 +77,11 @@
 
 
 class ColdLimit(msgspec.Struct, frozen=True):
-    """How many requests a backend server can bear shortly after its start.
+    """How many requests a backend server can handle shortly after its start.
 
     Attributes:
         seconds: How long it is cold after its start.
-        requests_per_second: Rate of requests that it can bear meanwhile.
+        requests_per_second: Rate of requests that it can handle meanwhile.
     """
 
     seconds: float
--- a/packages/cactushall-daemon/cactushall_daemon/packets/evacuation_follower.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/evacuation_follower.py
@@ -146,7 +146,7 @@
                 log.warning(
                     events.Event.EVACUATION_KEY_SUSPECT,
                     key=entry.key.decode(errors="replace"),
-                    why=f"the value is not read, the key counts: {error}",
+                    why=f"the value is not a JSON object, but the key counts: {error}",
                 )
 
     def _is_unreported(self, change: store.Change) -> bool:
--- a/tests/daemon/packets/test_evacuations.py
+++ b/tests/daemon/packets/test_evacuations.py
@@ -240,9 +240,8 @@
     await fleet.wait_for_zones([FIRST, SECOND], ZONE)
 
 
-async def test_a_restored_copy_without_the_key_ends_the_evacuation_late(
-    fleet, server, monkeypatch
-):
+async def evacuate_and_restore(fleet, server, monkeypatch):
+    """Evacuate a zone, and restore the store from a copy that lacks the key."""
     monkeypatch.setattr(evacuations, "RESTORE_WAIT_SECONDS", 2.5)
     copied = server.make_copy()
     reading, _ = await start_two(fleet, server)
@@ -251,6 +250,12 @@
     server.come_back_from(copied)
     await reading._store.get_prefix(b"contacts/")
     await asyncio.sleep(1.5)
+
+
+async def test_a_restored_copy_without_the_key_ends_the_evacuation_late(
+    fleet, server, monkeypatch
+):
+    await evacuate_and_restore(fleet, server, monkeypatch)
     assert fleet.zones == {FIRST: {ZONE}, SECOND: {ZONE}}
     await fleet.wait_for_zones([FIRST, SECOND])
 
@@ -276,14 +281,7 @@
 async def test_a_key_written_again_after_a_restore_keeps_the_zone_evacuated(
     fleet, server, monkeypatch
 ):
-    monkeypatch.setattr(evacuations, "RESTORE_WAIT_SECONDS", 2.5)
-    copied = server.make_copy()
-    reading, _ = await start_two(fleet, server)
-    server.put(KEY, b"{}")
-    await fleet.wait_for_zones([FIRST, SECOND], ZONE)
-    server.come_back_from(copied)
-    await reading._store.get_prefix(b"contacts/")
-    await asyncio.sleep(1.5)
+    await evacuate_and_restore(fleet, server, monkeypatch)
     server.put(KEY, b"{}")
     await asyncio.sleep(3.0)
     assert fleet.zones == {FIRST: {ZONE}, SECOND: {ZONE}}
