Count messages and bytes by kind; log them at an interval

Cause: what fills the entries' small links after a restart of the whole fleet was not counted by kind, so that it could only be guessed. Change: counters of messages and payload bytes by direction and kind (openings, callers' packets, answers, load reports, lookups in three kinds, registrations, probes, gossip, repairs, tables, configurations), in the metrics, and in a log line every traffic_log_seconds (off by default). Calls to the store are not among them; store_calls counts those. No decision depends on the counters.

--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cactushall_core import addresses, keys, signed_datagram
+from cactushall_core import addresses, keys, signed_datagram, traffic
 from cactushall_core.flows import packets
 
 VERSION = 3
@@ -174,6 +174,21 @@
 LOAD_MESSAGES = (LoadReport, Accepted, Declined)
 ENTRY_MESSAGES = typing.get_args(EntryMessage)
 
+KINDS = {
+    Accepted: traffic.Kind.OPENING_ANSWERS,
+    Declined: traffic.Kind.OPENING_ANSWERS,
+    LoadReport: traffic.Kind.LOAD_REPORTS,
+    OwnershipQuery: traffic.Kind.LOOKUP_QUESTIONS,
+    OwnerQuery: traffic.Kind.LOOKUP_QUESTIONS,
+    LookupRequest: traffic.Kind.LOOKUP_PACKETS,
+    OwnershipConfirmed: traffic.Kind.LOOKUP_ANSWERS,
+    OwnershipDenied: traffic.Kind.LOOKUP_ANSWERS,
+    OwnershipAnswer: traffic.Kind.LOOKUP_ANSWERS,
+    OwnerAnswer: traffic.Kind.LOOKUP_ANSWERS,
+    RegisterFlows: traffic.Kind.REGISTRATIONS,
+    ReleaseFlow: traffic.Kind.FLOW_NOTICES,
+}
+
 _decoder = msgspec.msgpack.Decoder(Message)
 
 
--- a/packages/cactushall-core/cactushall_core/membership/messages.py
+++ b/packages/cactushall-core/cactushall_core/membership/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cactushall_core import exceptions, identifiers, keys, signed_datagram
+from cactushall_core import exceptions, identifiers, keys, signed_datagram, traffic
 from cactushall_core.membership import records, zone_states
 
 VERSION = 1
@@ -65,6 +65,16 @@
 
 Body = Probe | Ack | IndirectProbe | Gossip | Digest | BucketSummary | RecordRequest
 
+KINDS = {
+    Probe: traffic.Kind.PROBES,
+    Ack: traffic.Kind.PROBES,
+    IndirectProbe: traffic.Kind.PROBES,
+    Gossip: traffic.Kind.GOSSIP,
+    Digest: traffic.Kind.REPAIRS,
+    BucketSummary: traffic.Kind.REPAIRS,
+    RecordRequest: traffic.Kind.REPAIRS,
+}
+
 
 class Packet(msgspec.Struct, frozen=True, array_like=True):
     """One datagram.
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -7,7 +7,7 @@
 
 from msgspec import structs
 
-from cactushall_core import addresses, exceptions, identifiers, keys
+from cactushall_core import addresses, exceptions, identifiers, keys, traffic
 from cactushall_core.membership import (
     anti_entropy,
     broadcasts,
@@ -44,6 +44,7 @@
         *,
         may_change_id: bool = False,
         known: table.Table | None = None,
+        counts: traffic.Traffic | None = None,
     ) -> None:
         """Create a view that contains this member and what is known already.
 
@@ -56,6 +57,7 @@
             may_change_id: Whether this member may take a higher id than that of a
                 predecessor at its address; not if anything is derived from its id.
             known: Records of other members, None for none.
+            counts: Counts of messages by kind, None for counts of its own.
         """
         self._member = member
         self._may_change_id = may_change_id
@@ -66,7 +68,7 @@
         self._rng = rng
         self._table = table.Table() if known is None else known
         self._transmitter = transmitter.Transmitter(
-            member.id, self._table, key_ring, intervals, now
+            member.id, self._table, key_ring, intervals, now, counts
         )
         self._failures = failure_detector.FailureDetector(
             self._table,
--- a/packages/cactushall-core/cactushall_core/membership/transmitter.py
+++ b/packages/cactushall-core/cactushall_core/membership/transmitter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cactushall_core import addresses, identifiers, keys, token_bucket
+from cactushall_core import addresses, identifiers, keys, token_bucket, traffic
 from cactushall_core.membership import (
     broadcasts,
     member_actions,
@@ -35,6 +35,7 @@
         key_ring: tuple[keys.Key, ...],
         intervals: timing.Timing,
         now: float,
+        counts: traffic.Traffic | None = None,
     ) -> None:
         """Start with a full byte budget and no updates.
 
@@ -44,6 +45,7 @@
             key_ring: Keys that authenticate datagrams.
             intervals: Intervals and byte budget.
             now: Current time in seconds.
+            counts: Counts of messages by kind; only kept here if None.
         """
         self.member_id = member_id
         self.revision = identifiers.Revision(0)
@@ -55,6 +57,7 @@
             intervals.bytes_per_second, intervals.burst_bytes, now
         )
         self._sent_bytes = 0
+        self._traffic = traffic.Traffic() if counts is None else counts
 
     @property
     def sent_bytes(self) -> int:
@@ -81,7 +84,10 @@
         Raises:
             DecodeError: The datagram is malformed or not authentic.
         """
-        return messages.decode(self._authenticator, datagram)
+        packet = messages.decode(self._authenticator, datagram)
+        kind = messages.KINDS[type(packet.body)]
+        self._traffic.add(traffic.Direction.RECEIVED, kind, len(datagram))
+        return packet
 
     def send(
         self,
@@ -109,6 +115,8 @@
         datagram = messages.encode(self._authenticator, packet)
         self._byte_budget.spend(len(datagram))
         self._sent_bytes += len(datagram)
+        kind = messages.KINDS[type(body)]
+        self._traffic.add(traffic.Direction.SENT, kind, len(datagram))
         return member_actions.Send(address, datagram)
 
     def send_records(
--- a/packages/cactushall-daemon/cactushall_daemon/config/packet_schema.py
+++ b/packages/cactushall-daemon/cactushall_daemon/config/packet_schema.py
@@ -10,6 +10,7 @@
 MAX_HEDGING_PERCENT = 20
 MAX_COLD_OVERAGE = 10.0
 MAX_COLD_SLACK = 1000.0
+MAX_TRAFFIC_LOG_SECONDS = 3600.0
 
 
 def hexadecimal_key() -> options.Converter[keys.Key]:
@@ -41,6 +42,9 @@
     readiness_address = options.Option(options.address())
     store = options.Option(options.address())
     metrics = options.Option[addresses.Address | None](options.address(), None)
+    traffic_log_seconds = options.Option(
+        options.seconds(0, MAX_TRAFFIC_LOG_SECONDS), 0.0
+    )
     seeds = options.Option(options.list_of(options.address()), NO_ADDRESSES)
     keys = options.Option(
         options.list_of(hexadecimal_key(), minimum=1, maximum=keys.MAX_KEYS)
--- a/packages/cactushall-daemon/cactushall_daemon/counters.py
+++ b/packages/cactushall-daemon/cactushall_daemon/counters.py
@@ -4,6 +4,8 @@
 
 import enum
 
+from cactushall_core import traffic
+
 
 class Counter(enum.Enum):
     """A counter; the value is its name in the metrics."""
@@ -72,6 +74,12 @@
     def __init__(self) -> None:
         """Start all counters at 0."""
         self._cells = {counter: Cell() for counter in Counter}
+        self._traffic = traffic.Traffic()
+
+    @property
+    def traffic(self) -> traffic.Traffic:
+        """Messages and bytes by kind."""
+        return self._traffic
 
     def cell(self, counter: Counter) -> Cell:
         """Return the cell of a counter."""
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -16,6 +16,7 @@
     SETTINGS_RELOADED = (1006, "settings reloaded")
     SETTINGS_REFUSED = (1007, "changed settings refused")
     PAUSED = (1008, "process was paused")
+    TRAFFIC = (1009, "bytes sent and received")
     MEMBER_CHANGED = (1101, "member changed")
     GOSSIP_REJECTED = (1104, "gossip datagram rejected")
     CONTACT_CLAIMED = (1105, "became a contact point")
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -9,7 +9,7 @@
 import socket
 import time
 
-from cactushall_core import addresses, exceptions, identifiers, keys, pauses
+from cactushall_core import addresses, exceptions, identifiers, keys, pauses, traffic
 from cactushall_core.membership import (
     completeness,
     member_actions,
@@ -129,6 +129,7 @@
             random.Random(),
             self._loop.time(),
             may_change_id=may_change_id,
+            counts=process_counters.traffic,
         )
         self._socket: socket.socket | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -179,11 +180,14 @@
         except exceptions.DecodeError as error:
             self._record_rejected(error)
             raise
+        self._count_table(traffic.Direction.RECEIVED, data)
         reply, actions = self._membership.handle_table_request(
             request, self.check_for_pause()
         )
         self._execute(actions)
-        return messages.encode_exchange(self._authenticator, reply)
+        answer = messages.encode_exchange(self._authenticator, reply)
+        self._count_table(traffic.Direction.SENT, answer)
+        return answer
 
     def handle_unknown_sender(self, address: addresses.Address) -> None:
         """Ask the unknown member at a control address for its record."""
@@ -260,8 +264,10 @@
     async def _request_table(self, action: member_actions.RequestTable) -> None:
         data = messages.encode_exchange(self._authenticator, action.request)
         address = action.address
+        self._count_table(traffic.Direction.SENT, data)
         try:
             answer = await self._exchange(address, data)
+            self._count_table(traffic.Direction.RECEIVED, answer)
             reply = messages.decode_table_reply(self._authenticator, answer)
         except exceptions.CactushallError as error:
             log.debug(
@@ -275,6 +281,9 @@
         now = self.check_for_pause()
         self._execute(self._membership.handle_table_reply(address, reply, now))
 
+    def _count_table(self, direction: traffic.Direction, data: bytes) -> None:
+        self._counters.traffic.add(direction, traffic.Kind.TABLES, len(data))
+
     def _handle_completeness(self, evidence: completeness.Evidence | None) -> None:
         members = self._membership.table.present_count
         if evidence is None:
--- a/packages/cactushall-daemon/cactushall_daemon/metrics.py
+++ b/packages/cactushall-daemon/cactushall_daemon/metrics.py
@@ -73,6 +73,7 @@
             yield metrics_core.CounterMetricFamily(name, counter.value, value)
         for name, reading in self._read_gauges().items():
             yield metrics_core.GaugeMetricFamily(f"{PREFIX}_{name}", name, reading)
+        yield from self._collect_traffic(metrics_core.CounterMetricFamily)
         for kind, distribution in self._latencies.items():
             counts = distribution.buckets(BOUNDS_SECONDS)
             bounds = [*map(str, BOUNDS_SECONDS), "+Inf"]
@@ -83,6 +84,17 @@
                 sum_value=distribution.sum_seconds,
             )
 
+    def _collect_traffic(
+        self, make_family: type[metrics_core.CounterMetricFamily]
+    ) -> typing.Iterator[metrics_core.Metric]:
+        labels = ("direction", "kind")
+        messages = make_family(f"{PREFIX}_traffic_messages", "messages", labels=labels)
+        sizes = make_family(f"{PREFIX}_traffic_bytes", "payload bytes", labels=labels)
+        for direction, kind, count in self._counters.traffic.items():
+            messages.add_metric((direction.value, kind.value), count.messages)
+            sizes.add_metric((direction.value, kind.value), count.size_bytes)
+        yield from (messages, sizes)
+
 
 def _import_libraries() -> None:
     """Import the libraries that `render` needs."""
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -148,6 +148,7 @@
         packet = self._count_malformed(layout.decode_from_caller(datagram))
         if packet is None:
             return
+        self._node.count_caller_packet(packet)
         entry = addresses.Address(*source)
         if packet.is_opening and not self._flows.has_routes:
             self._node.fetch_configuration_from(entry)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -114,6 +114,7 @@
         if packet is None:
             self._node.counters.add(counters.Counter.MALFORMED)
             return
+        self._node.count_caller_packet(packet)
         now = self._node.gossip.check_for_pause()
         self._last_received_at = now
         self._execute(self._flows.handle_packet(packet, now))
--- a/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/executor.py
@@ -13,7 +13,7 @@
 import msgspec
 from msgspec import structs
 
-from cactushall_core import addresses
+from cactushall_core import addresses, traffic
 from cactushall_core.flows import actions, messages, packets
 from cactushall_daemon import counters, events, logs, sockets
 from cactushall_daemon.packets import node as packet_node
@@ -73,6 +73,10 @@
         self._send_to_server = send_to_server
         self._counters = node.counters
         self._forwarded_counter = node.counters.cell(counters.Counter.FORWARDED)
+        sent = functools.partial(node.counters.traffic.count, traffic.Direction.SENT)
+        self._openings_sent = sent(traffic.Kind.OPENINGS)
+        self._caller_packets_sent = sent(traffic.Kind.CALLER_PACKETS)
+        self._answers_sent = sent(traffic.Kind.ANSWERS)
         self._methods: dict[type, collections.abc.Callable[..., None]] = {
             actions.Forward: self._forward,
             actions.DeliverToServer: self._deliver_to_server,
@@ -98,7 +102,10 @@
     def _forward(self, action: actions.Forward) -> None:
         self._forwarded_counter.value += 1
         self._node.send_datagram(action.address, action.datagram)
-        if action.placement is not None:
+        if action.placement is None:
+            self._caller_packets_sent.add(len(action.datagram))
+        else:
+            self._openings_sent.add(len(action.datagram))
             if action.placement.is_retry:
                 self._counters.add(counters.Counter.FLOW_RETRIES)
             self._log_placement(action, action.placement)
@@ -187,6 +194,7 @@
                 _log_denial(flow_id, action.asker, basis)
 
     def _send_to_caller(self, host: int, datagram: bytes) -> None:
+        self._answers_sent.add(len(datagram))
         address = addresses.Address(_format_host(host), self._packet_port)
         sockets.send(self._packet_socket, datagram, address, self._counters)
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -13,8 +13,8 @@
 import socket
 import time
 
-from cactushall_core import addresses, adoption, exceptions, identifiers
-from cactushall_core.flows import messages, routes
+from cactushall_core import addresses, adoption, exceptions, identifiers, traffic
+from cactushall_core.flows import messages, packets, routes
 from cactushall_core.membership import completeness, records, timing, zone_states
 from cactushall_daemon import (
     configuration_follower,
@@ -109,6 +109,7 @@
         self._on_message = on_message
         self._counters = counters.Counters()
         self._latencies = latencies.Latencies()
+        self._traffic_log_seconds = settings.traffic_log_seconds
         self._role_gauges = gauges
         self._metrics = metrics.Metrics(
             self._counters, self._latencies, self._read_gauges
@@ -133,7 +134,7 @@
             configuration.KEY,
             adoption.Adopter(configuration.decode, routes.EMPTY),
             self._adopt,
-            _fetch_configuration,
+            self._fetch_configuration,
             lambda: self._gossip.membership.table.present_count,
             self._tasks,
             self._counters,
@@ -198,6 +199,8 @@
         await self.serve(address, self._handle_peer_call)
         if self._metrics_address is not None:
             await self.serve(self._metrics_address, self._metrics.handle_call)
+        if self._traffic_log_seconds > 0:
+            self.spawn(_log_traffic(self._counters.traffic, self._traffic_log_seconds))
 
     async def serve(
         self, address: addresses.Address, handler: http_calls.Handler
@@ -252,7 +255,7 @@
         self, address: addresses.Address, message: messages.Message
     ) -> None:
         """Send a message about a flow."""
-        self.send_datagram(address, messages.encode(self._authenticator, message))
+        self.send_to_all((address,), message)
 
     def send_to_all(
         self,
@@ -261,7 +264,10 @@
     ) -> None:
         """Send one message to several nodes; it is encoded and signed once."""
         datagram = messages.encode(self._authenticator, message)
+        kind = messages.KINDS[type(message)]
+        count = self._counters.traffic.count(traffic.Direction.SENT, kind)
         for address in recipients:
+            count.add(len(datagram))
             self.send_datagram(address, datagram)
 
     def send_datagram(self, address: addresses.Address, datagram: bytes) -> None:
@@ -269,6 +275,14 @@
         if self._socket is not None:
             sockets.send(self._socket, datagram, address, self._counters)
 
+    def count_caller_packet(self, packet: packets.Packet) -> None:
+        """Count a received packet of a caller."""
+        is_opening = packet.is_opening
+        kind = traffic.Kind.OPENINGS if is_opening else traffic.Kind.CALLER_PACKETS
+        self._counters.traffic.add(
+            traffic.Direction.RECEIVED, kind, len(packet.datagram)
+        )
+
     def _receive(self, datagram: bytes, source: tuple[str, int]) -> None:
         try:
             message = messages.decode(self._authenticator, datagram)
@@ -276,6 +290,8 @@
             self._counters.add(counters.Counter.TUNNEL_REJECTED)
             log.debug(events.Event.MESSAGE_REJECTED, sender=source[0], why=str(error))
             return
+        kind = messages.KINDS[type(message)]
+        self._counters.traffic.add(traffic.Direction.RECEIVED, kind, len(datagram))
         self._on_message(addresses.Address(*source), message)
 
     def _seed_addresses(self) -> list[addresses.Address]:
@@ -337,11 +353,23 @@
         self._gossip.membership.set_revision(route_table.revision)
         self._on_routes(route_table)
 
+    def _count_configuration(self, direction: traffic.Direction, value: bytes) -> None:
+        self._counters.traffic.add(direction, traffic.Kind.CONFIGURATION, len(value))
+
+    async def _fetch_configuration(self, member: records.Member) -> bytes:
+        response = await http_calls.get(
+            member.control_address, CONFIGURATION_PATH, FETCH_TIMEOUT_SECONDS
+        )
+        self._count_configuration(traffic.Direction.RECEIVED, response.body)
+        return response.body
+
     def _handle_peer_call(
         self, request: http_calls.Request
     ) -> http_calls.Response | collections.abc.Awaitable[http_calls.Response]:
         if request.path == CONFIGURATION_PATH:
-            return http_calls.Response(body=self._follower.value)
+            value = self._follower.value
+            self._count_configuration(traffic.Direction.SENT, value)
+            return http_calls.Response(body=value)
         if request.path == EVACUATIONS_PATH:
             return http_calls.Response(body=self._render_evacuations())
         if request.path == MEMBERS_PATH:
@@ -366,7 +394,14 @@
     return response.body
 
 
-async def _fetch_configuration(member: records.Member) -> bytes:
-    address = member.control_address
-    response = await http_calls.get(address, CONFIGURATION_PATH, FETCH_TIMEOUT_SECONDS)
-    return response.body
+async def _log_traffic(counts: traffic.Traffic, interval_seconds: float) -> None:
+    """Log the bytes of each interval by kind."""
+    interval = traffic.IntervalBytes(counts)
+    while True:
+        await asyncio.sleep(interval_seconds)
+        grown = interval.take()
+        log.info(
+            events.Event.TRAFFIC,
+            sent_bytes=grown[traffic.Direction.SENT],
+            received_bytes=grown[traffic.Direction.RECEIVED],
+        )
--- a/tests/daemon/test_metrics.py
+++ b/tests/daemon/test_metrics.py
@@ -7,7 +7,7 @@
 import pytest
 from prometheus_client import parser
 
-from cactushall_core import addresses
+from cactushall_core import addresses, traffic
 from cactushall_core.flows import actions
 from cactushall_daemon import counters, latencies, metrics
 from cactushall_rpc import http as http_calls
@@ -84,3 +84,13 @@
     not_found = await http_calls.get(address, "/other", 5.0)
     assert not_found.status == http.HTTPStatus.NOT_FOUND
     server.close()
+
+
+def test_traffic_is_rendered_by_direction_and_kind(process_metrics, process_counters):
+    """Guards against bytes that cannot be told apart by what they carry."""
+    sent, gossip = traffic.Direction.SENT, traffic.Kind.GOSSIP
+    process_counters.traffic.add(sent, gossip, 120)
+    process_counters.traffic.add(sent, gossip, 30)
+    found = parse_samples(process_metrics.render())
+    assert found["cactushall_traffic_bytes_total", "sent", "gossip"] == 150
+    assert found["cactushall_traffic_messages_total", "sent", "gossip"] == 2
