Agents ask for tables of members seldom once one member has answered

Each of 78 members asks up to 20 others a second until its table is complete. Ruled out: gossip (0.1 MB) and digests (0.01 MB). Change: an agent decides nothing by its completeness, so it asks at most two members each 0.5 s on average once one has answered. Entries ask as before. Tried: 1 s in place of 0.5 s; a fleet of 12 agents without entries then is not complete within the 5 s that a test asks for. Before: up to 200 questions in 10 s of the test's play; now at most 82.

--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -24,6 +24,7 @@
 ASKED_AT_ONCE = 2
 LONGEST_RUNNING = 16
 ASK_INTERVAL_SECONDS = 0.2
+PACED_INTERVAL_SECONDS = 0.5
 UNKNOWN_SENDER_RETRY_SECONDS = 5.0
 
 
@@ -71,14 +72,21 @@
     Addresses are control addresses. The present time is an argument of all methods.
     """
 
-    def __init__(self, rng: random.Random, now: float) -> None:
+    def __init__(
+        self, rng: random.Random, now: float, *, is_paced: bool = False
+    ) -> None:
         """Start with an incomplete table.
 
         Args:
             rng: Chooses the members to ask.
             now: Current time in seconds.
+            is_paced: Whether this member decides nothing by its completeness, so that
+                it asks seldom once one member has answered: where a whole fleet
+                starts, tables would fill small links.
         """
         self._rng = rng
+        self._is_paced = is_paced
+        self._next_paced_at = now
         self._evidence: Evidence | None = None
         self._incomplete_since = now
         self._last_new_member_at = now
@@ -140,9 +148,12 @@
             now: Current time in seconds.
         """
         targets = [a for a in self._unknown_senders if self._may_ask(a, now)]
-        if self._evidence is None:
+        if self._evidence is None and now >= self._next_paced_at:
             targets += self._silent_contacts(contacts, now)
             targets += self._choose_members(present, now)
+            if self._is_paced and self._answered():
+                jitter = self._rng.uniform(0.5, 1.5)
+                self._next_paced_at = now + PACED_INTERVAL_SECONDS * jitter
         chosen = list(dict.fromkeys(targets))
         self._in_progress.update(chosen)
         self._asked_at.update(dict.fromkeys(chosen, now))
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -85,7 +85,13 @@
         self._next_gossip_at = now
         self._next_digest_at = now + rng.random() * intervals.digest_interval
         self._next_dead_probe_at = now + intervals.dead_probe_interval
-        self._exchange = table_exchange.TableExchange(self._table, intervals, rng, now)
+        self._exchange = table_exchange.TableExchange(
+            self._table,
+            intervals,
+            rng,
+            now,
+            is_paced=member.role is records.Role.AGENT,
+        )
         self._table.put(self._own_record(), now)
 
     @property
--- a/packages/cactushall-core/cactushall_core/membership/table_exchange.py
+++ b/packages/cactushall-core/cactushall_core/membership/table_exchange.py
@@ -30,6 +30,8 @@
         intervals: timing.Timing,
         rng: random.Random,
         now: float,
+        *,
+        is_paced: bool = False,
     ) -> None:
         """Start with an incomplete table.
 
@@ -38,10 +40,11 @@
             intervals: Intervals of the protocol.
             rng: Source of random choices.
             now: Current time in seconds.
+            is_paced: Whether this member decides nothing by its completeness.
         """
         self._members = members
         self._timing = intervals
-        self._completeness = completeness.Completeness(rng, now)
+        self._completeness = completeness.Completeness(rng, now, is_paced=is_paced)
         self._reported_evidence: completeness.Evidence | None = None
         self._contacts: tuple[addresses.Address, ...] = ()
         self._last_received_at = now
--- a/tests/core/test_completeness.py
+++ b/tests/core/test_completeness.py
@@ -47,6 +47,11 @@
         reply = messages.TableReply(is_complete, knew_sender, ())
         self.state.handle_reply(address_of(number), reply, self.present, now)
 
+    def answer_from(self, address, now):
+        """Let the member at an address answer that it is not complete."""
+        reply = messages.TableReply(False, True, ())
+        self.state.handle_reply(address, reply, self.present, now)
+
     def answer_all(self, now, *, is_complete=False, knew_sender=True):
         """Let all members answer alike."""
         for number in range(len(self.present)):
@@ -458,3 +463,24 @@
     asker.answer(0, 6.1, is_complete=True, knew_sender=True)
     assert asker.basis is None
     assert address_of(70) in asker.targets(6.2)
+
+
+def test_a_paced_member_asks_seldom_once_one_has_answered():
+    """Guards against a whole fleet that starts and fills small links with tables."""
+    asker = Asker(60)
+    asker.state = completeness.Completeness(random.Random(1), 0.0, is_paced=True)
+    asked = 0
+    for step in range(1, 101):
+        targets = asker.targets(step * 0.1)
+        asked += len(targets)
+        for target in targets:
+            asker.answer_from(target, step * 0.1)
+    assert 20 <= asked <= 2 + 2 * 40
+
+
+def test_a_paced_member_asks_on_while_nobody_answers():
+    """Guards against a start that waits although the first ones asked do not run."""
+    asker = Asker(60)
+    asker.state = completeness.Completeness(random.Random(1), 0.0, is_paced=True)
+    asked = [len(asker.targets(step * 0.1)) for step in range(1, 6)]
+    assert asked == [2] * 5
