A lookup sends packets to likely owners first, and to others in steps

Each agent answers that it cannot tell without a packet, so that each lookup costs a packet an agent. Most entries' links carry 0.6 MB a second; acknowledgements of probes are lost in them, and 44 of 82 members are declared dead. Ruled out: load reports (0.15 MB), gossip (0.1 MB), tables (0.6 MB). Change: agents are drawn for a new flow in an order of the flow's own (rendezvous hashing of its id and the agents' addresses) in place of at random, so that entries without memory find the owner among the first two agents of the own and of the other zones. Where registrars know nothing, those get the packet one after the other; then all agents are asked without one, and the undecided get it in steps of 1, 2, 4 and so on, once the others have denied. With 16 agents or fewer all are asked at once, as before. Rounds of questions double their distance. An agent learns a flow from its server's data and registers it.

--- a/packages/cactushall-client/cactushall_client/__main__.py
+++ b/packages/cactushall-client/cactushall_client/__main__.py
@@ -21,6 +21,7 @@
 from cactushall_rpc import where as where_calls
 
 ENTRY_HELP = "Peer address of an entry on the platform, as IP:PORT."
+CALLER_HELP = "Address of the caller (IP:PORT); any if not given."
 ZONE_HELP = "Availability zone of the caller; the entry's own if not given."
 CONTACT_HELP = "Control address of any daemon process, as IP:PORT."
 STORE_HELP = "Address of the key-value store, as IP:PORT."
@@ -165,6 +166,7 @@
 @cli.command()
 @click.argument("address", type=ServiceAddressType())
 @click.option("--zone", help=ZONE_HELP)
+@click.option("--caller", type=ServiceAddressType(), help=CALLER_HELP)
 @click.option(
     "--entry",
     type=AddressType(),
@@ -176,13 +178,14 @@
 def where(
     address: addresses.Address,
     zone: str | None,
+    caller: addresses.Address | None,
     entry: addresses.Address,
     output_format: str,
 ) -> None:
     """Show where a new flow to ADDRESS (IP:PORT) would go now, and why."""
     zone_name = identifiers.ZoneName(zone) if zone is not None else None
     chosen = output.Format(output_format)
-    _report_errors(where_command.main, entry, address, zone_name, chosen)
+    _report_errors(where_command.main, entry, address, zone_name, caller, chosen)
 
 
 @cli.command()
--- a/packages/cactushall-client/cactushall_client/commands/where.py
+++ b/packages/cactushall-client/cactushall_client/commands/where.py
@@ -23,6 +23,7 @@
     entry: addresses.Address,
     address: addresses.Address,
     zone: identifiers.ZoneName | None,
+    caller: addresses.Address | None,
     output_format: output.Format,
 ) -> None:
     """Print where an entry would send a new flow.
@@ -31,12 +32,13 @@
         entry: Peer address of the entry.
         address: The address that the caller sends to.
         zone: Availability zone of the caller, None for that of the entry.
+        caller: The caller's address, None for any.
         output_format: Whether to print tables or JSON.
 
     Raises:
         WhereError: The entry gave no answer.
     """
-    answer = asyncio.run(where.ask(entry, address, zone))
+    answer = asyncio.run(where.ask(entry, address, zone, caller))
     if output_format is output.Format.JSON:
         output.write_json(msgspec.to_builtins(answer))
     else:
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -31,6 +31,8 @@
 SWEEP_INTERVAL_SECONDS = 1.0
 MAX_FLOWS = 20_000
 MAX_QUEUED_OPENINGS = 1000
+# Entry of a flow of which no caller's packet has passed yet.
+UNKNOWN_ENTRY = addresses.Address("", 0)
 
 ValueT = typing.TypeVar("ValueT")
 
@@ -272,6 +274,8 @@
             return self._handle_bounced(packet, flow)
         if flow is None and packet.flow in self._released:
             return []
+        if flow is None and _proves_open_flow(packet):
+            flow = self._learn(packet.flow, now)
         if flow is None:
             return [actions.SendToCaller(packet.flow, packet.datagram)]
         flow.last_packet_at = now
@@ -467,6 +471,14 @@
 
     # Flows that are not tracked.
 
+    def _learn(self, flow_id: packets.FlowId, now: float) -> Flow:
+        """Track a flow that the backend server held before this agent started."""
+        flow = Flow(State.ESTABLISHED, UNKNOWN_ENTRY, now)
+        self._remember(flow_id, flow)
+        self._not_owned.pop(flow_id, None)
+        self._registrations.add_known(flow_id)
+        return flow
+
     def _probe(
         self, packet: packets.Packet, entry: addresses.Address, now: float
     ) -> list[actions.Action]:
@@ -587,6 +599,11 @@
     return actions.SendMessage(entry, messages.OwnershipDenied(flow_id), basis)
 
 
+def _proves_open_flow(packet: packets.Packet) -> bool:
+    """Return whether a backend server's packet shows that it holds an open flow."""
+    return not packet.flags & (packets.Flags.SYN | packets.CLOSING_FLAGS)
+
+
 def _is_probe_reset(packet: packets.Packet, flow: Flow | None) -> bool:
     """Return whether a packet is the backend server's reset in answer to a probe.
 
--- a/packages/cactushall-core/cactushall_core/flows/agent_selection.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent_selection.py
@@ -7,16 +7,19 @@
 from __future__ import annotations
 
 import collections.abc
-import random
 import typing
 
 from cactushall_core import identifiers
-from cactushall_core.flows import admission, cold_start, directory, exclusions
+from cactushall_core.flows import (
+    admission,
+    cold_start,
+    directory,
+    exclusions,
+    preference,
+)
 
 OPEN_FLOW_WEIGHT = 0.05
 REMOTE_ZONE_PENALTY = 0.1
-# Two are enough to avoid busy agents; more make entries agree on the same agents again.
-CHOICES = 2
 # Estimates of requests are fractions; a smaller one is more likely a busy slot.
 MIN_IDLE_SLOTS = 0.5
 # A report that the server is not cold any more may be lost; the agent keeps the limit.
@@ -122,14 +125,15 @@
     agents: typing.Sequence[directory.Agent],
     zone: identifiers.ZoneName,
     objective_seconds: float,
-    rng: random.Random,
+    order: preference.Order,
     now: float,
     reserved_requests: float = 0.0,
 ) -> directory.Agent | None:
     """Return the agent that should get a new flow, None where none has capacity.
 
-    It is the better one of a few agents that are drawn at random, because entries that
-    all chose the best of all agents by the same reports would overload it together.
+    It is the better one of a few agents that are drawn in an order of the flow's own,
+    because entries that all chose the best of all agents by the same reports would
+    overload it together.
     Agents of another zone are drawn where none of those drawn in the caller's zone is
     expected to have an idle slot, and agents that are held back where no other has
     capacity.
@@ -138,7 +142,7 @@
         agents: Agents that accept new flows of the service.
         zone: Availability zone of the caller.
         objective_seconds: Time in which a request should be answered, 0 for no limit.
-        rng: Draws agents.
+        order: Sorts agents in the order in which they are drawn for the flow.
         now: Current time in seconds.
         reserved_requests: Requests per slot that it may use beyond the regular limit.
     """
@@ -148,10 +152,10 @@
         return exclusion is None
 
     regular = [agent for agent in agents if agent.held_back_until <= now]
-    candidates = _draw_candidates(regular, zone, can_take, rng, now)
+    candidates = _draw_candidates(regular, zone, can_take, order, now)
     if not candidates and len(regular) < len(agents):
         held_back = [agent for agent in agents if agent.held_back_until > now]
-        candidates = _draw_candidates(held_back, zone, can_take, rng, now)
+        candidates = _draw_candidates(held_back, zone, can_take, order, now)
     if not candidates:
         return None
     if len(candidates) == 1:
@@ -165,33 +169,29 @@
     agents: list[directory.Agent],
     zone: identifiers.ZoneName,
     can_take: Predicate,
-    rng: random.Random,
+    order: preference.Order,
     now: float,
 ) -> list[Candidate]:
     """Draw agents of the caller's zone, and of others where it has no idle slot."""
     near = [agent for agent in agents if agent.member.zone == zone]
-    candidates = _draw(near, can_take, rng, now)
+    candidates = _draw(order(near), can_take, now)
     if not any(_has_idle_slot(candidate) for candidate in candidates):
         far = [agent for agent in agents if agent.member.zone != zone]
-        candidates += _draw(far, can_take, rng, now)
+        candidates += _draw(order(far), can_take, now)
     return candidates
 
 
 def _draw(
-    agents: list[directory.Agent],
-    can_take: Predicate,
-    rng: random.Random,
-    now: float,
+    agents: list[directory.Agent], can_take: Predicate, now: float
 ) -> list[Candidate]:
-    """Remove agents at random until enough of those removed have capacity."""
+    """Return the first of some agents that have capacity."""
     candidates: list[Candidate] = []
-    while agents and len(candidates) < CHOICES:
-        index = int(rng.random() * len(agents))
-        agents[index], agents[-1] = agents[-1], agents[index]
-        agent = agents.pop()
+    for agent in agents:
         candidate = Candidate(agent, agent.expected_change(now))
         if can_take(candidate):
             candidates.append(candidate)
+            if len(candidates) == preference.CHOICES:
+                break
     return candidates
 
 
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections.abc
+import functools
+import hashlib
 import typing
 
 import msgspec
@@ -15,10 +17,19 @@
 MIN_FULL_BACKOFF_SECONDS = 0.01
 UNACKNOWLEDGED_SECONDS = 0.15
 
+SEED_BYTES = 8
+MAX_CACHED_SEEDS = 16_384
+
 NO_ADDRESS = addresses.Address("", 0)
 NO_LOAD = messages.Load(flows=0, requests=0, slots=1, service_seconds=0.0)
 
 
+@functools.lru_cache(MAX_CACHED_SEEDS)
+def _make_seed(address: addresses.Address) -> int:
+    digest = hashlib.blake2b(str(address).encode(), digest_size=SEED_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
 class Agent(msgspec.Struct):
     """One agent as an entry sees it.
 
@@ -36,6 +47,8 @@
             has capacity.
         packet_address: Address at which it receives callers' packets.
         peer_address: Address at which it receives messages.
+        seed: Number of 64 bits by which flows order agents; derived from its address,
+            so that it is the same at all entries and after a restart.
         cold_allowance: How many flows this entry may send it at once while its backend
             server is cold; negative for no limit.
         cold_refill_per_second: This entry's part of the new flows that its backend
@@ -53,6 +66,7 @@
     held_back_until: float = float("-inf")
     packet_address: addresses.Address = NO_ADDRESS
     peer_address: addresses.Address = NO_ADDRESS
+    seed: int = 0
     cold_allowance: float = NO_LOAD.cold_allowance
     cold_refill_per_second: float = 0.0
 
@@ -98,6 +112,7 @@
         self.member = member
         self.packet_address = member.tunnel_address
         self.peer_address = member.control_address
+        self.seed = _make_seed(member.tunnel_address)
 
     def update_load(self, load: messages.Load, now: float) -> None:
         """Store the load that it has reported."""
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -78,9 +78,9 @@
         self._rng = rng
         self._view = cluster_view.ClusterView(rng)
         self._hedges = hedging.Hedging()
-        self._pending = pending_flows.PendingFlows(self._view, zone, rng, self._hedges)
+        self._pending = pending_flows.PendingFlows(self._view, zone, self._hedges)
         self._registered = registered_owners.RegisteredOwners()
-        self._lookups = lookups.Lookups(self._view, self._registered)
+        self._lookups = lookups.Lookups(self._view, self._registered, zone)
         self._owned: dict[packets.FlowId, OwnedFlow] = {}
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
 
@@ -239,18 +239,18 @@
 
     def explain(
         self,
-        address: routes.ServiceAddress,
+        flow_id: packets.FlowId,
         zone: identifiers.ZoneName | None,
         now: float,
     ) -> explanation.Explanation:
-        """Explain where a new flow to an address would go now.
+        """Explain where a new flow would go now.
 
         Args:
-            address: The address that the caller sends to.
+            flow_id: The flow.
             zone: Availability zone of the caller, None for that of this entry.
             now: Current time in seconds.
         """
-        return self._pending.explain(address, zone, now)
+        return self._pending.explain(flow_id, zone, now)
 
     def offer_due(self, now: float) -> list[actions.Action]:
         """Make the second offers that are due."""
@@ -432,7 +432,8 @@
             del self._owned[flow_id]
             self._lookups.start(flow_id, flow.acknowledged, now)
         self._lookups.record_not_owner(flow_id, agent.member.id)
-        asked = self._lookups.ask_all_if_due(flow_id, now)
+        asked = self._lookups.ask_others_if_due(flow_id, now)
+        asked += self._lookups.probe_if_due(flow_id, now)
         return asked or self._lookups.reset_if_unowned(flow_id, now)
 
     # Removal of flows.
--- a/packages/cactushall-core/cactushall_core/flows/explanation.py
+++ b/packages/cactushall-core/cactushall_core/flows/explanation.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
-import copy
 import math
-import random
 
 import msgspec
 
@@ -18,6 +16,7 @@
     exclusions,
     flow_placement,
     packets,
+    preference,
     routes,
 )
 
@@ -107,35 +106,30 @@
 
 def explain(
     view: cluster_view.ClusterView,
-    address: routes.ServiceAddress,
+    flow_id: packets.FlowId,
     zone: identifiers.ZoneName,
-    rng: random.Random,
     reserved_requests: flow_placement.ReservedRequests,
     queue_seconds: QueueSeconds,
     now: float,
 ) -> Explanation:
-    """Explain where a new flow to an address would go, without sending anything.
+    """Explain where a new flow would go, without sending anything.
 
     Args:
         view: Routes and agents.
-        address: The address that the caller sends to.
+        flow_id: The flow.
         zone: Availability zone of the caller.
-        rng: Draws agents as for the next flow that is placed; it is not changed.
         reserved_requests: Returns how many requests per slot a flow of a service may
             use beyond the regular limit, by the priority of its route.
         queue_seconds: Returns how long a flow that gets no agent may be queued.
         now: Current time in seconds.
     """
-    flow_id = packets.FlowId(0, 0, address.host, address.port)
     revision = view.route_table.revision
     if view.is_stale(now):
         refusal = Refusal(actions.Reason.STALE, 0.0)
         return Explanation(zone, revision, refusal=refusal)
     route = view.route_table.find(flow_id)
     if route is None:
-        decision = flow_placement.decide(
-            view, flow_id, zone, rng, now, reserved_requests
-        )
+        decision = flow_placement.decide(view, flow_id, zone, now, reserved_requests)
         refusal_or_none = _make_refusal(flow_id, decision, queue_seconds)
         return Explanation(zone, revision, refusal=refusal_or_none)
 
@@ -145,7 +139,7 @@
             route,
             share.service,
             zone,
-            copy.copy(rng),
+            preference.order_of(flow_id),
             now,
             reserved_requests,
         )
--- a/packages/cactushall-core/cactushall_core/flows/flow_placement.py
+++ b/packages/cactushall-core/cactushall_core/flows/flow_placement.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import collections.abc
-import random
 import typing
 
 import msgspec
@@ -18,6 +17,7 @@
     cluster_view,
     directory,
     packets,
+    preference,
     routes,
 )
 
@@ -61,7 +61,6 @@
     view: cluster_view.ClusterView,
     flow_id: packets.FlowId,
     zone: identifiers.ZoneName,
-    rng: random.Random,
     now: float,
     reserved_requests: ReservedRequests,
     attempts: Attempts = NO_ATTEMPTS,
@@ -72,7 +71,6 @@
         view: Routes and agents.
         flow_id: The flow.
         zone: Availability zone of the caller.
-        rng: Draws agents.
         now: Current time in seconds.
         reserved_requests: Returns how many requests per slot a flow of a service may
             use beyond the regular limit, by the priority of its route.
@@ -87,7 +85,14 @@
     service = route.service_of(flow_id)
     accepting = view.accepting(service)
     return select(
-        accepting, route, service, zone, rng, now, reserved_requests, attempts
+        accepting,
+        route,
+        service,
+        zone,
+        preference.order_of(flow_id),
+        now,
+        reserved_requests,
+        attempts,
     )
 
 
@@ -96,7 +101,7 @@
     route: routes.Route,
     service: identifiers.ServiceName,
     zone: identifiers.ZoneName,
-    rng: random.Random,
+    order: preference.Order,
     now: float,
     reserved_requests: ReservedRequests,
     attempts: Attempts = NO_ATTEMPTS,
@@ -110,7 +115,7 @@
         untried or candidates,
         zone,
         route.objective_seconds,
-        rng,
+        order,
         now,
         reserved_requests(service, route.priority),
     )
--- a/packages/cactushall-core/cactushall_core/flows/lookup_state.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookup_state.py
@@ -10,6 +10,9 @@
 from cactushall_core.flows import directory
 
 CALLER_PAUSE_SECONDS = 1.7
+MAX_DOUBLINGS = 3
+# Longer than a round trip between availability zones and a backend server's answer.
+ANSWER_TIMEOUT_SECONDS = 0.1
 
 
 class Stage(enum.Enum):
@@ -18,12 +21,15 @@
     NEW: Nobody has been asked.
     REGISTRARS: The entries with which the owner may have registered the flow are asked.
     REGISTERED_OWNER: The agent that has registered the flow is asked.
+    LIKELY_OWNERS: The agents among which the flow was probably placed are asked, one
+        after the other.
     ALL: All agents are asked.
     """
 
     NEW = "new"
     REGISTRARS = "registrars"
     REGISTERED_OWNER = "registered-owner"
+    LIKELY_OWNERS = "likely-owners"
     ALL = "all"
 
 
@@ -34,17 +40,23 @@
         last_packet_at: When the caller's latest packet arrived.
         acknowledged: The caller's latest acknowledgement number.
         stage: Who is asked.
-        stage_ends_at: When all agents are asked in place of those of the stage.
+        stage_ends_at: When others are asked in place of those of the stage.
         registrars: Registrars that have not answered.
-        last_asked_at: When a packet of the caller last began or continued a round of
-            questions, in which each agent is asked once.
+        likely_owners: Likely owners that are to be asked before all agents are.
+        rounds: Number of rounds of questions, in which each agent is asked once.
+        next_round_at: When a packet of the caller begins or continues the next round.
         datagram: The packet that agents get which cannot tell without one.
         probed: Agents that got it.
+        undecided: Agents that cannot tell without it and have not got it.
+        probes: How many agents got it at the last step.
+        answers_end_at: When agents get it though others have not answered the question.
+        probes_end_at: When more agents get it though those have not answered.
         asked_at: When each agent was first asked.
         not_owners: Agents that have said that they do not own it.
         possible_owners: All other agents, once all are asked.
         awaited: The one that kept the flow from being reset at the last check.
         to_ask: Those of them that were not asked in the latest round.
+        unanswered: Those of them that were asked in it and have not answered.
         buffered: Packets that are held back until the owner is known.
     """
 
@@ -53,9 +65,17 @@
     stage: Stage = Stage.NEW
     stage_ends_at: float = float("inf")
     registrars: set[addresses.Address] = msgspec.field(default_factory=set)
-    last_asked_at: float = float("-inf")
+    likely_owners: list[directory.Agent] = msgspec.field(default_factory=list)
+    rounds: int = 0
+    next_round_at: float = float("-inf")
     datagram: bytes = b""
     probed: set[identifiers.MemberId] = msgspec.field(default_factory=set)
+    undecided: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
+        default_factory=dict
+    )
+    probes: int = 0
+    answers_end_at: float = float("-inf")
+    probes_end_at: float = float("-inf")
     asked_at: dict[identifiers.MemberId, float] = msgspec.field(default_factory=dict)
     not_owners: set[identifiers.MemberId] = msgspec.field(default_factory=set)
     possible_owners: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
@@ -65,6 +85,9 @@
     to_ask: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
         default_factory=dict
     )
+    unanswered: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
+        default_factory=dict
+    )
     buffered: list[bytes] = msgspec.field(default_factory=list)
 
     @property
@@ -87,6 +110,50 @@
         """Remove an agent that does not own the flow, or that is not known any more."""
         self.to_ask.pop(member, None)
         self.possible_owners.pop(member, None)
+        self.undecided.pop(member, None)
+        self.unanswered.pop(member, None)
+
+    def record_asked(self, agent: directory.Agent, now: float) -> None:
+        """Record that an agent is asked in the present round."""
+        self.asked_at.setdefault(agent.member.id, now)
+        self.unanswered[agent.member.id] = agent
+        self.answers_end_at = now + ANSWER_TIMEOUT_SECONDS
+
+    def record_undecided(self, agent: directory.Agent) -> None:
+        """Record that an agent cannot tell without a packet."""
+        self.unanswered.pop(agent.member.id, None)
+        if agent.member.id in self.possible_owners:
+            self.undecided[agent.member.id] = agent
+
+    def awaits_answers(self, now: float) -> bool:
+        """Return whether agents may still tell that they own it without a packet."""
+        if self.to_ask:
+            return True
+        return bool(self.unanswered) and now < self.answers_end_at
+
+    def begin_round(self, datagram: bytes, now: float, interval_seconds: float) -> None:
+        """Begin a round of questions with a packet of the caller.
+
+        Args:
+            datagram: The packet.
+            now: Current time in seconds.
+            interval_seconds: Time until the second round; it doubles with each round,
+                so that questions that a full link delays are not multiplied.
+        """
+        self.datagram = datagram
+        self.probed.clear()
+        self.undecided.clear()
+        self.unanswered.clear()
+        self.probes = 0
+        self.probes_end_at = float("-inf")
+        self.next_round_at = now + interval_seconds * 2**self.rounds
+        self.rounds = min(self.rounds + 1, MAX_DOUBLINGS)
+
+    def awaits_probes(self, now: float) -> bool:
+        """Return whether agents that got the packet may still answer it."""
+        return now < self.probes_end_at and any(
+            member in self.possible_owners for member in self.probed
+        )
 
     @property
     def awaits_present_agent(self) -> bool:
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -1,10 +1,11 @@
 """Lookups of flows whose owner an entry does not know.
 
 Agents register long flows with two entries, which are asked first, so that most
-lookups cost the same at any size. Where they know nothing, all agents are asked. Those
-questions are small, because links may be slow; only an agent that cannot tell without
-a packet gets one. A flow is reset only when it is certain that no agent owns it, which
-registrations never show.
+lookups cost the same at any size. Where they know nothing, the few agents among which
+the flow was probably placed are asked one after the other, then all agents. Those
+questions are small, because links may be slow; agents that cannot tell without a packet
+get one in steps, and only once the others have denied. A flow is reset only when it is
+certain that no agent owns it, which registrations never show.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
     lookup_state,
     messages,
     packets,
+    preference,
     query_queue,
     registered_owners,
 )
@@ -27,6 +29,12 @@
 DEAD_GRACE_SECONDS = 1.0
 SUCCESSOR_GRACE_SECONDS = 5.0
 MAX_BUFFERED_PACKETS = 16
+# Questions to so many agents take fewer bytes than packets to a few likely owners.
+MAX_AGENTS_ASKED_AT_ONCE = 16
+ASKED_SINGLY = (
+    lookup_state.Stage.REGISTERED_OWNER,
+    lookup_state.Stage.LIKELY_OWNERS,
+)
 
 
 class Lookups:
@@ -40,15 +48,18 @@
         self,
         view: cluster_view.ClusterView,
         registered: registered_owners.RegisteredOwners,
+        zone: identifiers.ZoneName,
     ) -> None:
         """Start without lookups.
 
         Args:
             view: Routes, agents and entries.
             registered: Owners that are registered with this entry.
+            zone: Availability zone of this entry, and so of most of its callers.
         """
         self._view = view
         self._registered = registered
+        self._zone = zone
         self._flows: dict[packets.FlowId, lookup_state.Lookup] = {}
         self._queries = query_queue.QueryQueue(self._take_question)
         view.agents.subscribe(self._add_agent, self._remove_agent)
@@ -95,7 +106,7 @@
             lookup = self.start(flow_id, 0, now)
         lookup.last_packet_at = now
         lookup.acknowledged = packet.acknowledgement
-        is_due = now - lookup.last_asked_at >= RETRY_INTERVAL_SECONDS
+        is_due = now >= lookup.next_round_at
         if is_due or lookup.stage is lookup_state.Stage.NEW:
             return self._ask(packet, lookup, now)
         if len(lookup.buffered) >= MAX_BUFFERED_PACKETS:
@@ -118,7 +129,7 @@
             return self._ask_registered_owner(agent, lookup, now)
         if lookup.registrars:
             return []
-        return self._ask_all(answer.flow, lookup, now)
+        return self._ask_likely_owner(answer.flow, lookup, now)
 
     def record_not_owner(
         self, flow_id: packets.FlowId, member: identifiers.MemberId
@@ -129,37 +140,58 @@
             return
         lookup.not_owners.add(member)
         lookup.remove_agent(member)
-        if lookup.stage is lookup_state.Stage.REGISTERED_OWNER:
+        if lookup.stage in ASKED_SINGLY and member in lookup.probed:
             lookup.stage_ends_at = float("-inf")
 
     def handle_undecided(
         self, flow_id: packets.FlowId, agent: directory.Agent, now: float
     ) -> list[actions.Action]:
-        """Send an agent the packet without which it cannot tell whether it owns it.
+        """Record that an agent cannot tell without a packet whether it owns a flow."""
+        lookup = self._flows.get(flow_id)
+        if lookup is None or agent.member.id in lookup.probed:
+            return []
+        lookup.record_undecided(agent)
+        return self.probe_if_due(flow_id, now)
+
+    def probe_if_due(self, flow_id: packets.FlowId, now: float) -> list[actions.Action]:
+        """Send some undecided agents the packet, twice as many at each step.
 
+        They get it once all agents that can tell have denied, the likely owners first.
         A packet of a caller that has gone on through another entry is not sent.
         """
         lookup = self._flows.get(flow_id)
-        if lookup is None or not lookup.datagram or lookup.has_paused(now):
+        if lookup is None or not lookup.undecided or lookup.has_paused(now):
             return []
-        return [_send_packet(agent, lookup)]
+        if lookup.awaits_probes(now) or lookup.awaits_answers(now):
+            return []
+        lookup.probes = max(1, 2 * lookup.probes)
+        lookup.probes_end_at = now + lookup_state.ANSWER_TIMEOUT_SECONDS
+        order = preference.order_of(flow_id)
+        undecided = list(lookup.undecided.values())
+        likely = preference.likely_owners(undecided, self._zone, order)
+        ordered = dict.fromkeys(a.member.id for a in (*likely, *order(undecided)))
+        chosen = [lookup.undecided.pop(m) for m in list(ordered)[: lookup.probes]]
+        return [_send_packet(agent, lookup) for agent in chosen]
 
     def tick(self, now: float) -> list[actions.Action]:
         """Continue rounds of questions and reset flows that have no owner."""
         decided: list[actions.Action] = []
         for flow_id in list(self._flows):
-            decided += self.ask_all_if_due(flow_id, now)
+            decided += self.ask_others_if_due(flow_id, now)
+            decided += self.probe_if_due(flow_id, now)
             decided += self.reset_if_unowned(flow_id, now)
         return decided + self._queries.send(now)
 
-    def ask_all_if_due(
+    def ask_others_if_due(
         self, flow_id: packets.FlowId, now: float
     ) -> list[actions.Action]:
-        """Ask all agents if those that were asked first did not know the owner."""
+        """Ask others if those that were asked first did not know the owner."""
         lookup = self._flows.get(flow_id)
         if lookup is None or now < lookup.stage_ends_at or lookup.has_paused(now):
             return []
-        return self._ask_all(flow_id, lookup, now)
+        if lookup.stage is lookup_state.Stage.REGISTERED_OWNER:
+            return self._ask_all(flow_id, lookup, now)
+        return self._ask_likely_owner(flow_id, lookup, now)
 
     def reset_if_unowned(
         self, flow_id: packets.FlowId, now: float
@@ -202,9 +234,7 @@
     ) -> list[actions.Action]:
         """Ask about a flow with a packet that has just arrived."""
         is_first = lookup.stage is lookup_state.Stage.NEW
-        lookup.last_asked_at = now
-        lookup.datagram = packet.datagram
-        lookup.probed.clear()
+        lookup.begin_round(packet.datagram, now, RETRY_INTERVAL_SECONDS)
         if is_first:
             return self._begin(packet.flow, lookup, now)
         if lookup.stage is not lookup_state.Stage.ALL:
@@ -232,7 +262,7 @@
             query = messages.OwnerQuery(flow_id)
             decided = [actions.SendMessage(r.address, query) for r in registrars]
         else:
-            decided = self._ask_all(flow_id, lookup, now)
+            decided = self._ask_likely_owner(flow_id, lookup, now)
         started = actions.RecordLookupStarted(
             flow_id,
             registrars=asked_registrars,
@@ -260,6 +290,34 @@
         lookup.asked_at.setdefault(agent.member.id, now)
         return [_send_packet(agent, lookup)]
 
+    def _ask_likely_owner(
+        self, flow_id: packets.FlowId, lookup: lookup_state.Lookup, now: float
+    ) -> list[actions.Action]:
+        """Ask the next likely owner, all agents after the last one."""
+        if lookup.stage is not lookup_state.Stage.LIKELY_OWNERS:
+            lookup.stage = lookup_state.Stage.LIKELY_OWNERS
+            lookup.likely_owners = self._likely_owners(flow_id)
+        while lookup.likely_owners:
+            agent = lookup.likely_owners.pop(0)
+            if agent.is_present and agent.member.id not in lookup.not_owners:
+                lookup.stage_ends_at = now + lookup_state.ANSWER_TIMEOUT_SECONDS
+                lookup.asked_at.setdefault(agent.member.id, now)
+                return [_send_packet(agent, lookup)]
+        return self._ask_all(flow_id, lookup, now)
+
+    def _likely_owners(self, flow_id: packets.FlowId) -> list[directory.Agent]:
+        if self._view.agents.counts.present <= MAX_AGENTS_ASKED_AT_ONCE:
+            return []
+        route = self._view.route_table.find(flow_id)
+        agents = [
+            agent
+            for share in (route.shares if route is not None else ())
+            for agent in self._view.agents.of_service(share.service)
+            if agent.is_present
+        ]
+        order = preference.order_of(flow_id)
+        return preference.likely_owners(agents, self._zone, order)
+
     def _ask_all(
         self, flow_id: packets.FlowId, lookup: lookup_state.Lookup, now: float
     ) -> list[actions.Action]:
@@ -290,7 +348,7 @@
             return False
         if lookup.to_ask.pop(agent.member.id, None) is None or agent.has_no_flows:
             return False
-        lookup.asked_at.setdefault(agent.member.id, now)
+        lookup.record_asked(agent, now)
         return True
 
     def _possible_owners(
--- a/packages/cactushall-core/cactushall_core/flows/pending_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/pending_flows.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import functools
-import random
 import typing
 
 import msgspec
@@ -21,6 +20,7 @@
     hedging,
     messages,
     packets,
+    preference,
     priorities,
     queue_limits,
     retry_budget,
@@ -95,7 +95,6 @@
         self,
         view: cluster_view.ClusterView,
         zone: identifiers.ZoneName,
-        rng: random.Random,
         hedges: hedging.Hedging,
     ) -> None:
         """Start without flows.
@@ -103,13 +102,11 @@
         Args:
             view: Routes and agents.
             zone: Availability zone of most callers.
-            rng: Draws agents.
             hedges: Decides on second offers.
         """
         self._hedges = hedges
         self._view = view
         self._zone = zone
-        self._rng = rng
         self._flows: dict[packets.FlowId, PendingFlow] = {}
         self._queue = flow_queue.FlowQueue()
         self._awaiting_view: dict[packets.FlowId, None] = {}
@@ -204,14 +201,14 @@
 
     def explain(
         self,
-        address: routes.ServiceAddress,
+        flow_id: packets.FlowId,
         zone: identifiers.ZoneName | None,
         now: float,
     ) -> explanation.Explanation:
         """Explain where a new flow would go now.
 
         Args:
-            address: The address that the caller sends to.
+            flow_id: The flow.
             zone: Availability zone of the caller, None for that of most callers.
             now: Current time in seconds.
         """
@@ -219,9 +216,8 @@
         self._priorities.update_routes(self._view.route_table)
         return explanation.explain(
             self._view,
-            address,
+            flow_id,
             zone,
-            self._rng,
             self._priorities.reserved_requests,
             functools.partial(self._queue_seconds, now=now),
             now,
@@ -361,7 +357,6 @@
             self._view,
             flow_id,
             self._zone,
-            self._rng,
             now,
             self._priorities.reserved_requests,
             flow_placement.Attempts(flow.tried, flow.declined),
@@ -588,7 +583,11 @@
             if agent.packet_address not in flow.tried and not agent.is_cold
         ]
         agent = agent_selection.select_agent(
-            candidates, self._zone, route.objective_seconds, self._rng, now
+            candidates,
+            self._zone,
+            route.objective_seconds,
+            preference.order_of(flow_id),
+            now,
         )
         if agent is None:
             return []
--- a/packages/cactushall-core/cactushall_core/flows/registrations.py
+++ b/packages/cactushall-core/cactushall_core/flows/registrations.py
@@ -57,6 +57,10 @@
         """Add a flow that the backend server has begun to hold."""
         self._established_at[flow_id] = now
 
+    def add_known(self, flow_id: packets.FlowId) -> None:
+        """Add a flow that has been open for a while."""
+        self._established_at[flow_id] = float("-inf")
+
     def remove(self, flow_id: packets.FlowId) -> None:
         """Remove a flow that is closing, or that is not held any more."""
         self._established_at.pop(flow_id, None)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -164,7 +164,7 @@
         except ValueError as error:
             return http_calls.Response(http.HTTPStatus.BAD_REQUEST, str(error).encode())
         now = self._node.gossip.check_for_pause()
-        answer = self._flows.explain(question.address, question.zone, now)
+        answer = self._flows.explain(question.flow_id, question.zone, now)
         return http_calls.Response(body=where.encode_answer(answer))
 
     def _handle_readiness_call(
--- a/packages/cactushall-rpc/cactushall_rpc/where.py
+++ b/packages/cactushall-rpc/cactushall_rpc/where.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from cactushall_core import addresses, exceptions, identifiers
-from cactushall_core.flows import explanation, routes
+from cactushall_core.flows import explanation, packets, routes
 from cactushall_rpc import http as http_calls
 
 PATH = "/where"
@@ -28,10 +28,18 @@
     Attributes:
         address: The address that the caller sends to.
         zone: Availability zone of the caller, None for that of the entry.
+        caller: The caller's address, None for any; it decides between equal agents.
     """
 
     address: routes.ServiceAddress
     zone: identifiers.ZoneName | None
+    caller: routes.ServiceAddress | None = None
+
+    @property
+    def flow_id(self) -> packets.FlowId:
+        """The flow; that of an unspecified caller where none is given."""
+        caller = self.caller or (0, 0)
+        return packets.FlowId(*caller, *self.address)
 
 
 def to_service_address(address: addresses.Address) -> routes.ServiceAddress:
@@ -47,12 +55,15 @@
     """Decode the query of a call.
 
     Raises:
-        ValueError: The address is missing, or is not an IPv4 address with a port.
+        ValueError: The address is missing, or one is not an IPv4 address with a port.
     """
     fields = dict(urllib.parse.parse_qsl(query))
     address = to_service_address(addresses.parse(fields.get("address", "")))
     zone = identifiers.ZoneName(fields["zone"]) if "zone" in fields else None
-    return Question(address, zone)
+    caller = None
+    if "caller" in fields:
+        caller = to_service_address(addresses.parse(fields["caller"]))
+    return Question(address, zone, caller)
 
 
 def encode_answer(answer: explanation.Explanation) -> bytes:
@@ -64,6 +75,7 @@
     entry: addresses.Address,
     address: addresses.Address,
     zone: identifiers.ZoneName | None,
+    caller: addresses.Address | None = None,
 ) -> explanation.Explanation:
     """Ask an entry where a new flow would go.
 
@@ -71,11 +83,14 @@
         entry: Peer address of the entry.
         address: The address that the caller sends to.
         zone: Availability zone of the caller, None for that of the entry.
+        caller: The caller's address, None for any.
 
     Raises:
         WhereError: No process answers there, or it is not an entry.
     """
     fields = {"address": str(address)} | ({"zone": zone} if zone is not None else {})
+    if caller is not None:
+        fields["caller"] = str(caller)
     target = f"{PATH}?{urllib.parse.urlencode(fields)}"
     try:
         response = await http_calls.get(entry, target, TIMEOUT_SECONDS)
