An agent that leaves tells which flows its server may hold

Cause: an entry waits 5 s for the successor of each agent that has left before it resets any dead flow, although hardly any of them can be held by that agent's server. One agent of 61 that leaves in the seconds after a return delays the reset of every dead flow of the fleet. Change: before it leaves, an agent sends up to 64 entries the hashes of all flows that it tracks or has forgotten, in messages of 280 flows; only those wait for the successor. It sends nothing where it may not have seen all flows of its server, where its server has stopped (its flows have ended), and for more than 4,480 flows. An entry that misses a part waits as before. The log of a reset tells how many agents were excluded. The random model lets agents leave beside running servers and detects notices that exclude all flows, and notices of agents that cannot know. Open: an agent that has died delays dead flows by 1 s and the time to notice.

--- a/packages/cactushall-core/cactushall_core/flows/actions.py
+++ b/packages/cactushall-core/cactushall_core/flows/actions.py
@@ -149,6 +149,8 @@
     Attributes:
         denied: Number of members that have said that they do not own it.
         gone: Number of members that may have owned it and are gone.
+        excluded: Number of members that had told before they left that they did not
+            own it.
         asked_seconds: Time since they were first asked.
         known_present: Number of agents that the entry knows and believes to run.
         known_gone: Number of agents that the entry knows and believes to be gone.
@@ -160,6 +162,7 @@
 
     denied: int
     gone: int
+    excluded: int
     asked_seconds: float
     known_present: int
     known_gone: int
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -12,6 +12,7 @@
     actions,
     admission,
     cold_start,
+    held_flows,
     known_entries,
     messages,
     packets,
@@ -31,6 +32,8 @@
 SWEEP_INTERVAL_SECONDS = 1.0
 MAX_FLOWS = 20_000
 MAX_QUEUED_OPENINGS = 1000
+# Others wait for the successor of an agent that leaves.
+MAX_ENTRIES_TOLD = 64
 # Entry of a flow of which no caller's packet has passed yet.
 UNKNOWN_ENTRY = addresses.Address("", 0)
 
@@ -170,6 +173,21 @@
         """Apply a membership update."""
         self._entries.update(record)
 
+    def leave(self) -> list[actions.Action]:
+        """Tell the entries which flows the backend server may hold after the agent.
+
+        No packet must be delivered to the server afterwards. Where the agent may not
+        have seen all flows, it tells nothing.
+        """
+        if not self._has_seen_all_flows or self._server.has_certainly_stopped:
+            return []
+        notice = held_flows.make_notice(self._flows.keys() | self._forgotten.keys())
+        return [
+            actions.SendMessage(address, message)
+            for address in self._entries.control_addresses[:MAX_ENTRIES_TOLD]
+            for message in notice
+        ]
+
     def update_routes(
         self, table: routes.RouteTable, now: float
     ) -> list[actions.Action]:
--- a/packages/cactushall-core/cactushall_core/flows/directory.py
+++ b/packages/cactushall-core/cactushall_core/flows/directory.py
@@ -10,7 +10,13 @@
 import msgspec
 
 from cactushall_core import addresses, identifiers
-from cactushall_core.flows import admission, exclusions, messages, packets
+from cactushall_core.flows import (
+    admission,
+    exclusions,
+    held_flows,
+    messages,
+    packets,
+)
 from cactushall_core.membership import records
 
 MAX_FULL_BACKOFF_SECONDS = 0.1
@@ -47,6 +53,7 @@
             has capacity.
         packet_address: Address at which it receives callers' packets.
         peer_address: Address at which it receives messages.
+        held: Notice of the flows that its server may have held when it left.
         seed: Number of 64 bits by which flows order agents; derived from its address,
             so that it is the same at all entries and after a restart.
         cold_allowance: How many flows this entry may send it at once while its backend
@@ -67,6 +74,7 @@
     packet_address: addresses.Address = NO_ADDRESS
     peer_address: addresses.Address = NO_ADDRESS
     seed: int = 0
+    held: held_flows.HeldFlows = msgspec.field(default_factory=held_flows.HeldFlows)
     cold_allowance: float = NO_LOAD.cold_allowance
     cold_refill_per_second: float = 0.0
 
@@ -89,6 +97,10 @@
         """Whether it has stopped after its backend server had, which ends all flows."""
         return not self.is_present and not self.member.endpoints
 
+    def excluded_before_leaving(self, flow_id: packets.FlowId) -> bool:
+        """Return whether it left and had told that its server did not hold a flow."""
+        return self.status is records.Status.LEFT and self.held.excludes(flow_id)
+
     def unacknowledged_count(self, now: float) -> int:
         """Return how many flows were sent to it that its load may not include yet."""
         unacknowledged = self.unacknowledged
--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -181,7 +181,7 @@
         if flow.second_offer is not None:
             decided = self._settle_second_offer(flow, flow.second_offer, packet)
         agent = self._view.agents.by_packet_address(flow.agent)
-        if agent is None or lookups.is_confirmed_gone(agent, now):
+        if agent is None or lookups.is_confirmed_gone(agent, packet.flow, now):
             del self._owned[packet.flow]
             return decided + self._look_up(packet, now)
         return [actions.Forward(flow.agent, packet.datagram), *decided]
@@ -200,6 +200,8 @@
         agent.last_message_at = now
         if isinstance(message, messages.LOAD_MESSAGES):
             return self._handle_load_message(agent, message, now)
+        if isinstance(message, messages.HeldFlows):
+            agent.held.add(message)
         if isinstance(message, messages.OwnershipConfirmed):
             return self._handle_owned(agent, message.flow, now)
         if isinstance(message, messages.OwnershipDenied):
--- a/packages/cactushall-core/cactushall_core/flows/lookups.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookups.py
@@ -203,7 +203,7 @@
             return []
         if lookup.stage is not lookup_state.Stage.ALL:
             return []
-        evidence = self._no_owner_evidence(lookup, table, now)
+        evidence = self._no_owner_evidence(flow_id, lookup, table, now)
         if evidence is None:
             return []
         del self._flows[flow_id]
@@ -369,23 +369,27 @@
 
     def _no_owner_evidence(
         self,
+        flow_id: packets.FlowId,
         lookup: lookup_state.Lookup,
         table: completeness.Evidence,
         now: float,
     ) -> actions.NoOwnerEvidence | None:
         """Return why a flow certainly has no owner, None where that is not certain.
 
-        Each possible owner has said that it does not own the flow, or is gone. Agents
-        that are gone were asked as well and had time to answer, because an agent may
-        be believed dead wrongly.
+        Each possible owner has said that it does not own the flow, also before it left,
+        or is gone. Agents that are gone were asked as well and had time to answer,
+        because an agent may be believed dead wrongly.
         """
         if lookup.awaits_present_agent or not self._view.agents.has_agents:
             return None
-        silent = 0
+        silent = excluded = 0
         for agent in lookup.possible_owners.values():
             if agent.has_no_flows:
                 continue
-            if not _is_gone_without_answer(agent, lookup, now):
+            if agent.excluded_before_leaving(flow_id):
+                excluded += 1
+                continue
+            if not _is_gone_without_answer(agent, flow_id, lookup, now):
                 lookup.awaited = agent.member.id
                 return None
             silent += 1
@@ -393,6 +397,7 @@
         return actions.NoOwnerEvidence(
             denied=len(lookup.not_owners),
             gone=silent,
+            excluded=excluded,
             asked_seconds=now - lookup.first_asked_at,
             known_present=known.present,
             known_gone=known.gone,
@@ -412,22 +417,29 @@
 
 
 def _is_gone_without_answer(
-    agent: directory.Agent, lookup: lookup_state.Lookup, now: float
+    agent: directory.Agent,
+    flow_id: packets.FlowId,
+    lookup: lookup_state.Lookup,
+    now: float,
 ) -> bool:
     """Return whether an agent is gone and did not answer the question either."""
     asked_at = lookup.asked_at.get(agent.member.id, now)
-    return now - asked_at >= RETRY_INTERVAL_SECONDS and is_confirmed_gone(agent, now)
+    return now - asked_at >= RETRY_INTERVAL_SECONDS and is_confirmed_gone(
+        agent, flow_id, now
+    )
 
 
-def is_confirmed_gone(agent: directory.Agent, now: float) -> bool:
-    """Return whether the flows of an agent have ended with it.
+def is_confirmed_gone(
+    agent: directory.Agent, flow_id: packets.FlowId, now: float
+) -> bool:
+    """Return whether a flow of an agent has ended with it.
 
     The backend server of an agent that was stopped or has died may live on beside the
     agent's successor, which has a time to appear.
     """
     if agent.is_present:
         return False
-    if agent.has_no_flows:
+    if agent.has_no_flows or agent.excluded_before_leaving(flow_id):
         return True
     has_left = agent.status is records.Status.LEFT
     grace_seconds = SUCCESSOR_GRACE_SECONDS if has_left else DEAD_GRACE_SECONDS
--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -158,6 +158,20 @@
     opening_sequence: int
 
 
+class HeldFlows(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Part of the notice of an agent that leaves, of all flows its server may hold.
+
+    Attributes:
+        part: Number of this message, from 0.
+        parts: Number of messages of the notice.
+        hashes: Hashes of the flows, 4 bytes each.
+    """
+
+    part: int
+    parts: int
+    hashes: bytes
+
+
 AgentMessage = (
     OwnershipConfirmed
     | OwnershipDenied
@@ -166,6 +180,7 @@
     | LoadReport
     | OwnershipAnswer
     | RegisterFlows
+    | HeldFlows
 )
 EntryMessage = LookupRequest | OwnershipQuery | OwnerQuery | OwnerAnswer | ReleaseFlow
 Message = AgentMessage | EntryMessage
@@ -187,6 +202,7 @@
     OwnerAnswer: traffic.Kind.LOOKUP_ANSWERS,
     RegisterFlows: traffic.Kind.REGISTRATIONS,
     ReleaseFlow: traffic.Kind.FLOW_NOTICES,
+    HeldFlows: traffic.Kind.FLOW_NOTICES,
 }
 
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -89,7 +89,8 @@
         self._tick()
 
     async def stop(self) -> None:
-        """Leave the fleet and close all sockets."""
+        """Leave the fleet and close all sockets, without a pause in between."""
+        self._execute(self._flows.leave())
         self._node.stop()
         for sock in (self._packet_socket, self._server_socket):
             if sock is not None:
--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -24,6 +24,7 @@
 COMPLETE_SECONDS = (0.3, 0.6)
 FAILURE_DETECTION_SECONDS = (0.8, 1.5)
 AGENT_RESTART_SECONDS = (0.1, 1.4)
+AGENT_REPLACEMENT_SECONDS = (0.5, 4.5)
 FLOW_SECONDS = 30.0
 RETRY_SECONDS = (0.2, 1.6)
 ENTRIES = 2
@@ -46,6 +47,7 @@
     agent: agent.AgentFlows | None = None
     start: int = 0
     drained_at: float = float("inf")
+    gone_as: records.Status = records.Status.DEAD
 
 
 @dataclasses.dataclass
@@ -118,6 +120,7 @@
         """Inject a random fault."""
         kind = self.rng.choice(
             ["entry", "agent", "agent", "host", "server", "drain", "both", "mass"]
+            + ["leave"]
         )
         self.counts[kind] += 1
         host = self.rng.choice(self.hosts)
@@ -125,6 +128,8 @@
             self.start_entry(self.rng.randrange(ENTRIES))
         if kind in ("agent", "both"):
             self.kill_agent(host)
+        elif kind == "leave":
+            self.stop_agent(host)
         elif kind == "host":
             self.kill_agent(host)
             self.stop_server(host)
@@ -155,7 +160,7 @@
                 self.publish_member(host, records.Status.ALIVE, recipient=made)
             elif self.now - self.all_killed_at > AGENT_RESTART_SECONDS[1]:
                 self.publish_member(host, records.Status.ALIVE, recipient=made)
-                self.publish_member(host, records.Status.DEAD, recipient=made)
+                self.publish_member(host, host.gone_as, recipient=made)
         self.schedule(COMPLETE_SECONDS, lambda: self.complete_view(index, made))
 
     def publish_entry(self, index):
@@ -199,9 +204,20 @@
         if host.agent is None:
             return
         host.agent = None
+        host.gone_as = records.Status.DEAD
         self.publish_member(host, records.Status.DEAD)
         self.schedule(AGENT_RESTART_SECONDS, lambda: self.start_agent(host))
 
+    def stop_agent(self, host):
+        """Let an agent leave beside its server, and start another one soon."""
+        if host.agent is None:
+            return
+        self.execute_agent_actions(host, host.agent.leave())
+        host.agent = None
+        host.gone_as = records.Status.LEFT
+        self.publish_member(host, records.Status.LEFT)
+        self.schedule(AGENT_REPLACEMENT_SECONDS, lambda: self.start_agent(host))
+
     def start_agent(self, host):
         """Start an agent without state."""
         if host.agent is not None:
--- a/tests/core/flows/test_lookups.py
+++ b/tests/core/flows/test_lookups.py
@@ -101,6 +101,7 @@
     assert evidence_of(decided) == actions.NoOwnerEvidence(
         denied=3,
         gone=0,
+        excluded=0,
         asked_seconds=DECIDED - SETTLED,
         known_present=3,
         known_gone=0,
--- a/tests/core/flows/test_model.py
+++ b/tests/core/flows/test_model.py
@@ -9,6 +9,7 @@
     agent,
     cluster_view,
     directory,
+    held_flows,
     lookups,
     servers,
 )
@@ -39,6 +40,7 @@
     denied = actions.NoOwnerEvidence(
         denied=0,
         gone=0,
+        excluded=0,
         asked_seconds=0.0,
         known_present=0,
         known_gone=0,
@@ -87,6 +89,20 @@
     patch.setattr(agent.AgentFlows, "_handle_bounced", lambda *_: [])
 
 
+def notices_exclude_all_flows(patch):
+    patch.setattr(held_flows.HeldFlows, "excludes", lambda *_: True)
+
+
+def agents_tell_flows_that_they_cannot_know(patch):
+    original = agent.AgentFlows.leave
+
+    def leave(self):
+        self._has_seen_all_flows = True
+        return original(self)
+
+    patch.setattr(agent.AgentFlows, "leave", leave)
+
+
 @pytest.mark.parametrize(
     "mutate",
     [
@@ -98,6 +114,8 @@
         drains_are_ignored,
         nothing_is_reset,
         bounced_packets_are_ignored,
+        notices_exclude_all_flows,
+        agents_tell_flows_that_they_cannot_know,
     ],
 )
 def test_simulation_detects_mutant(mutate, monkeypatch):
--- a/tests/daemon/packets/test_executor.py
+++ b/tests/daemon/packets/test_executor.py
@@ -68,6 +68,7 @@
     fields = {
         "denied": 2,
         "gone": 1,
+        "excluded": 0,
         "asked_seconds": 0.5,
         "known_present": 2,
         "known_gone": 3,
@@ -90,6 +91,7 @@
         "revision": 4,
         "denied": 2,
         "gone": 1,
+        "excluded": 0,
         "asked_seconds": 0.5,
         "known_present": 2,
         "known_gone": 3,
