--- a/bench/loads.py
+++ b/bench/loads.py
@@ -43,7 +43,6 @@
 SEEDS = range(5)
 # Agents whose expected waits differ by less count as equally good, in service times.
 NEAR_BEST_WAIT = 0.3
-# A quarter of the backend servers.
 
 # Each load has the slots, service times, objective and score of late answers of one
 # kind of site.
--- a/packages/cactushall-core/cactushall_core/flows/lookup_state.py
+++ b/packages/cactushall-core/cactushall_core/flows/lookup_state.py
@@ -43,7 +43,8 @@
         stage_ends_at: When others are asked in place of those of the stage.
         registrars: Registrars that have not answered.
         likely_owners: Likely owners that are to be asked before all agents are.
-        rounds: Number of rounds of questions, in which each agent is asked once.
+        doublings: How often the time between rounds of questions has doubled; each
+            agent is asked once in a round.
         next_round_at: When a packet of the caller begins or continues the next round.
         datagram: The packet that agents get which cannot tell without one.
         probed: Agents that got it.
@@ -66,7 +67,7 @@
     stage_ends_at: float = float("inf")
     registrars: set[addresses.Address] = msgspec.field(default_factory=set)
     likely_owners: list[directory.Agent] = msgspec.field(default_factory=list)
-    rounds: int = 0
+    doublings: int = 0
     next_round_at: float = float("-inf")
     datagram: bytes = b""
     probed: set[identifiers.MemberId] = msgspec.field(default_factory=set)
@@ -85,9 +86,7 @@
     to_ask: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
         default_factory=dict
     )
-    unanswered: dict[identifiers.MemberId, directory.Agent] = msgspec.field(
-        default_factory=dict
-    )
+    unanswered: set[identifiers.MemberId] = msgspec.field(default_factory=set)
     buffered: list[bytes] = msgspec.field(default_factory=list)
 
     @property
@@ -111,17 +110,17 @@
         self.to_ask.pop(member, None)
         self.possible_owners.pop(member, None)
         self.undecided.pop(member, None)
-        self.unanswered.pop(member, None)
+        self.unanswered.discard(member)
 
     def record_asked(self, agent: directory.Agent, now: float) -> None:
         """Record that an agent is asked in the present round."""
         self.asked_at.setdefault(agent.member.id, now)
-        self.unanswered[agent.member.id] = agent
+        self.unanswered.add(agent.member.id)
         self.answers_end_at = now + ANSWER_TIMEOUT_SECONDS
 
     def record_undecided(self, agent: directory.Agent) -> None:
         """Record that an agent cannot tell without a packet."""
-        self.unanswered.pop(agent.member.id, None)
+        self.unanswered.discard(agent.member.id)
         if agent.member.id in self.possible_owners:
             self.undecided[agent.member.id] = agent
 
@@ -146,8 +145,8 @@
         self.unanswered.clear()
         self.probes = 0
         self.probes_end_at = float("-inf")
-        self.next_round_at = now + interval_seconds * 2**self.rounds
-        self.rounds = min(self.rounds + 1, MAX_DOUBLINGS)
+        self.next_round_at = now + interval_seconds * 2**self.doublings
+        self.doublings = min(self.doublings + 1, MAX_DOUBLINGS)
 
     def awaits_probes(self, now: float) -> bool:
         """Return whether agents that got the packet may still answer it."""
