--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,6 +12,8 @@
 # Contact points renew their leases each 10 s; the outage spans one such renewal.
 SECONDS_FROM_CLAIM_TO_OUTAGE = 6.0
 CONTACT_PREFIX = "/cactushall/contacts/"
+# The zone that gets another entry.
+ZONE = "attica-a"
 FLOWS = 24
 # Clients pause between the requests of a flow, well below `idle_timeout_ms`.
 REQUEST_GAP_SECONDS = 7.0
@@ -25,12 +27,12 @@
     route = (site.host(250), 443)
     configuration = deployment.make_configuration(7, (FEED,), {route: FEED})
     site.store.put("op/config", configuration)
-    await site.start(seeds=[1, 2])
-    for number in (1, 2):
+    await site.start(seeds=[1, 2, 3])
+    for number in (1, 2, 3):
         site.add_entry(number)
-    for number in (11, 12):
+    for number in (11, 12, 13):
         await site.add_server(number, FEED)
-    while len(site.store.keys(CONTACT_PREFIX)) < 2:
+    while len(site.store.keys(CONTACT_PREFIX)) < 3:
         await asyncio.sleep(0.05)
     claimed_at = site.record.now()
     await site.wait_until_ready(site.entries)
@@ -47,8 +49,8 @@
     await asyncio.sleep(0.5)
     # These seeds were right for machines that are gone by now.
     site.set_seeds([31, 32, 33])
-    site.add_entry(3)
-    await site.add_server(13, FEED)
+    site.add_entry(4)
+    await site.add_server(14, FEED)
     await asyncio.sleep(DOWN_SECONDS - 0.5)
     site.store.is_down = False
     back_at = site.record.write("store-back")
@@ -59,7 +61,8 @@
     return [
         f"FLOW: the client got a reset of the system's on an open flow, {since:.2f} s"
         " after the store was back; the flow's endpoint lives"
-        for reset in site.client.resets
+        for client in site.clients.values()
+        for reset in client.resets
         if reset.is_of_system
         and reset.was_open
         and (since := reset.at - back_at) > CONTACT_SECONDS
@@ -71,7 +74,7 @@
 ) -> None:
     """Keep one flow open, with requests and pauses."""
     await asyncio.sleep(delay_seconds)
-    flow = site.client.make_flow(route)
+    flow = site.clients[ZONE].make_flow(route)
     try:
         await flow.open()
         while True:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,8 +19,8 @@
     services = {feed: FEED, photos: CATALOGUE}
     configuration = deployment.make_configuration(7, (FEED, CATALOGUE), services)
     site.store.put("op/config", configuration)
-    await site.start(seeds=[1, 2])
-    for number in (1, 2):
+    await site.start(seeds=[1, 2, 3])
+    for number in (1, 2, 3):
         site.add_entry(number)
     for number in (11, 12):
         await site.add_server(number, FEED)
@@ -47,9 +47,10 @@
     await asyncio.sleep(1.0)
 
     routes: dict[str, packets.End] = {}
-    for _ in range(REQUESTS):
+    for number in range(REQUESTS):
+        client = site.clients[deployment.ZONES[number % len(deployment.ZONES)]]
         for route in services:
-            await request(site, route, routes)
+            await request(client, route, routes)
         await asyncio.sleep(REQUEST_GAP_SECONDS)
     runs = [run for endpoint in site.endpoints.values() for run in endpoint.runs]
     return [
@@ -61,15 +62,15 @@
 
 
 async def request(
-    site: deployment.Deployment, route: packets.End, routes: dict[str, packets.End]
+    client: clients.Client, route: packets.End, routes: dict[str, packets.End]
 ) -> None:
     """Send one request in a flow of its own."""
-    flow = site.client.make_flow(route)
+    flow = client.make_flow(route)
     try:
         await flow.open()
         await flow.request(DEADLINE_SECONDS)
     except clients.FlowEndedError:
-        site.record.write("not-answered", port=flow.source[1])
+        client.record.write("not-answered", port=flow.source[1])
     else:
         flow.close()
     if flow.attempt is not None:
--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -33,24 +33,30 @@
             record: Where changes of the rotation are written.
         """
         self._record = record
+        self._zones: dict[str, str] = {}
         self._misses: dict[str, int] = {}
         self._readiness: dict[str, packets.End] = {}
         self._datagrams: dict[str, packets.End] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
-    @property
-    def rotation(self) -> list[str]:
-        """Names of the entries that get packets."""
-        ready = [name for name, misses in self._misses.items() if misses < MISSES]
-        enough = 2 * len(ready) >= len(self._misses)
-        return ready if enough else list(self._misses)
+    def rotation(self, zone: str) -> list[str]:
+        """Return the names of the entries that get packets of a zone's clients."""
+        local = [name for name, other in self._zones.items() if other == zone]
+        ready = [name for name in local if self.is_ready(name)]
+        if not ready:
+            elsewhere = [name for name in self._zones if self.is_ready(name)]
+            return elsewhere or local or list(self._zones)
+        return ready if 2 * len(ready) >= len(local) else local
 
     def is_ready(self, name: str) -> bool:
         """Return whether an entry answers that it is ready."""
         return self._misses[name] < MISSES
 
-    def add(self, name: str, readiness: packets.End, datagrams: packets.End) -> None:
+    def add(
+        self, name: str, zone: str, readiness: packets.End, datagrams: packets.End
+    ) -> None:
         """Add an entry, which is out of rotation until it is ready."""
+        self._zones[name] = zone
         self._misses[name] = MISSES
         self._readiness[name] = readiness
         self._datagrams[name] = datagrams
@@ -61,17 +67,17 @@
         for task in self._tasks:
             task.cancel()
 
-    def name_of(self, source: packets.End, target: packets.End) -> str:
-        """Return the name of the entry for a flow."""
+    def name_of(self, zone: str, source: packets.End, target: packets.End) -> str:
+        """Return the name of the entry for a flow of a client in a zone."""
 
         def weight(name: str) -> bytes:
             return hashlib.sha256(repr((name, source, target)).encode()).digest()
 
-        return max(self.rotation, key=weight)
+        return max(self.rotation(zone), key=weight)
 
-    def select(self, source: packets.End, target: packets.End) -> packets.End:
-        """Return where packets of a flow go."""
-        return self._datagrams[self.name_of(source, target)]
+    def address_of(self, name: str) -> packets.End:
+        """Return where an entry receives packets."""
+        return self._datagrams[name]
 
     async def _probe(self, name: str) -> None:
         host, port = self._readiness[name]
@@ -111,10 +117,18 @@
         resets: The resets that ended flows.
     """
 
-    def __init__(self, host: str, port: int, router: Router, record: records.Record):
+    def __init__(
+        self,
+        zone: str,
+        host: str,
+        port: int,
+        router: Router,
+        record: records.Record,
+    ) -> None:
         """Create the client; it does not run yet.
 
         Args:
+            zone: Its zone.
             host: Its address.
             port: Port at which the machines of the system receive packets, and it too.
             router: Selects entries.
@@ -122,6 +136,7 @@
         """
         self.resets: list[Reset] = []
         self.record = record
+        self._zone = zone
         self._host = host
         self._port = port
         self._router = router
@@ -157,8 +172,9 @@
     def send(self, source: packets.End, service: packets.End, datagram: bytes) -> str:
         """Send a packet through the routers, and return the name of the entry."""
         assert self._socket is not None
-        self._socket.sendto(datagram, self._router.select(source, service))
-        return self._router.name_of(source, service)
+        entry = self._router.name_of(self._zone, source, service)
+        self._socket.sendto(datagram, self._router.address_of(entry))
+        return entry
 
     def _receive(self) -> None:
         assert self._socket is not None
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -26,10 +26,9 @@
 FIRST_PORT = 21_000
 LAST_PORT = 31_000
 HEALTH_PATH = "/health"
-ZONE = "attica-a"
-CLIENT_HOST_NUMBER = 200
-STORE_HOST_NUMBER = 201
-METRICS_PORT = 9464
+ZONES = ("attica-a", "attica-b", "attica-c")
+FIRST_CLIENT_NUMBER = 200
+STORE_HOST_NUMBER = 220
 
 BOUNDS = {
     "seed_lag_s": 3,
@@ -77,6 +76,11 @@
     store: int
 
 
+def zone_of(number: int) -> str:
+    """Return the zone of a machine: machines 1, 2 and 3 are in different ones."""
+    return ZONES[(number - 1) % len(ZONES)]
+
+
 def render(template: str, fields: dict[str, typing.Any]) -> str:
     """Fill in a template of settings, as the platform does."""
 
@@ -200,7 +204,7 @@
         record: Where all events are written.
         store: The platform's store.
         router: The platform's routers.
-        client: A client.
+        clients: A client in each zone.
         ports: Ports of the day.
         entries: The entries, by name.
         agents: The agents, by name.
@@ -221,13 +225,15 @@
         self.endpoints: dict[str, endpoints.Endpoint] = {}
         self._net = f"127.{random.randrange(64, 250)}.{random.randrange(1, 250)}"
         hosts = [self.host(n) for n in range(1, machines + 1)]
-        hosts += [self.host(CLIENT_HOST_NUMBER), self.host(STORE_HOST_NUMBER)]
+        client_hosts = [self.host(FIRST_CLIENT_NUMBER + n) for n in range(len(ZONES))]
+        hosts += [*client_hosts, self.host(STORE_HOST_NUMBER)]
         self.ports = _choose_ports(hosts)
         self.store = store.Store()
         self.router = clients.Router(record)
-        self.client = clients.Client(
-            self.host(CLIENT_HOST_NUMBER), self.ports.datagrams, self.router, record
-        )
+        self.clients = {
+            zone: clients.Client(zone, host, self.ports.datagrams, self.router, record)
+            for zone, host in zip(ZONES, client_hosts, strict=True)
+        }
         self._seeds: list[str] = []
 
     def host(self, number: int) -> str:
@@ -235,14 +241,15 @@
         return f"{self._net}.{number}"
 
     async def start(self, seeds: list[int]) -> None:
-        """Start the store and the client.
+        """Start the store and the clients.
 
         Args:
             seeds: Numbers of the machines whose addresses nodes get as seeds.
         """
         self.set_seeds(seeds)
         await self.store.start(self.host(STORE_HOST_NUMBER), self.ports.store)
-        await self.client.start()
+        for client in self.clients.values():
+            await client.start()
 
     def set_seeds(self, seeds: list[int]) -> None:
         """Set the seeds of the nodes that are added from now on."""
@@ -250,19 +257,22 @@
 
     def add_entry(self, number: int) -> Node:
         """Add a machine with an entry, and start it."""
-        name = f"frontend-{ZONE}-{number}"
+        name = f"frontend-{zone_of(number)}-{number}"
         node = self._make_node(name, number, "entry", "deploy/entry.yaml", {})
         self.entries[name] = node
         host = self.host(number)
         self.router.add(
-            name, (host, self.ports.readiness), (host, self.ports.datagrams)
+            name,
+            zone_of(number),
+            (host, self.ports.readiness),
+            (host, self.ports.datagrams),
         )
         self._start_node(node)
         return node
 
     def add_agent(self, number: int, service: str) -> Node:
         """Add a machine with an agent, and start it."""
-        name = f"side-{ZONE}-{number}"
+        name = f"side-{zone_of(number)}-{number}"
         app = f"{self.host(number)}:{self.ports.app}"
         extra = {"service": service, "app": app}
         node = self._make_node(name, number, "agent", "deploy/agent.yaml", extra)
@@ -275,7 +285,8 @@
         place = endpoints.Place(
             self.host(number), self.ports.app, self.ports.outbound, self.ports.control
         )
-        endpoint = endpoints.Endpoint(name, service, ZONE, place, self.record)
+        zone = zone_of(number)
+        endpoint = endpoints.Endpoint(name, service, zone, place, self.record)
         self.endpoints[name] = endpoint
         return endpoint
 
@@ -306,7 +317,8 @@
         await asyncio.gather(*(node.stop() for node in nodes))
         for endpoint in self.endpoints.values():
             endpoint.crash()
-        self.client.stop()
+        for client in self.clients.values():
+            client.stop()
         self.store.stop()
         if os.environ.get("KEEP_LOGS"):
             print(f"logs: {self.folder}")
@@ -330,7 +342,7 @@
         fields: dict[str, typing.Any] = {
             "node_name": name,
             "ip": host,
-            "zone": ZONE,
+            "zone": zone_of(number),
             "port_range": [ports.first, ports.last],
             "seeds": self._seeds,
             "heartbeat_ms": 1200,
