--- a/review/standins/endpoints.py
+++ b/review/standins/endpoints.py
@@ -84,6 +84,7 @@
         service: Its service.
         runs: The requests that it has begun to work on.
         openings: Times at which it took an opening packet.
+        acknowledged_at: When a heartbeat was acknowledged last.
     """
 
     def __init__(
@@ -109,6 +110,7 @@
         self.service = service
         self.runs: list[Run] = []
         self.openings: list[float] = []
+        self.acknowledged_at = float("-inf")
         self._zone = zone
         self._place = place
         self._record = record
@@ -141,10 +143,10 @@
             asyncio.get_running_loop().remove_reader(self._socket)
             self._socket.close()
 
-    async def beat(self) -> int | None:
-        """Send one heartbeat, and return the status of its answer."""
+    def make_heartbeat(self) -> dict[str, object]:
+        """Return the content of the next heartbeat."""
         self._number += 1
-        content = {
+        return {
             "service": self.service,
             "address": f"{self._place.host}:{self._place.app}",
             "zone": self._zone,
@@ -155,19 +157,29 @@
             "seq_no": self._number,
             "born": self._born,
         }
-        return await web.call(
+
+    async def deliver(self, heartbeat: dict[str, object]) -> int | None:
+        """Deliver a heartbeat, and return the status of its answer."""
+        status = await web.call(
             self._place.host,
             self._place.control,
             "PUT",
             f"/api/instances/{self.id}",
-            content,
+            heartbeat,
             HEARTBEAT_ANSWER_SECONDS,
         )
+        if status == web.OK:
+            self.acknowledged_at = self._record.now()
+        return status
+
+    async def beat(self) -> int | None:
+        """Send one heartbeat, and return the status of its answer."""
+        return await self.deliver(self.make_heartbeat())
 
     async def drain(self) -> float:
         """Report `draining` until it is acknowledged, and return when that was."""
         self._state = "draining"
-        while await self.beat() != 200:
+        while await self.beat() != web.OK:
             await asyncio.sleep(0.1)
         return self._record.write("draining-acknowledged", id=self.id)
 
--- a/review/standins/web.py
+++ b/review/standins/web.py
@@ -8,7 +8,7 @@
 import json
 import typing
 
-SECONDS_TO_CONNECT = 1.0
+OK = 200
 
 
 class Call(typing.NamedTuple):
