--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,11 +15,17 @@
 # The zone that gets another entry.
 ZONE = "attica-a"
 FLOWS = 24
+# Endpoints that neither drain nor leave.
+LASTING = ("i-12", "i-13", "i-14")
 # Clients pause between the requests of a flow, well below `idle_timeout_ms`.
 REQUEST_GAP_SECONDS = 7.0
 OPENING_GAP_SECONDS = 0.2
 DEADLINE_SECONDS = 3.0
 PLAY_SECONDS = 32.0
+# The release: the new endpoint starts first, then the old one of its zone drains and
+# leaves.
+GAP_SECONDS = 1.0
+SERVES_ON_SECONDS = 3.5
 
 
 async def play(site: deployment.Deployment, has_trouble: bool) -> list[str]:
@@ -51,6 +57,7 @@
     site.set_seeds([31, 32, 33])
     site.add_entry(4)
     await site.add_server(14, FEED)
+    release = asyncio.create_task(remove_server(site, 11))
     await asyncio.sleep(DOWN_SECONDS - 0.5)
     site.store.is_down = False
     back_at = site.record.write("store-back")
@@ -58,6 +65,7 @@
     await sleep_until(site, claimed_at + PLAY_SECONDS)
     for feed in feeds:
         feed.cancel()
+    await release
     return [
         f"FLOW: the client got a reset of the system's on an open flow, {since:.2f} s"
         " after the store was back; the flow's endpoint lives"
@@ -65,6 +73,7 @@
         for reset in client.resets
         if reset.is_of_system
         and reset.was_open
+        and reset.endpoint in LASTING
         and (since := reset.at - back_at) > CONTACT_SECONDS
     ]
 
@@ -80,10 +89,22 @@
         while True:
             await flow.request(DEADLINE_SECONDS)
             await asyncio.sleep(REQUEST_GAP_SECONDS)
+            if flow.is_closed:
+                flow = site.clients[ZONE].make_flow(route)
+                await flow.open()
     except clients.FlowEndedError:
         site.record.write("flow-ended", port=flow.source[1], reset=flow.reset)
 
 
+async def remove_server(site: deployment.Deployment, number: int) -> None:
+    """Let an endpoint drain and leave, and then stop the node beside it."""
+    await asyncio.sleep(GAP_SECONDS)
+    await site.endpoints[f"i-{number}"].leave(SERVES_ON_SECONDS)
+    node = next(a for a in site.agents.values() if a.host == site.host(number))
+    await node.stop()
+    site.record.write("node-stopped", name=node.name)
+
+
 async def sleep_until(site: deployment.Deployment, at: float) -> None:
     """Sleep until a time of the record."""
     await asyncio.sleep(max(0.0, at - site.record.now()))
--- a/review/standins/endpoints.py
+++ b/review/standins/endpoints.py
@@ -183,6 +183,25 @@
             await asyncio.sleep(0.1)
         return self._record.write("draining-acknowledged", id=self.id)
 
+    async def leave(self, seconds: float) -> None:
+        """Drain, serve on, then say that it leaves, and exit.
+
+        Args:
+            seconds: How long it serves on after the acknowledgement.
+        """
+        await self.drain()
+        await asyncio.sleep(seconds)
+        await web.call(
+            self._place.host,
+            self._place.control,
+            "DELETE",
+            f"/api/instances/{self.id}",
+            None,
+            HEARTBEAT_ANSWER_SECONDS,
+        )
+        self._record.write("endpoint-left", id=self.id)
+        self.crash()
+
     def _spawn(self, coroutine: typing.Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
@@ -287,12 +306,18 @@
         pause = FIRST_RETRANSMISSION_SECONDS
         for _ in range(MAX_RETRANSMISSIONS + 1):
             if flow.unacknowledged is None or flow.is_ended:
+                self._close_if_draining(flow)
                 return
             self._send(flow, packets.ACK, first, answer)
             await asyncio.sleep(pause)
             pause = min(2 * pause, MAX_RETRANSMISSION_SECONDS)
         flow.is_ended = True
 
+    def _close_if_draining(self, flow: Flow) -> None:
+        """Close a flow after its response, as an endpoint does that drains."""
+        if self._state == "draining" and not flow.is_ended:
+            self._send(flow, packets.FIN | packets.ACK, flow.seq)
+
     def _send(self, flow: Flow, flags: int, seq: int, data: bytes = b"") -> None:
         client, service = flow.key
         self._write(packets.encode(service, client, flags, seq, flow.expected, data))
