Agents log which start of a backend server a heartbeat belongs to

Change: event 2206 names the first heartbeat of each start that is heard, event 2207 the first one of each start that is ignored; the metric announcements_ignored counts all of these.

--- a/packages/cactushall-daemon/cactushall_daemon/counters.py
+++ b/packages/cactushall-daemon/cactushall_daemon/counters.py
@@ -20,6 +20,7 @@
     NO_BACKEND_SERVER = "datagrams_without_backend_server"
     DROPPED = "datagrams_dropped"
     ANNOUNCEMENTS_REFUSED = "announcements_refused"
+    ANNOUNCEMENTS_IGNORED = "announcements_ignored"
     UNKNOWN_SERVICE = "datagrams_for_unknown_service"
     TUNNEL_REJECTED = "tunnel_datagrams_rejected"
     GOSSIP_REJECTED = "gossip_datagrams_rejected"
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -55,6 +55,8 @@
     ANNOUNCEMENT_REFUSED = (2203, "announcement refused")
     HEALTH_CHECK_FAILED = (2204, "health check failed")
     SERVER_COLD_CHANGED = (2205, "limit of cold backend server began or ended")
+    SERVER_STARTED = (2206, "start of a backend server announced")
+    ANNOUNCEMENT_IGNORED = (2207, "announcement of an earlier start ignored")
     FLOW_OPENED = (3001, "flow opened")
     FLOW_CLOSED = (3002, "flow closed")
     REQUEST_REFUSED = (3101, "request refused")
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -8,7 +8,7 @@
 
 from msgspec import structs
 
-from cactushall_core import addresses, exceptions, identifiers
+from cactushall_core import addresses, identifiers
 from cactushall_core.flows import (
     actions,
     agent,
@@ -22,7 +22,12 @@
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, gossip, logs, sockets
 from cactushall_daemon.config import packet_schema
-from cactushall_daemon.packets import evacuation_follower, executor, node
+from cactushall_daemon.packets import (
+    announcement_calls,
+    evacuation_follower,
+    executor,
+    node,
+)
 from cactushall_platform import calls
 from cactushall_platform import packets as layout
 from cactushall_rpc import http as http_calls
@@ -66,6 +71,13 @@
             on_evacuated=self._on_evacuated,
             count_flows=self._count_flows,
         )
+        self._announcements = announcement_calls.AnnouncementCalls(
+            self._server,
+            self._flows,
+            self._node.counters,
+            self._loop.time,
+            self._publish_server_state,
+        )
 
     async def start(self) -> None:
         """Bind all addresses, join the fleet and start serving.
@@ -81,7 +93,7 @@
         )
         sockets.receive_batches(self._server_socket, self._receive_from_server)
         announcements = self._settings.announcements
-        await self._node.serve(announcements, self._handle_announcement_call)
+        await self._node.serve(announcements, self._announcements.handle)
         await self._node.start()
         sockets.receive_batches(self._packet_socket, self._receive)
         readiness = self._settings.readiness_address
@@ -207,29 +219,6 @@
 
     # Backend server.
 
-    def _handle_announcement_call(
-        self, request: http_calls.Request
-    ) -> http_calls.Response:
-        """Handle a heartbeat or a deregistration of the backend server."""
-        server_id = calls.parse_server_id(request.path)
-        if server_id is None:
-            return http_calls.Response(http.HTTPStatus.NOT_FOUND)
-        now = self._loop.time()
-        if request.method == calls.LEAVE_METHOD:
-            self._server.handle_stopped(server_id, now)
-        elif request.method == calls.ANNOUNCE_METHOD:
-            try:
-                announcement = calls.decode_announcement(server_id, request.body)
-            except exceptions.DecodeError as error:
-                self._node.counters.add(counters.Counter.ANNOUNCEMENTS_REFUSED)
-                log.warning(events.Event.ANNOUNCEMENT_REFUSED, why=str(error))
-                return http_calls.Response(http.HTTPStatus.BAD_REQUEST)
-            self._flows.handle_announcement(announcement, now)
-        else:
-            return http_calls.Response(http.HTTPStatus.METHOD_NOT_ALLOWED)
-        self._publish_server_state()
-        return http_calls.Response(body=b"{}")
-
     def _build_endpoints(self) -> tuple[records.Endpoint, ...]:
         """Return the backend server's endpoints as other members should see them."""
         if self._server.has_certainly_stopped:
--- /dev/null
+++ b/tests/daemon/packets/test_announcement_calls.py
@@ -0,0 +1,93 @@
+"""Tests of the calls by which a backend server announces itself to its agent."""
+
+from __future__ import annotations
+
+import http
+import json
+
+import pytest
+from structlog import testing
+
+from cactushall_core.flows import agent, servers
+from cactushall_daemon import counters, events
+from cactushall_daemon.packets import announcement_calls
+from cactushall_rpc import http as http_calls
+from tests.core.flows import builders
+
+HEARTBEAT_SECONDS = 1.2
+IGNORED = counters.Counter.ANNOUNCEMENTS_IGNORED
+HEARTBEAT = {
+    "service": str(builders.SERVICE),
+    "address": "10.0.1.1:8165",
+    "zone": "a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq_no": 1,
+    "born": 100,
+}
+
+
+class Beside:
+    """An agent's calls of the backend server beside it, without sockets."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.server = servers.Server(builders.SERVICE, HEARTBEAT_SECONDS)
+        self.flows = agent.AgentFlows(self.server, self.now)
+        self.counters = counters.Counters()
+        self.announced = 0
+        self._calls = announcement_calls.AnnouncementCalls(
+            self.server, self.flows, self.counters, lambda: self.now, self._count
+        )
+
+    def put(self, server_id="s1", **changed):
+        """Send a heartbeat and return the status of the answer."""
+        body = json.dumps(HEARTBEAT | changed).encode()
+        return self.call("PUT", f"/api/instances/{server_id}", body)
+
+    def call(self, method, path, body=b""):
+        return self._calls.handle(http_calls.Request(method, path, body)).status
+
+    def _count(self):
+        self.announced += 1
+
+
+@pytest.fixture
+def beside():
+    return Beside()
+
+
+def test_a_heartbeat_is_acknowledged(beside):
+    assert beside.put() == http.HTTPStatus.OK
+    assert beside.server.state is servers.State.READY
+    assert beside.announced == 1
+
+
+def test_calls_of_other_paths_and_methods_change_nothing(beside):
+    assert beside.call("PUT", "/other") == http.HTTPStatus.NOT_FOUND
+    expected = http.HTTPStatus.METHOD_NOT_ALLOWED
+    assert beside.call("POST", "/api/instances/s1") == expected
+    assert beside.announced == 0
+
+
+def test_log_names_the_start_that_a_heartbeat_belongs_to(beside):
+    """Guards against a change of the server that no log line explains."""
+    with testing.capture_logs() as lines:
+        beside.put()
+        beside.put(seq_no=2)
+        beside.put("s2", born=200)
+    started = [x for x in lines if x["event"] is events.Event.SERVER_STARTED]
+    assert [(x["server"], x["number"]) for x in started] == [("s1", 1), ("s2", 1)]
+
+
+def test_log_names_a_start_whose_heartbeats_are_ignored_once(beside):
+    """Guards against heartbeats that are acknowledged without effect or log line."""
+    beside.put("s2", born=200)
+    with testing.capture_logs() as lines:
+        beside.put(seq_no=7)
+        beside.put(seq_no=8)
+    (line,) = [x for x in lines if x["event"] is events.Event.ANNOUNCEMENT_IGNORED]
+    assert (line["server"], line["latest"]) == ("s1", "s2")
+    assert dict(beside.counters.items())[IGNORED] == 2
