A heartbeat of another writer does not redirect a backend server

Cause: the agent took the service from any heartbeat that decoded, in place of its settings, and the decoder needed neither address nor zone and had defaults for slots, cold_left_ms and born. Change: a heartbeat needs all fields of the protocol but born, and must name the service and the address of the settings; else it is refused with 400 and changes nothing. Since the settings now decide alone, a changed file is followed without SIGHUP too, and service and server of a changed file hold at once; before, the next heartbeat brought the service. Extra fields and a missing born stay allowed, with a test. Changed tests: stand-ins and builders send complete heartbeats that name the settings' server, as the protocol has it; what they assert is the same.

--- a/bench/packets.py
+++ b/bench/packets.py
@@ -40,6 +40,8 @@
 SERVICE = identifiers.ServiceName("board")
 SERVICE_ADDRESS = ("198.18.0.1", 8443)
 ENTRY_ADDRESS = addresses.Address("10.0.0.1", 7735)
+SERVER_ADDRESS = addresses.Address("10.0.1.1", 8165)
+HEARTBEAT_SECONDS = 1.2
 NOW = 100.0
 TARGET_MICROSECONDS = 20.0
 ENTRY_BUDGET_MICROSECONDS = 40.0
@@ -234,14 +236,21 @@
     return (time.process_time() - started_at) / QUEUE_ROUNDS * 1e6
 
 
-def measure_agent_opening() -> float:
-    """Return microseconds per opening packet at an agent, with its server's answer."""
-    server = servers.Server(SERVICE, 1.2)
+def _make_agent() -> agent.AgentFlows:
+    """Return an agent whose backend server takes all flows."""
+    server = servers.Server(SERVICE, SERVER_ADDRESS, HEARTBEAT_SECONDS)
     flows = agent.AgentFlows(server, 0.0)
     flows.update_routes(make_table(), 0.0)
-    flows.handle_announcement(
-        servers.Announcement("s", 1, 1, SERVICE, FLOW_COUNT, False), NOW
+    announcement = servers.Announcement(
+        "s", 1, 1, SERVICE, SERVER_ADDRESS, FLOW_COUNT, is_draining=False
     )
+    flows.handle_announcement(announcement, NOW)
+    return flows
+
+
+def measure_agent_opening() -> float:
+    """Return microseconds per opening packet at an agent, with its server's answer."""
+    flows = _make_agent()
     openings = make_opening_packets()
     answers = make_server_packets(packet_peers.SYN | packet_peers.ACK, b"")
     started_at = time.process_time()
@@ -258,12 +267,7 @@
         Microseconds per packet to the server, microseconds per packet to the caller,
         and bytes per flow.
     """
-    server = servers.Server(SERVICE, 1.2)
-    flows = agent.AgentFlows(server, 0.0)
-    flows.update_routes(make_table(), 0.0)
-    flows.handle_announcement(
-        servers.Announcement("s", 1, 1, SERVICE, FLOW_COUNT, False), NOW
-    )
+    flows = _make_agent()
     opening_packets, later_packets = make_opening_packets(), make_request_packets()
     accept_packets = make_server_packets(packet_peers.SYN | packet_peers.ACK, b"")
     response_packets = make_server_packets(packet_peers.ACK, PAYLOAD)
--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from cactushall_core import addresses
+from cactushall_core import addresses, identifiers
 from cactushall_core.flows import (
     actions,
     admission,
@@ -252,6 +252,21 @@
             decided.append(actions.RecordLatency(answered, seconds))
         return decided
 
+    def configure_server(
+        self, service: identifiers.ServiceName, address: addresses.Address, now: float
+    ) -> bool:
+        """Apply changed settings of the backend server.
+
+        Returns:
+            Whether they name another backend server than before.
+        """
+        if not self._server.configure(service, address):
+            return False
+        # The one that is named now may hold flows already.
+        self._has_seen_all_flows = False
+        self._update_cold_limit(now)
+        return True
+
     def handle_announcement(
         self, announcement: servers.Announcement, now: float
     ) -> servers.Outcome:
--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from cactushall_core import identifiers
+from cactushall_core import addresses, identifiers
 
 MISSED_HEARTBEATS = 3.0
 UNANSWERED_TIMEOUT_SECONDS = 0.3
@@ -24,10 +24,16 @@
 
 
 class Outcome(enum.Enum):
-    """Whether an announcement was applied."""
+    """Whether an announcement was applied.
+
+    APPLIED: It describes the backend server from now on.
+    STALE: A later one is known.
+    FOREIGN: It names another service or address than the settings.
+    """
 
     APPLIED = "applied"
     STALE = "stale"
+    FOREIGN = "foreign"
 
 
 class Announcement(msgspec.Struct, frozen=True):
@@ -38,6 +44,7 @@
         started_ms: When it started, in milliseconds since the epoch.
         number: Number of the announcement; increases with each one since the start.
         service: The service it belongs to.
+        address: Where it receives packets.
         slots: Requests that it runs concurrently.
         is_draining: Whether it is draining before it stops.
         cold_seconds: Remaining time for which it is slow after its start.
@@ -47,6 +54,7 @@
     started_ms: int
     number: int
     service: identifiers.ServiceName
+    address: addresses.Address
     slots: int
     is_draining: bool
     cold_seconds: float = 0.0
@@ -56,15 +64,20 @@
     """State of one backend server, from its announcements and its answers."""
 
     def __init__(
-        self, service: identifiers.ServiceName, heartbeat_seconds: float
+        self,
+        service: identifiers.ServiceName,
+        address: addresses.Address,
+        heartbeat_seconds: float,
     ) -> None:
         """Start with what the settings say.
 
         Args:
             service: The service that the VM was configured for.
+            address: Where the backend server receives packets.
             heartbeat_seconds: Usual interval between two announcements.
         """
         self._service = service
+        self._address = address
         self._heartbeat_seconds = heartbeat_seconds
         self._state = State.UNKNOWN
         self._latest_announcement: Announcement | None = None
@@ -77,6 +90,11 @@
         """The service it belongs to."""
         return self._service
 
+    @property
+    def address(self) -> addresses.Address:
+        """Where it receives packets."""
+        return self._address
+
     @property
     def state(self) -> State:
         """Whether it accepts new flows."""
@@ -97,14 +115,39 @@
         """Requests that it runs concurrently."""
         return self._latest_announcement.slots if self._latest_announcement else 1
 
+    def configure(
+        self, service: identifiers.ServiceName, address: addresses.Address
+    ) -> bool:
+        """Apply changed settings.
+
+        Returns:
+            Whether they name another backend server, of which nothing is known yet.
+        """
+        if (service, address) == (self._service, self._address):
+            return False
+        self._service = service
+        self._address = address
+        self._state = State.UNKNOWN
+        self._latest_announcement = None
+        self._unanswered = 0
+        return True
+
     def handle_announcement(self, announcement: Announcement, now: float) -> Outcome:
-        """Apply an announcement, unless a later one is known."""
+        """Apply an announcement, unless a later one is known.
+
+        Only the settings say which backend server runs beside the agent: another
+        writer's announcement may name any service and address.
+        """
+        if (announcement.service, announcement.address) != (
+            self._service,
+            self._address,
+        ):
+            return Outcome.FOREIGN
         if self._latest_announcement is not None and _is_older(
             announcement, self._latest_announcement
         ):
             return Outcome.STALE
         self._latest_announcement = announcement
-        self._service = announcement.service
         self._last_seen_at = now
         self._unanswered = 0
         self._state = State.DRAINING if announcement.is_draining else State.READY
--- a/packages/cactushall-daemon/cactushall_daemon/commands/run.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/run.py
@@ -14,6 +14,7 @@
 
 from cactushall_core import findings
 from cactushall_daemon import events, exit_codes, logs, sockets
+from cactushall_daemon.commands import settings_file
 from cactushall_daemon.config import base, common
 
 GC_ALLOCATION_THRESHOLD = 20_000
@@ -69,20 +70,22 @@
 
     Args:
         cls: The process's settings class.
-        path: The settings file, reloaded on SIGHUP.
+        path: The settings file, reloaded on SIGHUP and when it has changed.
         make_process: Creates the process inside the event loop.
         only_check: Return once the settings are found to be valid.
     """
+    stamp = settings_file.read_stamp(path)
     settings = load_settings(cls, path)
     if only_check:
         return
     logs.configure(settings.log_level, settings.node)
-    sys.exit(asyncio.run(_run_until_stopped(settings, path, make_process)))
+    sys.exit(asyncio.run(_run_until_stopped(settings, path, stamp, make_process)))
 
 
 async def _run_until_stopped(
     settings: SettingsT,
     path: pathlib.Path,
+    stamp: settings_file.Stamp | None,
     make_process: collections.abc.Callable[[SettingsT], Process[SettingsT]],
 ) -> exit_codes.ExitCode:
     stop_requested = asyncio.Event()
@@ -91,7 +94,10 @@
         loop.add_signal_handler(signal_number, stop_requested.set)
     try:
         process = make_process(settings)
-        loop.add_signal_handler(signal.SIGHUP, _reload, process, type(settings), path)
+        reloader = settings_file.SettingsFile(
+            path, type(settings), stamp, process.reload
+        )
+        loop.add_signal_handler(signal.SIGHUP, reloader.reload)
         await process.start()
     except sockets.BindError as error:
         log.error(events.Event.BIND_FAILED, why=str(error))
@@ -100,7 +106,9 @@
     gc.set_threshold(GC_ALLOCATION_THRESHOLD)
     gc.enable()
     log.info(events.Event.STARTED, zone=settings.zone)
+    following = asyncio.create_task(reloader.follow())
     await stop_requested.wait()
+    following.cancel()
     log.info(events.Event.STOPPING)
     stop_requested.clear()
     stopping = asyncio.create_task(process.stop())
@@ -111,16 +119,3 @@
     await stopping
     log.info(events.Event.STOPPED)
     return exit_codes.ExitCode.OK
-
-
-def _reload(
-    process: Process[SettingsT], cls: type[SettingsT], path: pathlib.Path
-) -> None:
-    """Reload the settings file; keep the current settings if it is not valid."""
-    settings, found = base.load(cls, path)
-    if settings is None:
-        why = "; ".join(map(str, found))
-        log.error(events.Event.SETTINGS_REFUSED, path=str(path), why=why)
-        return
-    process.reload(settings)
-    log.info(events.Event.SETTINGS_RELOADED, path=str(path))
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -56,6 +56,7 @@
         self._executor: executor.ActionExecutor | None = None
         self._server = servers.Server(
             identifiers.ServiceName(settings.service),
+            settings.server,
             settings.heartbeat_milliseconds / 1000,
         )
         self._cold = cold_start.ColdStart(settings.cold_overage, settings.cold_slack)
@@ -112,6 +113,9 @@
         """Apply changed settings."""
         self._settings = settings
         self._node.reload(settings)
+        service = identifiers.ServiceName(settings.service)
+        if self._flows.configure_server(service, settings.server, self._loop.time()):
+            self._publish_server_state()
 
     def _read_gauges(self) -> dict[str, float]:
         load = self._flows.load
--- a/packages/cactushall-daemon/cactushall_daemon/packets/announcement_calls.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/announcement_calls.py
@@ -62,17 +62,27 @@
         try:
             announcement = calls.decode_announcement(server_id, body)
         except exceptions.DecodeError as error:
-            self._counters.add(counters.Counter.ANNOUNCEMENTS_REFUSED)
-            log.warning(events.Event.ANNOUNCEMENT_REFUSED, why=str(error))
-            return http.HTTPStatus.BAD_REQUEST
+            return self._refuse(str(error))
         latest = self._server.latest_announcement
         outcome = self._flows.handle_announcement(announcement, self._clock())
+        if outcome is servers.Outcome.FOREIGN:
+            return self._refuse(
+                f"heartbeat of {server_id}: names {announcement.service} at"
+                f" {announcement.address}, the settings name {self._server.service} at"
+                f" {self._server.address}"
+            )
         if outcome is servers.Outcome.APPLIED:
             _log_start(announcement, latest)
         elif latest is not None:
             self._record_ignored(announcement, latest)
         return http.HTTPStatus.OK
 
+    def _refuse(self, why: str) -> http.HTTPStatus:
+        """Count and log a heartbeat that names no backend server of this agent."""
+        self._counters.add(counters.Counter.ANNOUNCEMENTS_REFUSED)
+        log.warning(events.Event.ANNOUNCEMENT_REFUSED, why=why)
+        return http.HTTPStatus.BAD_REQUEST
+
     def _record_ignored(
         self, announcement: servers.Announcement, latest: servers.Announcement
     ) -> None:
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -16,6 +16,8 @@
 DROPPED_ROUTE_FLOW = FLOW._replace(service_port=8445)
 NO_ROUTE_FLOW = FLOW._replace(service_port=8446)
 OTHER_FLOW = FLOW._replace(caller_port=40_002)
+SERVER = addresses.Address("10.0.1.1", 8165)
+HEARTBEAT_SECONDS = 1.2
 CALLER_START = 1000
 SERVER_START = 70_000
 ENTRY = addresses.Address("10.0.0.1", 7735)
@@ -136,8 +138,22 @@
     )
 
 
-def announcement(number=1, server_id="s1", started=100, is_draining=False):
-    return servers.Announcement(server_id, started, number, SERVICE, 1, is_draining)
+def make_server(heartbeat_seconds=HEARTBEAT_SECONDS):
+    """Return the view of a backend server that has not announced itself yet."""
+    return servers.Server(SERVICE, SERVER, heartbeat_seconds)
+
+
+def announcement(
+    number=1,
+    server_id="s1",
+    started=100,
+    is_draining=False,
+    service=SERVICE,
+    address=SERVER,
+):
+    return servers.Announcement(
+        server_id, started, number, service, address, 1, is_draining
+    )
 
 
 def priority_table(*priorities, service=SERVICE, objective=0.0):
--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -14,7 +14,7 @@
 import random
 
 from cactushall_core import addresses
-from cactushall_core.flows import actions, agent, entry, messages, packets, servers
+from cactushall_core.flows import actions, agent, entry, messages, packets
 from cactushall_core.membership import records
 from tests.core.flows import builders
 
@@ -223,7 +223,7 @@
         if host.agent is not None:
             return
         host.start = next(self.start_numbers)
-        server = servers.Server(builders.SERVICE, 1.2)
+        server = builders.make_server(1.2)
         host.agent = agent.AgentFlows(server, self.now)
         host.agent.update_routes(self.table, self.now)
         for record in self.entry_records.values():
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -19,7 +19,7 @@
 
 @pytest.fixture
 def server():
-    return servers.Server(builders.SERVICE, HEARTBEAT_SECONDS)
+    return builders.make_server(HEARTBEAT_SECONDS)
 
 
 @pytest.fixture
@@ -376,6 +376,34 @@
     assert flows.handle_announcement(old, 1.1) is servers.Outcome.STALE
 
 
+def test_settings_that_change_the_service_end_what_was_known_of_the_server(
+    flows, server
+):
+    """Guards against requests that a server runs for the service it had before."""
+    open_flow(flows)
+    other = builders.OTHER_SERVICE
+    assert flows.configure_server(other, builders.SERVER, 2.0)
+    flow = builders.FLOW._replace(caller_port=50_000)
+    opening = builders.opening_packet(flow=flow)
+    decided = flows.handle_caller_packet(opening, builders.ENTRY, 2.0)
+    assert refusal_of(decided) is messages.Refusal.NO_ROUTE
+    unknown = builders.packet(flow=builders.OTHER_FLOW)
+    assert is_probe(flows.handle_lookup(unknown, builders.ENTRY, 2.0))
+    former = builders.announcement(2, is_draining=True)
+    outcome = flows.handle_announcement(former, 2.1)
+    assert outcome is servers.Outcome.FOREIGN
+    announced = builders.announcement(server_id="s2", service=other)
+    assert flows.handle_announcement(announced, 2.2) is servers.Outcome.APPLIED
+    assert server.state is servers.State.READY
+
+
+def test_settings_that_name_the_same_server_change_nothing(flows):
+    assert not flows.configure_server(builders.SERVICE, builders.SERVER, 2.0)
+    unknown = builders.packet(flow=builders.OTHER_FLOW)
+    (told,) = flows.handle_lookup(unknown, builders.ENTRY, 2.0)
+    assert told.basis is actions.DenialBasis.NEVER_TRACKED
+
+
 def test_load_counts_requests_until_their_first_answer(flows):
     open_flow(flows)
     asked = builders.packet(sequence=5_000, length=50)
--- a/tests/core/flows/test_cold_start.py
+++ b/tests/core/flows/test_cold_start.py
@@ -24,7 +24,6 @@
     messages,
     reports,
     routes,
-    servers,
 )
 from tests.core.flows import builders
 
@@ -62,7 +61,7 @@
     def __init__(self, now=0.0, limit=LIMIT, overage=OVERAGE, slack=SLACK):
         """Start the agent, which has the configuration, without an announcement."""
         self.cold = cold_start.ColdStart(overage, slack)
-        server = servers.Server(builders.SERVICE, HEARTBEAT_SECONDS)
+        server = builders.make_server(HEARTBEAT_SECONDS)
         self.flows = agent.AgentFlows(server, now, self.cold)
         self.flows.update_routes(route_table(limit), now)
         self.server = server
--- a/tests/core/flows/test_hedging.py
+++ b/tests/core/flows/test_hedging.py
@@ -469,7 +469,7 @@
 
 
 def make_agent():
-    server = servers.Server(builders.SERVICE, 1.2)
+    server = builders.make_server(1.2)
     made = agent.AgentFlows(server, 0.0)
     table = builders.route_table(repeatability=flow_routes.Repeatability.IDEMPOTENT)
     made.update_routes(table, 0.0)
--- a/tests/core/flows/test_held_flows.py
+++ b/tests/core/flows/test_held_flows.py
@@ -16,7 +16,6 @@
     lookups,
     messages,
     packets,
-    servers,
 )
 from cactushall_core.membership import records
 from tests.core.flows import builders
@@ -133,7 +132,7 @@
 
 
 def make_agent(first_number=1):
-    made = agent.AgentFlows(servers.Server(builders.SERVICE, 1.0), 0.0)
+    made = agent.AgentFlows(builders.make_server(1.0), 0.0)
     made.update_routes(builders.route_table(), 0.0)
     made.update_member(builders.entry_record(1))
     made.handle_announcement(builders.announcement(first_number), 0.0)
--- a/tests/core/flows/test_restarted_fleet.py
+++ b/tests/core/flows/test_restarted_fleet.py
@@ -20,7 +20,6 @@
     messages,
     packets,
     preference,
-    servers,
 )
 from tests.core.flows import builders
 
@@ -52,7 +51,7 @@
         for number in range(agent_count):
             record = numbered_record(number)
             self.entry.update_member(record, 0.0)
-            made = agent.AgentFlows(servers.Server(builders.SERVICE, 1.0), 0.0)
+            made = agent.AgentFlows(builders.make_server(1.0), 0.0)
             made.handle_announcement(builders.announcement(5), 0.0)
             self.agents[record.member.control_address] = made
         self.entry.update_completeness(builders.COMPLETE, 0.0)
--- a/tests/core/flows/test_zone_effects.py
+++ b/tests/core/flows/test_zone_effects.py
@@ -16,7 +16,6 @@
     entry,
     messages,
     packets,
-    servers,
     slow_start,
 )
 from tests.core.flows import builders
@@ -197,7 +196,7 @@
 
 @pytest.fixture
 def at_agent():
-    made = agent.AgentFlows(servers.Server(builders.SERVICE, 1.2), 0.0)
+    made = agent.AgentFlows(builders.make_server(1.2), 0.0)
     made.update_routes(builders.route_table(), 0.0)
     made.handle_announcement(builders.announcement(), 0.0)
     return made
@@ -235,7 +234,7 @@
 
 
 def test_it_declines_an_opening_of_a_flow_that_was_only_probed(at_agent):
-    restarted = agent.AgentFlows(servers.Server(builders.SERVICE, 1.2), 0.0)
+    restarted = agent.AgentFlows(builders.make_server(1.2), 0.0)
     restarted.update_routes(builders.route_table(), 0.0)
     restarted.handle_announcement(builders.announcement(number=20), 0.0)
     restarted.handle_lookup(builders.packet(), builders.ENTRY, NOW)
@@ -273,7 +272,7 @@
 
 
 def test_an_opening_queued_before_the_first_configuration_is_declined():
-    flows = agent.AgentFlows(servers.Server(builders.SERVICE, 1.2), 0.0)
+    flows = agent.AgentFlows(builders.make_server(1.2), 0.0)
     flows.handle_announcement(builders.announcement(), 0.0)
     assert open_at(flows, now=0.1) == []
     flows.update_evacuated(True)
--- a/tests/daemon/packets/test_agent_process.py
+++ b/tests/daemon/packets/test_agent_process.py
@@ -65,8 +65,18 @@
 
 
 async def announce(agent):
-    heartbeat = {"service": "board", "state": "ready", "seq_no": 1, "born": 100}
-    body = json.dumps(heartbeat | {"cold_left_ms": 60_000}).encode()
+    heartbeat = {
+        "service": "board",
+        "address": str(agent["server"]),
+        "zone": "attica-a",
+        "version": "v1",
+        "slots": 1,
+        "state": "ready",
+        "cold_left_ms": 60_000,
+        "seq_no": 1,
+        "born": 100,
+    }
+    body = json.dumps(heartbeat).encode()
     address = agent["announcements"]
     target = "/api/instances/i-1"
     response = await http_calls.call(address, "PUT", target, body, CALL_SECONDS)
--- a/tests/daemon/packets/test_announcement_calls.py
+++ b/tests/daemon/packets/test_announcement_calls.py
@@ -8,7 +8,7 @@
 import pytest
 from structlog import testing
 
-from cactushall_core.flows import agent, servers
+from cactushall_core.flows import agent, messages, servers
 from cactushall_daemon import counters, events
 from cactushall_daemon.packets import announcement_calls
 from cactushall_rpc import http as http_calls
@@ -16,9 +16,10 @@
 
 HEARTBEAT_SECONDS = 1.2
 IGNORED = counters.Counter.ANNOUNCEMENTS_IGNORED
+REFUSED = counters.Counter.ANNOUNCEMENTS_REFUSED
 HEARTBEAT = {
     "service": str(builders.SERVICE),
-    "address": "10.0.1.1:8165",
+    "address": str(builders.SERVER),
     "zone": "a",
     "version": "v1",
     "slots": 2,
@@ -34,7 +35,7 @@
 
     def __init__(self):
         self.now = 0.0
-        self.server = servers.Server(builders.SERVICE, HEARTBEAT_SECONDS)
+        self.server = builders.make_server(HEARTBEAT_SECONDS)
         self.flows = agent.AgentFlows(self.server, self.now)
         self.counters = counters.Counters()
         self.announced = 0
@@ -91,3 +92,33 @@
     (line,) = [x for x in lines if x["event"] is events.Event.ANNOUNCEMENT_IGNORED]
     assert (line["server"], line["latest"]) == ("s1", "s2")
     assert dict(beside.counters.items())[IGNORED] == 2
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"service": str(builders.OTHER_SERVICE)},
+        {"service": "no-service-of-the-site"},
+        {"address": "10.0.1.2:8165"},
+    ],
+)
+def test_a_heartbeat_of_another_writer_does_not_redirect_a_server(beside, change):
+    """Guards against requests that are run by a service their route never led to."""
+    beside.put()
+    assert beside.put("s2", born=200, **change) == http.HTTPStatus.BAD_REQUEST
+    assert beside.server.service == builders.SERVICE
+    assert beside.put(seq_no=2, state="draining") == http.HTTPStatus.OK
+    assert beside.server.state is servers.State.DRAINING
+    assert dict(beside.counters.items())[REFUSED] == 1
+
+
+def test_a_heartbeat_of_another_service_is_no_first_one(beside):
+    """Guards against an agent that starts and takes another writer's service."""
+    status = beside.put(service=str(builders.OTHER_SERVICE))
+    assert status == http.HTTPStatus.BAD_REQUEST
+    assert beside.server.state is servers.State.UNKNOWN
+    beside.flows.update_routes(builders.route_table(builders.OTHER_SERVICE), 0.0)
+    (told,) = beside.flows.handle_caller_packet(
+        builders.opening_packet(), builders.ENTRY, 0.0
+    )
+    assert told.message.refusal is messages.Refusal.NO_ROUTE
--- a/tests/daemon/packets/test_evacuations.py
+++ b/tests/daemon/packets/test_evacuations.py
@@ -314,9 +314,9 @@
         "service": "board",
         "heartbeat_milliseconds": 400,
     }
-    ports = ("packet_address", "readiness_address", "server", "from_server")
+    ports = ("packet_address", "readiness_address", "from_server", "announcements")
     values |= {name: f"{FIRST}:{n}" for n, name in enumerate(ports, 4)}
-    values["announcements"] = f"{FIRST}:9"
+    values["server"] = str(builders.SERVER)
     cls = packet_schema.PacketAgentSettings
     process = agent_process.AgentProcess(fleets.load_settings(tmp_path, cls, values))
     process._flows.update_routes(builders.route_table(), 0.0)
--- a/tests/daemon/packets/test_second_offers.py
+++ b/tests/daemon/packets/test_second_offers.py
@@ -90,7 +90,7 @@
         tmp_path,
         packet_schema.PacketAgentSettings,
         service="board",
-        server=f"{HOST}:8175",
+        server=str(builders.SERVER),
         from_server=f"{HOST}:8176",
         announcements=f"{HOST}:8177",
         heartbeat_milliseconds=400,
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cactushall_core import exceptions
+from cactushall_core import addresses, exceptions
 from cactushall_core.flows import packets, routes
 from cactushall_platform import calls, configuration
 
@@ -43,6 +43,7 @@
 HEARTBEAT = {
     "service": "one",
     "address": "10.128.0.9:8080",
+    "zone": "a",
     "version": "v1",
     "slots": 2,
     "state": "ready",
@@ -144,6 +145,7 @@
     assert announcement.id == "i-1"
     assert announcement.started_ms == 1234
     assert announcement.number == 4
+    assert announcement.address == addresses.Address("10.128.0.9", 8080)
     assert announcement.slots == 2
     assert announcement.cold_seconds == pytest.approx(0.5)
     assert not announcement.is_draining
@@ -151,7 +153,17 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"state": "resting"}, {"seq_no": "four"}, {"service": None}, {"state": 3}],
+    [
+        {"state": "resting"},
+        {"seq_no": "four"},
+        {"service": None},
+        {"state": 3},
+        {"address": 8080},
+        {"address": "10.128.0.9"},
+        {"address": "10.128.0.9:80800"},
+        {"zone": None},
+        {"version": 1},
+    ],
 )
 def test_a_malformed_heartbeat_is_refused(change):
     body = json.dumps(HEARTBEAT | change).encode()
@@ -159,6 +171,27 @@
         calls.decode_announcement("i-1", body)
 
 
+@pytest.mark.parametrize("field", [name for name in HEARTBEAT if name != "born"])
+def test_a_heartbeat_of_another_writer_without_a_field_is_refused(field):
+    """Guards against another writer's heartbeat that redirects a backend server."""
+    rest = {name: value for name, value in HEARTBEAT.items() if name != field}
+    with pytest.raises(exceptions.DecodeError):
+        calls.decode_announcement("i-1", json.dumps(rest).encode())
+
+
+@pytest.mark.parametrize(
+    "heartbeat",
+    [
+        {name: value for name, value in HEARTBEAT.items() if name != "born"},
+        HEARTBEAT | {"capacity": 3, "labels": {"rack": "r1"}},
+    ],
+)
+def test_a_heartbeat_that_the_protocol_allows_is_accepted(heartbeat):
+    """Guards against refusing one without `born`, or with fields that are new."""
+    announcement = calls.decode_announcement("i-1", json.dumps(heartbeat).encode())
+    assert announcement.service == "one"
+
+
 def test_other_paths_contain_no_server_id():
     assert calls.parse_server_id("/api/instances/") is None
     assert calls.parse_server_id("/other") is None
--- a/tests/standins/load_site.py
+++ b/tests/standins/load_site.py
@@ -450,7 +450,7 @@
 
     def _start_agent(self, number):
         service = self.plan.service_of(number)
-        server = servers.Server(service, HEARTBEAT_SECONDS)
+        server = servers.Server(service, builders.SERVER, HEARTBEAT_SECONDS)
         made = self.make_agent(server)
         self._agents[number] = made
         self._reporters[number] = reports.LoadReporter(self.now)
@@ -460,6 +460,7 @@
             start,
             1,
             service,
+            builders.SERVER,
             self.plan.slots,
             False,
             max(0.0, self._servers[number].cold_until - self.now),
