Silence of seeds is no evidence that the whole fleet has just started

Cause: 3 s after its start a process took contact points that do not answer for gone. During an outage a new process has nobody to ask but its seeds, which may all be stale; the leases of the fleet's contact points had ended, so that the list in the store named only the other new process. Ruled out: that the entry concluded by itself; that only the end of the search with the first member is at fault (the list held nobody else). Change: silence counts only from when the store's list was read, for 3 s; before, seeds have to answer for the most part. The store keeps the latest holder of each contact slot without a lease, so that its list outlives an outage. Contact points renew leases every 2 s (10 s before), and an entry reads the list until its table is complete. Opposite fault: a fleet that starts with stale seeds, with and without stale entries in the list, becomes complete (two new cases on real sockets, within their 6 s). Without the store and with most seeds gone it waits for the store: entries place flows meanwhile and reset none.

--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -3,7 +3,9 @@
 A member that has just started, was paused or was cut off has missed updates. It asks
 others for their tables until one that is complete itself has answered and had heard of
 it before through others: from then on it receives all updates. Where a whole fleet
-starts, no member is complete, and the first ones have to go by time.
+starts, no member is complete, and the first ones have to go by time. Contact points
+that do not answer may belong to a fleet that runs, so their silence counts only once
+the list in the store is known, which outlives its fleet.
 """
 
 from __future__ import annotations
@@ -57,6 +59,7 @@
         answers: Number of members that have answered.
         asked_seconds: Time between the first question and the evidence.
         obtained_at: When it was obtained.
+        silent_contacts: In a cold start, number of contact points without an answer.
     """
 
     basis: Basis
@@ -64,6 +67,7 @@
     answers: int
     asked_seconds: float
     obtained_at: float
+    silent_contacts: int = 0
 
 
 class Completeness:
@@ -90,6 +94,8 @@
         self._evidence: Evidence | None = None
         self._incomplete_since = now
         self._last_new_member_at = now
+        # When the list of contact points in the store became known.
+        self._contacts_listed_at: float | None = None
         self._answers: dict[addresses.Address, Answer] = {}
         self._in_progress: set[addresses.Address] = set()
         # Members that were asked before updates may have been missed.
@@ -112,10 +118,16 @@
         """Record that updates may have been missed until now."""
         self._evidence = None
         self._incomplete_since = now
+        self._contacts_listed_at = None
         self._answers.clear()
         self._asked_at.clear()
         self._outdated |= self._in_progress
 
+    def record_contacts_listed(self, now: float) -> None:
+        """Record that the contact points hold all that the store lists."""
+        if self._contacts_listed_at is None:
+            self._contacts_listed_at = now
+
     def handle_new_member(self, now: float, *, has_started_before: bool) -> None:
         """Record that a member was discovered.
 
@@ -213,14 +225,40 @@
             return
         if any(self._is_complete(member) for member in present):
             return
-        answered = self._answered()
-        is_enough = len(answered) >= COLD_START_ANSWERS
+        is_enough = len(self._answered()) >= COLD_START_ANSWERS
         if not is_enough and self._unanswered(present):
             return
-        without_answer = [address for address in contacts if address not in answered]
-        has_waited = seconds >= COLD_START_SILENT_CONTACTS_SECONDS
-        if is_enough or has_waited or len(answered) > len(without_answer):
-            self._conclude(Basis.COLD_START, now)
+        silent = len(self._without_answer(contacts))
+        if 2 * silent < len(contacts) or self._is_silence_explained(silent, now):
+            self._conclude(Basis.COLD_START, now, silent)
+
+    def _is_silence_explained(self, silent: int, now: float) -> bool:
+        """Return whether no silent contact point can belong to a fleet that runs.
+
+        The settings may name VMs that are gone while the fleet runs elsewhere, so
+        all that the store lists must have been asked for a while.
+
+        Args:
+            silent: Number of contact points that have not answered.
+            now: Current time in seconds.
+        """
+        if not silent:
+            return True
+        listed_at = self._contacts_listed_at
+        return (
+            listed_at is not None
+            and now - listed_at >= COLD_START_SILENT_CONTACTS_SECONDS
+        )
+
+    def _without_answer(
+        self, contacts: typing.Iterable[addresses.Address]
+    ) -> list[addresses.Address]:
+        """Return the contact points that have not answered."""
+        return [
+            address
+            for address in contacts
+            if self._answers.get(address, Answer.NONE) is Answer.NONE
+        ]
 
     def _answered(self) -> list[addresses.Address]:
         """Return the members that have answered, the latest last."""
@@ -241,13 +279,13 @@
         self._outdated.discard(source)
         return not is_outdated
 
-    def _conclude(self, basis: Basis, now: float) -> None:
+    def _conclude(self, basis: Basis, now: float, silent_contacts: int = 0) -> None:
         answered = self._answered()
         if not answered:
             return
         asked_seconds = now - self._incomplete_since
         self._evidence = Evidence(
-            basis, answered[-1], len(answered), asked_seconds, now
+            basis, answered[-1], len(answered), asked_seconds, now, silent_contacts
         )
 
     def _may_ask(self, address: addresses.Address, now: float) -> bool:
@@ -259,12 +297,7 @@
         self, contacts: typing.Iterable[addresses.Address], now: float
     ) -> list[addresses.Address]:
         """Return the contact points that have not answered and may be asked."""
-        return [
-            address
-            for address in contacts
-            if self._may_ask(address, now)
-            and self._answers.get(address, Answer.NONE) is Answer.NONE
-        ]
+        return [a for a in self._without_answer(contacts) if self._may_ask(a, now)]
 
     def _unanswered(
         self, present: typing.Sequence[records.Member]
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -256,6 +256,21 @@
         own = self._member.control_address
         self._exchange.set_contacts(address for address in contacts if address != own)
 
+    def record_contacts_listed(self, now: float) -> None:
+        """Record that the contact points hold all that the store lists."""
+        self._exchange.record_contacts_listed(now)
+
+    @property
+    def is_alone(self) -> bool:
+        """Whether no other member is believed to run."""
+        return self._table.present_count <= 1
+
+    @property
+    def needs_contacts(self) -> bool:
+        """Whether contact points may be listed that this member has to ask."""
+        decides_by_table = self._member.role is not records.Role.AGENT
+        return self.is_alone or (decides_by_table and not self.is_complete)
+
     def request_merge(self, address: addresses.Address) -> list[member_actions.Action]:
         """Exchange whole tables with a member of what may be another fleet."""
         request = self._exchange.make_request(self._own_record(), self.snapshot())
--- a/packages/cactushall-core/cactushall_core/membership/table_exchange.py
+++ b/packages/cactushall-core/cactushall_core/membership/table_exchange.py
@@ -58,6 +58,10 @@
         """Set the control addresses of other contact points."""
         self._contacts = tuple(contacts)
 
+    def record_contacts_listed(self, now: float) -> None:
+        """Record that the contact points hold all that the store lists."""
+        self._completeness.record_contacts_listed(now)
+
     def record_received(self, now: float) -> None:
         """Record that another member has sent a datagram."""
         self._last_received_at = now
--- a/packages/cactushall-core/cactushall_core/store.py
+++ b/packages/cactushall-core/cactushall_core/store.py
@@ -59,6 +59,18 @@
 Change = Entry | UnreadableEntry | Removal
 
 
+class Write(msgspec.Struct, frozen=True):
+    """A value to be written whatever the key held before.
+
+    Attributes:
+        key: The key.
+        value: Its new value.
+    """
+
+    key: bytes
+    value: bytes
+
+
 class Snapshot(msgspec.Struct, frozen=True):
     """Entries and the store revision after which a watch misses no change.
 
@@ -93,13 +105,20 @@
     async def get_prefix(self, prefix: bytes) -> Snapshot:
         """Return all entries whose keys start with a prefix."""
 
-    async def create(self, key: bytes, value: bytes, lease: LeaseId = NO_LEASE) -> bool:
+    async def create(
+        self,
+        key: bytes,
+        value: bytes,
+        lease: LeaseId = NO_LEASE,
+        beside: collections.abc.Sequence[Write] = (),
+    ) -> bool:
         """Create a key unless it exists.
 
         Args:
             key: The key.
             value: Its value.
             lease: The lease that deletes the key when it ends.
+            beside: Other keys to write, without the lease, if the key is created.
 
         Returns:
             Whether the key was created.
--- a/packages/cactushall-daemon/cactushall_daemon/contacts.py
+++ b/packages/cactushall-daemon/cactushall_daemon/contacts.py
@@ -1,7 +1,9 @@
 """Contact points: members whose addresses the store lists for joining processes.
 
 Each availability zone has a few slots in the store; a contact point holds one
-of them by a lease.
+of them by a lease. Leases end where the store is down for long; the latest holder of
+each slot is listed besides, so that a joining process does not take a fleet for gone
+whose leases have ended.
 """
 
 from __future__ import annotations
@@ -20,7 +22,8 @@
 
 SLOTS_PER_ZONE = 3
 LEASE_SECONDS = 30
-KEEP_ALIVE_SECONDS = 10.0
+# Contact points whose leases have ended are back so soon after the store is.
+KEEP_ALIVE_SECONDS = 2.0
 RETRY_SECONDS = 2.0
 
 StoreResultCallback = collections.abc.Callable[[Exception | None], None]
@@ -33,10 +36,29 @@
     lease: store.LeaseId
 
 
-async def read_addresses(
+class StoredContacts(msgspec.Struct, frozen=True):
+    """Addresses that the store lists, by their keys.
+
+    Attributes:
+        current: The contact points.
+        latest: The latest holders of all slots, by the key of the slot; they may be
+            gone.
+    """
+
+    current: dict[bytes, addresses.Address]
+    latest: dict[bytes, addresses.Address]
+
+    @property
+    def all_addresses(self) -> list[addresses.Address]:
+        """All addresses, each once, those of contact points first."""
+        listed = (*self.current.values(), *self.latest.values())
+        return list(dict.fromkeys(listed))
+
+
+async def read(
     client: store.Store, on_unreadable: unreadable_entries.Reporter
-) -> list[addresses.Address]:
-    """Return the addresses of all contact points.
+) -> StoredContacts:
+    """Read the contact points.
 
     Args:
         client: The store.
@@ -46,22 +68,32 @@
     Raises:
         StoreUnavailableError: The store did not respond.
     """
-    snapshot = await client.get_prefix(store_keys.CONTACT_PREFIX)
-    contact_addresses = []
+    return _decode(await client.get_prefix(store_keys.CONTACTS), on_unreadable)
+
+
+def _decode(
+    snapshot: store.Snapshot, on_unreadable: unreadable_entries.Reporter
+) -> StoredContacts:
+    found = StoredContacts({}, {})
     for entry in snapshot.entries:
         try:
-            contact_addresses.append(addresses.parse(entry.value.decode()))
+            address = addresses.parse(entry.value.decode())
         except ValueError as error:
-            on_unreadable(entry.key.decode(), str(error))
-    return contact_addresses
+            on_unreadable(entry.key.decode(errors="replace"), str(error))
+            continue
+        if entry.key.startswith(store_keys.LATEST_HOLDER_PREFIX):
+            found.latest[entry.key] = address
+        elif entry.key.startswith(store_keys.CONTACT_PREFIX):
+            found.current[entry.key] = address
+    return found
 
 
 async def read_if_available(
     client: store.Store,
     on_unreadable: unreadable_entries.Reporter,
     record_store_result: StoreResultCallback,
-) -> list[addresses.Address]:
-    """Return the addresses of all contact points, none if the store is unavailable.
+) -> StoredContacts | None:
+    """Read the contact points, None if the store is unavailable.
 
     Args:
         client: The store.
@@ -70,10 +102,10 @@
         record_store_result: Called with the error if the store did not respond.
     """
     try:
-        return await read_addresses(client, on_unreadable)
+        return await read(client, on_unreadable)
     except exceptions.StoreUnavailableError as error:
         record_store_result(error)
-        return []
+        return None
 
 
 async def claim_slot(
@@ -92,21 +124,41 @@
     Raises:
         StoreUnavailableError: The store did not respond.
     """
-    snapshot = await client.get_prefix(store_keys.CONTACT_PREFIX)
-    taken = {entry.key for entry in snapshot.entries}
-    slots = (store_keys.contact(member.zone, slot) for slot in range(SLOTS_PER_ZONE))
-    free = [key for key in slots if key not in taken]
+    snapshot = await client.get_prefix(store_keys.CONTACTS)
+    free = _free_slots(snapshot, member, address)
     if not free:
         return None
     lease = await client.grant(LEASE_SECONDS)
     value = str(address).encode()
     for key in free:
-        if await client.create(key, value, lease):
+        latest = store.Write(store_keys.latest_holder(key), value)
+        if await client.create(key, value, lease, [latest]):
             return SlotClaim(key, lease)
     await client.revoke(lease)
     return None
 
 
+def _free_slots(
+    snapshot: store.Snapshot, member: records.Member, address: addresses.Address
+) -> list[bytes]:
+    """Return the free slots of a zone, in the order in which to claim them.
+
+    A slot that another member held last comes last: its address is overwritten.
+    """
+    values = {entry.key: entry.value for entry in snapshot.entries}
+    own = str(address).encode()
+
+    def is_of_another(key: bytes) -> bool:
+        return values.get(store_keys.latest_holder(key), own) != own
+
+    def is_unused(key: bytes) -> bool:
+        return store_keys.latest_holder(key) not in values
+
+    slots = (store_keys.contact(member.zone, slot) for slot in range(SLOTS_PER_ZONE))
+    free = [key for key in slots if key not in values]
+    return sorted(free, key=lambda key: (is_of_another(key), is_unused(key)))
+
+
 async def hold_slot(client: store.Store, claim: SlotClaim) -> None:
     """Renew the lease of a claim until it has expired.
 
--- a/packages/cactushall-daemon/cactushall_daemon/discovery.py
+++ b/packages/cactushall-daemon/cactushall_daemon/discovery.py
@@ -9,7 +9,8 @@
 from cactushall_daemon import contacts, gossip, unreadable_entries
 
 CHECK_SECONDS = 0.1
-STORE_READ_SECONDS = 0.4
+ALONE_READ_SECONDS = 0.4
+INCOMPLETE_READ_SECONDS = 1.0
 CONTACT_REFRESH_SECONDS = 10.0
 
 SettingsContacts = collections.abc.Callable[[], list[addresses.Address]]
@@ -40,16 +41,18 @@
         self._on_unreadable = on_unreadable
         self._record_store_result = record_store_result
         self._settings_contacts = settings_contacts
+        self._stored: list[addresses.Address] = []
 
     async def run(self) -> None:
-        """Look for contact points whenever no other member is known."""
+        """Look for contact points while some members may not be known."""
         loop = asyncio.get_running_loop()
         next_read_at = loop.time()
         while True:
-            if self._is_alone() and loop.time() >= next_read_at:
-                self._gossip.set_contacts(self._settings_contacts())
-                self._gossip.set_contacts(await self._find())
-                next_read_at = loop.time() + STORE_READ_SECONDS
+            if loop.time() >= next_read_at and self._gossip.membership.needs_contacts:
+                await self._look_for_contacts()
+                is_alone = self._gossip.membership.is_alone
+                pause = ALONE_READ_SECONDS if is_alone else INCOMPLETE_READ_SECONDS
+                next_read_at = loop.time() + pause
             await asyncio.sleep(CHECK_SECONDS)
 
     async def refresh(self) -> None:
@@ -58,15 +61,22 @@
             await asyncio.sleep(CONTACT_REFRESH_SECONDS)
             table = self._gossip.membership.table
             known = {r.member.control_address for r in table if r.is_present}
-            for address in await self._find():
+            found = await self._read()
+            current = found.current.values() if found is not None else ()
+            for address in (*self._settings_contacts(), *current):
                 if address not in known:
                     self._gossip.request_merge(address)
 
-    def _is_alone(self) -> bool:
-        return self._gossip.membership.table.present_count <= 1
+    async def _look_for_contacts(self) -> None:
+        self._gossip.set_contacts([*self._settings_contacts(), *self._stored])
+        found = await self._read()
+        if found is None:
+            return
+        self._stored = found.all_addresses
+        self._gossip.set_contacts([*self._settings_contacts(), *self._stored])
+        self._gossip.record_contacts_listed()
 
-    async def _find(self) -> list[addresses.Address]:
-        stored = await contacts.read_if_available(
+    async def _read(self) -> contacts.StoredContacts | None:
+        return await contacts.read_if_available(
             self._store, self._on_unreadable, self._record_store_result
         )
-        return [*self._settings_contacts(), *stored]
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -165,6 +165,10 @@
         """Set the control addresses of contact points."""
         self._membership.set_contacts(contacts)
 
+    def record_contacts_listed(self) -> None:
+        """Record that the contact points hold all that the store lists."""
+        self._membership.record_contacts_listed(self._loop.time())
+
     def request_merge(self, address: addresses.Address) -> None:
         """Exchange whole tables with a member of what may be another fleet."""
         self._execute(self._membership.request_merge(address))
@@ -294,6 +298,7 @@
                 basis=evidence.basis.value,
                 contact=str(evidence.source),
                 answers=evidence.answers,
+                silent_contacts=evidence.silent_contacts,
                 asked_seconds=round(evidence.asked_seconds, 4),
                 members=members,
             )
--- a/packages/cactushall-rpc/cactushall_rpc/store.py
+++ b/packages/cactushall-rpc/cactushall_rpc/store.py
@@ -67,7 +67,11 @@
         return await self._get_range(request)
 
     async def create(
-        self, key: bytes, value: bytes, lease: store.LeaseId = store.NO_LEASE
+        self,
+        key: bytes,
+        value: bytes,
+        lease: store.LeaseId = store.NO_LEASE,
+        beside: collections.abc.Sequence[store.Write] = (),
     ) -> bool:
         """Create a key unless it exists.
 
@@ -75,6 +79,7 @@
             key: The key.
             value: Its value.
             lease: Lease whose end deletes the key, if any.
+            beside: Other keys to write, without the lease, if the key is created.
 
         Returns:
             Whether the key was created.
@@ -85,7 +90,9 @@
             key=key,
             create_revision=0,
         )
-        return await self._put_if_unchanged(compare, key, value, lease)
+        puts = [etcd_pb2.PutRequest(key=key, value=value, lease=lease)]
+        puts += [etcd_pb2.PutRequest(key=w.key, value=w.value) for w in beside]
+        return await self._put_if_unchanged(compare, puts)
 
     async def replace(self, key: bytes, value: bytes, mod_revision: int) -> bool:
         """Replace the value of a key by compare-and-swap.
@@ -105,7 +112,8 @@
             key=key,
             mod_revision=mod_revision,
         )
-        return await self._put_if_unchanged(compare, key, value, store.NO_LEASE)
+        put = etcd_pb2.PutRequest(key=key, value=value)
+        return await self._put_if_unchanged(compare, [put])
 
     async def grant(self, ttl_seconds: int) -> store.LeaseId:
         """Request a new lease from the store.
@@ -174,12 +182,10 @@
             return store.Snapshot(entries, response.header.revision)
 
     async def _put_if_unchanged(
-        self, compare: etcd_pb2.Compare, key: bytes, value: bytes, lease: store.LeaseId
+        self, compare: etcd_pb2.Compare, puts: list[etcd_pb2.PutRequest]
     ) -> bool:
-        put = etcd_pb2.PutRequest(key=key, value=value, lease=lease)
-        request = etcd_pb2.TxnRequest(
-            compare=[compare], success=[etcd_pb2.RequestOp(request_put=put)]
-        )
+        operations = [etcd_pb2.RequestOp(request_put=put) for put in puts]
+        request = etcd_pb2.TxnRequest(compare=[compare], success=operations)
         async with self._call() as channel:
             stub = etcd_grpc.KVStub(channel)
             response = await stub.Txn(request, timeout=CALL_TIMEOUT_SECONDS)
--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -6,7 +6,12 @@
 import pytest
 
 from cactushall_core.flows import cluster_view, lookup_state, lookups, query_queue
-from cactushall_core.membership import completeness, state, table_exchange
+from cactushall_core.membership import (
+    completeness,
+    records,
+    state,
+    table_exchange,
+)
 from tests.core.flows import builders, fleet
 
 AGENTS = 64
@@ -28,6 +33,8 @@
 # Soon after it, an entry that was isolated may not know yet who has joined.
 RECONNECTED_SECONDS = 0.3
 SHORT_SILENCE_SECONDS = 0.4
+# Longer than new members wait for contact points that do not answer.
+OUTAGE_SECONDS = 4.5
 LONG_SILENCE_SECONDS = 1.0
 
 
@@ -265,7 +272,24 @@
     check_answers(members)
 
 
+def new_members_have_stale_seeds(seed):
+    """An entry and an agent find only each other until the store lists the fleet."""
+    members = make_fleet(seed, SMALL_FLEET_AGENTS)
+    owners, fleet_seeds = members.agents, seeds_of(members)
+    gone = [members.make_member(records.Role.ENTRY).control_address for _ in range(3)]
+    started = members.start_entry(gone)
+    agent = members.start_agent([*gone, started.address])
+    add_callers(members, owners, started, OUTAGE_SECONDS)
+    members.run(OUTAGE_SECONDS)
+    for process in (started, agent):
+        listed = [*gone, *fleet_seeds, started.address]
+        process.membership.set_contacts(listed)
+        process.membership.record_contacts_listed(members.now)
+    check_answers(members)
+
+
 SCENARIOS = [
+    new_members_have_stale_seeds,
     entry_starts,
     entries_start_while_their_seed_is_silent,
     started_members_know_each_other_while_their_seed_is_silent,
@@ -402,6 +426,16 @@
     patch.setattr(completeness, "COLD_START_STABLE_SECONDS", 0.0)
 
 
+def silence_counts_although_the_store_has_listed_nothing(patch):
+    def is_silence_explained(self, _silent, now):
+        waited = now - self._incomplete_since
+        return waited >= completeness.COLD_START_SILENT_CONTACTS_SECONDS
+
+    patch.setattr(
+        completeness.Completeness, "_is_silence_explained", is_silence_explained
+    )
+
+
 def silent_contacts_are_not_asked_again(patch):
     original = completeness.Completeness._silent_contacts
 
@@ -448,6 +482,10 @@
         started_members_know_each_other_while_their_seed_is_silent,
     ),
     (silent_contacts_are_not_asked_again, entries_start_while_their_seed_is_silent),
+    (
+        silence_counts_although_the_store_has_listed_nothing,
+        new_members_have_stale_seeds,
+    ),
 ]
 
 
--- a/tests/core/test_completeness.py
+++ b/tests/core/test_completeness.py
@@ -340,6 +340,82 @@
     assert asker.basis is COLD_START
 
 
+# Contact points that do not answer.
+
+
+STALE_SEEDS = (90, 91, 92)
+WAIT = completeness.COLD_START_SILENT_CONTACTS_SECONDS
+
+
+def make_newcomer(*listed):
+    """Return a member that has met one other and whose seeds are gone.
+
+    Args:
+        *listed: Numbers of the contact points that the store lists.
+    """
+    asker = Asker(1, contacts=[address_of(n) for n in (*STALE_SEEDS, *listed)])
+    asker.answer(0, 0.1, is_complete=False, knew_sender=True)
+    for number in STALE_SEEDS:
+        asker.state.handle_failure(address_of(number), 0.1)
+    return asker
+
+
+def test_silence_of_stale_seeds_is_no_cold_start():
+    """Guards against new members that take each other for the whole fleet."""
+    asker = make_newcomer()
+    asker.tick(PATIENCE_SECONDS)
+    assert asker.basis is None
+
+
+def test_silence_counts_from_when_the_store_has_listed_contact_points():
+    """Guards against the time of an outage of the store that counts as silence."""
+    asker = make_newcomer()
+    asker.state.record_contacts_listed(10.0)
+    asker.tick(10.0 + WAIT - 0.01)
+    assert asker.basis is None
+    asker.state.record_contacts_listed(10.0 + WAIT - 0.01)
+    asker.tick(10.0 + WAIT)
+    assert asker.basis is COLD_START
+    assert asker.state.evidence.silent_contacts == len(STALE_SEEDS)
+
+
+def test_list_from_before_updates_were_missed_does_not_count():
+    asker = make_newcomer()
+    asker.state.record_contacts_listed(0.1)
+    asker.state.forget_evidence(10.0)
+    asker.answer(0, 10.1, is_complete=False, knew_sender=True)
+    asker.tick(PATIENCE_SECONDS)
+    assert asker.basis is None
+
+
+def test_answers_of_others_do_not_outvote_silent_contact_points():
+    """Guards against many new members that outnumber the seeds of one of them."""
+    asker = Asker(40, contacts=[address_of(number) for number in STALE_SEEDS])
+    asker.answer_all(0.1)
+    asker.tick(PATIENCE_SECONDS)
+    assert asker.basis is None
+
+
+def test_cold_start_when_most_contact_points_have_started():
+    """Guards against a fleet that starts while the store is away, and is not ready."""
+    asker = Asker(4, contacts=[address_of(0), address_of(1), address_of(90)])
+    asker.answer_all(0.1)
+    asker.tick(LATE)
+    assert asker.basis is COLD_START
+
+
+def test_listed_member_of_the_running_fleet_prevents_a_cold_start():
+    asker = make_newcomer(1, 2)
+    asker.present += [builders.make_agent(number).member for number in (1, 2)]
+    asker.state.record_contacts_listed(10.0)
+    for number in (1, 2):
+        asker.answer(number, 10.1, is_complete=True, knew_sender=False)
+    asker.tick(PATIENCE_SECONDS)
+    assert asker.basis is None
+    asker.answer(2, PATIENCE_SECONDS, is_complete=True, knew_sender=True)
+    assert asker.basis is COMPLETE_MEMBER
+
+
 # Pauses and isolation.
 
 
--- a/tests/daemon/packets/test_table_exchange.py
+++ b/tests/daemon/packets/test_table_exchange.py
@@ -2,22 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
 import http
 import json
 
 import pytest
 
-from cactushall_core import addresses
+from cactushall_core import addresses, identifiers
 from cactushall_core.membership import completeness, records
-from cactushall_daemon import counters, gossip
+from cactushall_daemon import contacts, counters, gossip
 from cactushall_daemon.config import packet_schema
 from cactushall_daemon.packets import entry_process, node
 from cactushall_platform import calls, configuration
 from cactushall_rpc import http as http_calls
+from cactushall_rpc import store_keys
 from tests.daemon import fleets
 from tests.standins import packet_site, platform_store
 
 CALL_SECONDS = 1.0
+ZONE = identifiers.ZoneName("attica-a")
+NEVER_SECONDS = 3600.0
 
 
 class Fleet:
@@ -44,7 +48,7 @@
         values = {
             "transport": "packets",
             "node": f"node-{host}",
-            "zone": "attica-a",
+            "zone": ZONE,
             "address": host,
             "gossip_port": self.gossip_port,
             "peer_port": self.peer_port,
@@ -223,3 +227,54 @@
 
     await fleets.wait_for(is_ready)
     assert await configuration_value()
+
+
+async def test_new_nodes_find_a_fleet_whose_contact_points_have_lapsed(
+    fleet, store, monkeypatch
+):
+    """Guards against new nodes that take each other for the whole fleet."""
+    monkeypatch.setattr(contacts, "KEEP_ALIVE_SECONDS", NEVER_SECONDS)
+    pair = await fleet.start_complete_pair(store.address)
+    pair[0].serve_as_contact()
+    await fleets.wait_until(lambda: store.leases)
+    store.fault = http.HTTPStatus.SERVICE_UNAVAILABLE
+    for lease in tuple(store.leases):
+        store.expire(lease)
+    absent, entry, agent = fleets.HOSTS[2:5]
+    recorders = [CompletenessRecorder(), CompletenessRecorder()]
+    for host, recorder in zip((entry, agent), recorders, strict=True):
+        recorder.node = await fleet.start_node(
+            host, [absent], recorder.record, store.address
+        )
+    recorders[0].node.serve_as_contact()
+    await asyncio.sleep(completeness.COLD_START_SILENT_CONTACTS_SECONDS)
+    assert [recorder.evidence for recorder in recorders] == [None, None]
+    store.fault = None
+    await fleets.wait_until(lambda: all(r.evidence is not None for r in recorders))
+    for recorder in recorders:
+        assert recorder.evidence.basis is completeness.Basis.COMPLETE_MEMBER
+        assert recorder.known_members >= {
+            node.gossip.membership.member.id for node in pair
+        }
+
+
+@pytest.mark.parametrize("is_listed", [False, True])
+async def test_a_fleet_that_starts_with_stale_seeds_becomes_complete(
+    fleet, store, is_listed
+):
+    """Guards against a whole fleet that waits for contact points that are gone."""
+    first, second, *absent = fleets.HOSTS[:6]
+    if is_listed:
+        for slot, host in enumerate(absent):
+            key = store_keys.latest_holder(store_keys.contact(ZONE, slot)).decode()
+            store.put(key, str(fleet.peer_address(host)).encode())
+    recorders = [CompletenessRecorder(), CompletenessRecorder()]
+    for host, recorder in zip((first, second), recorders, strict=True):
+        recorder.node = await fleet.start_node(
+            host, absent[:3], recorder.record, store.address
+        )
+        recorder.node.serve_as_contact()
+    await fleets.wait_until(lambda: all(r.evidence is not None for r in recorders))
+    assert recorders[0].known_members == recorders[1].known_members
+    bases = {recorder.evidence.basis for recorder in recorders}
+    assert completeness.Basis.COLD_START in bases
