A deeply nested value is refused like any other that cannot be read

Seen by operators of a like system: one odd entry among those of the endpoints, and the machines that read it end or follow nothing any more. Cause: decoders catch the error of the library; a value that is nested too deeply raises RecursionError, which nobody expects. Change: decoding.decode() is the one place that turns bytes of others into a message; it raises DecodeError for both. The store's answers are read through it too.

--- a/packages/cactushall-core/cactushall_core/configuration.py
+++ b/packages/cactushall-core/cactushall_core/configuration.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from cactushall_core import addresses, exceptions, findings, identifiers
+from cactushall_core import addresses, decoding, exceptions, findings, identifiers
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_NAME_LENGTH = 63
@@ -107,8 +107,8 @@
             f"{source}: {len(value)} bytes exceed the limit of {MAX_VALUE_BYTES}"
         )
     try:
-        configuration = _decoder.decode(value)
-    except msgspec.DecodeError as error:
+        configuration = decoding.decode(_decoder, value)
+    except exceptions.DecodeError as error:
         raise exceptions.ConfigurationError(f"{source}: {error}") from error
     found = validate(configuration, source)
     if findings.has_errors(found):
--- a/packages/cactushall-core/cactushall_core/handoff.py
+++ b/packages/cactushall-core/cactushall_core/handoff.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cactushall_core import exceptions, identifiers
+from cactushall_core import decoding, exceptions, identifiers
 
 VERSION = 1
 
@@ -227,10 +227,7 @@
     Raises:
         DecodeError: The bytes are malformed or of an unknown version.
     """
-    try:
-        state = _decoder.decode(data)
-    except msgspec.DecodeError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    state = decoding.decode(_decoder, data)
     if state.version != VERSION:
         raise exceptions.DecodeError(f"unknown flow state version {state.version}")
     return state
--- a/packages/cactushall-core/cactushall_core/membership/messages.py
+++ b/packages/cactushall-core/cactushall_core/membership/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cactushall_core import exceptions, identifiers, keys, signed_datagram, traffic
+from cactushall_core import decoding, identifiers, keys, signed_datagram, traffic
 from cactushall_core.membership import records, zone_states
 
 VERSION = 1
@@ -207,7 +207,4 @@
     Raises:
         DecodeError: The data is not a valid table.
     """
-    try:
-        return _table_decoder.decode(data)
-    except msgspec.DecodeError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    return decoding.decode(_table_decoder, data)
--- a/packages/cactushall-core/cactushall_core/once/epoch.py
+++ b/packages/cactushall-core/cactushall_core/once/epoch.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from cactushall_core import exceptions, identifiers
+from cactushall_core import decoding, identifiers
 
 MAX_FORMER_MEMBERS = 256
 
@@ -55,10 +55,7 @@
     Raises:
         DecodeError: The value is not a valid epoch.
     """
-    try:
-        return _decoder.decode(value)
-    except msgspec.DecodeError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    return decoding.decode(_decoder, value)
 
 
 def with_member(
--- a/packages/cactushall-core/cactushall_core/signed_datagram.py
+++ b/packages/cactushall-core/cactushall_core/signed_datagram.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from cactushall_core import exceptions, keys
+from cactushall_core import decoding, exceptions, keys
 
 TAG_BYTES = 8
 HEADER_BYTES = 1 + TAG_BYTES
@@ -65,7 +65,4 @@
     tag = datagram[1:HEADER_BYTES]
     if not authenticator.verify(datagram[0] & 0x0F, body, tag):
         raise exceptions.AuthenticationError("authentication tag is invalid")
-    try:
-        return decoder.decode(body)
-    except msgspec.DecodeError as error:
-        raise exceptions.DecodeError(str(error)) from error
+    return decoding.decode(decoder, body)
--- a/packages/cactushall-rpc/cactushall_rpc/where.py
+++ b/packages/cactushall-rpc/cactushall_rpc/where.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from cactushall_core import addresses, exceptions, identifiers
+from cactushall_core import addresses, decoding, exceptions, identifiers
 from cactushall_core.flows import explanation, packets, routes
 from cactushall_rpc import http as http_calls
 
@@ -102,6 +102,6 @@
         why = response.body.decode(errors="replace")
         raise WhereError(f"entry {entry} answers {response.status}: {why}")
     try:
-        return _decoder.decode(response.body)
-    except msgspec.DecodeError as error:
+        return decoding.decode(_decoder, response.body)
+    except exceptions.DecodeError as error:
         raise WhereError(f"entry {entry}: unreadable answer: {error}") from error
