An unexpected error ends neither what a process follows nor its periodic work

Found on the path of the odd entry: each task that is to run as long as its process ended at the first error that it did not expect, with one log line, while the process stayed up and ready. Looked at, one by one: following the configuration, looking for contact points, the contact slot and what runs beside it (its errors were not even logged), the traffic log; on the QUIC transport the ticks, epochs, moves and drains. The same held for periodic work that was scheduled again only after it had succeeded: the ticks of entries and agents, and gossip, after which others believe the member dead. A request for a table that ended so left its member never asked again. Change: Tasks.keep_running() starts such a task again after 1 s, logs the error with its trace and counts it (tasks_failed); periodic work is scheduled first; errors of callbacks are logged as event 1010. A lease that lapses while a slot is claimed is expected now. Not changed: what is known to be wrong is still refused where it is read; this is for the rest.

--- a/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/endpoint.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import functools
 import socket
 
 from aioquic.quic import configuration as quic_configuration
@@ -20,7 +21,7 @@
     steering,
     tunnel,
 )
-from cactushall_daemon import counters, events, logs, sockets
+from cactushall_daemon import counters, events, logs, sockets, tasks
 from cactushall_daemon.agent import (
     drain,
     epochs,
@@ -181,15 +182,16 @@
         """Moves of flows from other agents to this endpoint."""
         return self._incoming_moves
 
-    def start(self, spawn: collections.abc.Callable[..., None]) -> None:
+    def start(self, keep_running: collections.abc.Callable[[tasks.Run], None]) -> None:
         """Start the background tasks.
 
         Args:
-            spawn: Runs a coroutine as a task of the process.
+            keep_running: Runs a task as long as the process.
         """
-        spawn(self._outgoing_moves.run())
-        spawn(self._epochs.run(self._idempotency.registry))
-        spawn(self._drain.run(self.make_load_report))
+        registry = self._idempotency.registry
+        keep_running(self._outgoing_moves.run)
+        keep_running(functools.partial(self._epochs.run, registry))
+        keep_running(functools.partial(self._drain.run, self.make_load_report))
 
     def make_status(self) -> control_pb2.EndpointStatus:
         """Return the endpoint's status for operators."""
--- a/packages/cactushall-daemon/cactushall_daemon/agent/process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/process.py
@@ -88,9 +88,9 @@
         self._socket = sockets.bind_udp(own_address)
         sockets.receive_batches(self._socket, self._receive)
         await self._node.start()
-        self._node.spawn(self._run_ticks())
+        self._node.keep_running(self._run_ticks)
         for local_endpoint in self._endpoints.values():
-            local_endpoint.start(self._node.spawn)
+            local_endpoint.start(self._node.keep_running)
 
     def reload(self, settings: schema.AgentSettings) -> None:
         """Apply the contact points of changed settings."""
--- a/packages/cactushall-daemon/cactushall_daemon/commands/run.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/run.py
@@ -13,7 +13,7 @@
 import click
 
 from cactushall_core import findings
-from cactushall_daemon import events, exit_codes, logs, sockets
+from cactushall_daemon import events, exit_codes, logs, sockets, tasks
 from cactushall_daemon.commands import settings_file
 from cactushall_daemon.config import base, common
 
@@ -90,6 +90,7 @@
 ) -> exit_codes.ExitCode:
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(tasks.log_callback_failure)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     try:
--- a/packages/cactushall-daemon/cactushall_daemon/contacts.py
+++ b/packages/cactushall-daemon/cactushall_daemon/contacts.py
@@ -15,7 +15,7 @@
 
 from cactushall_core import addresses, exceptions, store
 from cactushall_core.membership import records
-from cactushall_daemon import events, logs, unreadable_entries
+from cactushall_daemon import events, logs, tasks, unreadable_entries
 from cactushall_rpc import store_keys
 
 log = logs.get_logger(__name__)
@@ -181,9 +181,7 @@
     member: records.Member,
     address: addresses.Address,
     record_store_result: StoreResultCallback,
-    make_coroutines: collections.abc.Callable[
-        [], list[collections.abc.Coroutine[None, None, None]]
-    ],
+    while_held: collections.abc.Sequence[tasks.Run],
 ) -> None:
     """Claim and hold a contact slot whenever one is free, until cancelled.
 
@@ -193,7 +191,7 @@
         address: The address that joining processes should use.
         record_store_result: Called after each claim with the error if the store did not
             respond, else with None.
-        make_coroutines: Returns the coroutines to run while a slot is held.
+        while_held: What to run while a slot is held.
     """
     while True:
         try:
@@ -203,13 +201,17 @@
             record_store_result(error)
             await asyncio.sleep(RETRY_SECONDS)
             continue
+        except store.LeaseExpiredError:
+            # It lapsed while the claim was under way.
+            await asyncio.sleep(RETRY_SECONDS)
+            continue
         if claim is None:
             await asyncio.sleep(LEASE_SECONDS)
             continue
         log.info(events.Event.CONTACT_CLAIMED, key=claim.key.decode())
-        tasks = [asyncio.create_task(coroutine) for coroutine in make_coroutines()]
+        running = [asyncio.create_task(run()) for run in while_held]
         try:
             await hold_slot(client, claim)
         finally:
-            for task in tasks:
+            for task in running:
                 task.cancel()
--- a/packages/cactushall-daemon/cactushall_daemon/counters.py
+++ b/packages/cactushall-daemon/cactushall_daemon/counters.py
@@ -25,6 +25,7 @@
     TUNNEL_REJECTED = "tunnel_datagrams_rejected"
     GOSSIP_REJECTED = "gossip_datagrams_rejected"
     GOSSIP_BYTES_SENT = "gossip_bytes_sent"
+    TASKS_FAILED = "tasks_failed"
     STORE_CALLS = "store_calls"
     STORE_ENTRIES_REFUSED = "store_entries_refused"
     FLOWS_OPENED = "flows_opened"
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -17,6 +17,7 @@
     SETTINGS_REFUSED = (1007, "changed settings refused")
     PAUSED = (1008, "process was paused")
     TRAFFIC = (1009, "bytes sent and received")
+    CALLBACK_FAILED = (1010, "callback of the event loop failed")
     MEMBER_CHANGED = (1101, "member changed")
     GOSSIP_REJECTED = (1104, "gossip datagram rejected")
     CONTACT_CLAIMED = (1105, "became a contact point")
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -225,12 +225,16 @@
         self._execute(self._membership.send_own_record(recipients))
 
     def _tick(self) -> None:
-        now = self.check_for_pause()
-        self._execute(self._membership.tick(now))
-        self._counters.set(
-            counters.Counter.GOSSIP_BYTES_SENT, self._membership.sent_bytes
-        )
-        self._timer = self._loop.call_at(self._membership.next_wakeup(now), self._tick)
+        now = self._loop.time()
+        try:
+            now = self.check_for_pause()
+            self._execute(self._membership.tick(now))
+            self._counters.set(
+                counters.Counter.GOSSIP_BYTES_SENT, self._membership.sent_bytes
+            )
+        finally:
+            wakeup = self._membership.next_wakeup(now)
+            self._timer = self._loop.call_at(wakeup, self._tick)
 
     def _receive(self, datagram: bytes, source: tuple[str, int]) -> None:
         sender = addresses.Address(source[0], source[1])
@@ -269,6 +273,7 @@
         data = messages.encode_exchange(self._authenticator, action.request)
         address = action.address
         self._count_table(traffic.Direction.SENT, data)
+        reply: messages.TableReply | None = None
         try:
             answer = await self._exchange(address, data)
             self._count_table(traffic.Direction.RECEIVED, answer)
@@ -279,11 +284,18 @@
                 contact=str(address),
                 why=str(error),
             )
-            now = self.check_for_pause()
-            self._execute(self._membership.handle_table_failure(address, now))
-            return
+        finally:
+            # After any error, so that the member can be asked again.
+            self._end_request(address, reply)
+
+    def _end_request(
+        self, address: addresses.Address, reply: messages.TableReply | None
+    ) -> None:
         now = self.check_for_pause()
-        self._execute(self._membership.handle_table_reply(address, reply, now))
+        if reply is None:
+            self._execute(self._membership.handle_table_failure(address, now))
+        else:
+            self._execute(self._membership.handle_table_reply(address, reply, now))
 
     def _count_table(self, direction: traffic.Direction, data: bytes) -> None:
         self._counters.traffic.add(direction, traffic.Kind.TABLES, len(data))
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import collections.abc
+import functools
 import secrets
 import time
 
@@ -90,7 +91,7 @@
         self._server_context = control_client.server_context(credentials)
         self._store = store.Store(tuple(settings.store))
         self._report_unreadable = unreadable_entries.make_reporter(self._counters)
-        self._tasks = tasks.Tasks()
+        self._tasks = tasks.Tasks(self._counters)
         self._follower = configuration_follower.ConfigurationFollower(
             self._store,
             store_keys.CONFIGURATION,
@@ -166,9 +167,9 @@
             )
         except OSError as error:
             raise sockets.BindError(f"cannot bind TCP {address}: {error}") from error
-        self.spawn(self._discovery.run())
+        self.keep_running(self._discovery.run)
         if self._settings.store:
-            self.spawn(self._serve_as_contact())
+            self.keep_running(self._serve_as_contact)
 
     def reload(self, settings: schema.NodeSettings) -> None:
         """Apply the contact points of changed settings."""
@@ -182,9 +183,9 @@
         self._control.close()
         await self._control.wait_closed()
 
-    def spawn(self, coroutine: collections.abc.Coroutine[object, object, None]) -> None:
-        """Run a background task until it ends or the process stops."""
-        self._tasks.spawn(coroutine)
+    def keep_running(self, run: tasks.Run) -> None:
+        """Run a background task as long as the process, anew after each error."""
+        self._tasks.keep_running(run)
 
     async def _request_table(self, address: addresses.Address, data: bytes) -> bytes:
         response = await self._client.synchronize(address, data)
@@ -199,7 +200,10 @@
             member,
             member.control_address,
             self._follower.record_store_result,
-            lambda: [self._follower.run(), self._discovery.refresh()],
+            [
+                functools.partial(self._tasks.run_again, run)
+                for run in (self._follower.run, self._discovery.refresh)
+            ],
         )
 
     def _adopt(self, adopted: ServiceConfiguration) -> None:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -138,6 +138,7 @@
         self._flows.update_evacuated(self._is_evacuated())
 
     def _tick(self) -> None:
+        self._loop.call_later(TICK_SECONDS, self._tick)
         now = self._loop.time()
         self._execute(self._flows.tick(now))
         if self._server.tick(now):
@@ -145,7 +146,6 @@
             self._publish_server_state()
         self._report_load(now)
         self._record_cold_start()
-        self._loop.call_later(TICK_SECONDS, self._tick)
 
     def _record_cold_start(self) -> None:
         declined = self._cold.declined
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -104,9 +104,9 @@
         return read_gauges(self._flows, self._loop.time())
 
     def _tick(self) -> None:
+        self._loop.call_later(TICK_SECONDS, self._tick)
         now = self._node.gossip.check_for_pause()
         self._execute(self._flows.tick(now))
-        self._loop.call_later(TICK_SECONDS, self._tick)
 
     def _receive(self, datagram: bytes, _source: tuple[str, int]) -> None:
         self._received_counter.value += 1
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import http
 import secrets
 import socket
@@ -119,7 +120,7 @@
         self._report_unreadable = unreadable_entries.make_reporter(self._counters)
         self._store = store.KeyValueStore(settings.store, self._report_unreadable)
         self._authenticator = messages.make_authenticator(tuple(settings.keys))
-        self._tasks = tasks.Tasks()
+        self._tasks = tasks.Tasks(self._counters)
         self._socket: socket.socket | None = None
         self._http_servers: list[asyncio.Server] = []
         self._evacuations = evacuation_follower.EvacuationFollower(
@@ -194,13 +195,13 @@
         address = self._gossip.membership.member.control_address
         self._socket = sockets.bind_udp(address)
         sockets.receive_batches(self._socket, self._receive)
-        self.spawn(self._discovery.run())
-        self.spawn(self._follower.run())
+        self._tasks.keep_running(self._discovery.run)
+        self._tasks.keep_running(self._follower.run)
         await self.serve(address, self._handle_peer_call)
         if self._metrics_address is not None:
             await self.serve(self._metrics_address, self._metrics.handle_call)
         if self._traffic_log_seconds > 0:
-            self.spawn(_log_traffic(self._counters.traffic, self._traffic_log_seconds))
+            self._tasks.keep_running(self._log_traffic)
 
     async def serve(
         self, address: addresses.Address, handler: http_calls.Handler
@@ -221,15 +222,16 @@
 
     def serve_as_contact(self) -> None:
         """Act as a contact point that new processes find in the store."""
+        self._tasks.keep_running(self._serve_contact_slot)
+
+    async def _serve_contact_slot(self) -> None:
         member = self._gossip.membership.member
-        self.spawn(
-            contacts.serve(
-                self._store,
-                member,
-                member.control_address,
-                self._follower.record_store_result,
-                lambda: [self._discovery.refresh()],
-            )
+        await contacts.serve(
+            self._store,
+            member,
+            member.control_address,
+            self._follower.record_store_result,
+            [functools.partial(self._tasks.run_again, self._discovery.refresh)],
         )
 
     def stop(self) -> None:
@@ -353,6 +355,18 @@
         self._gossip.membership.set_revision(route_table.revision)
         self._on_routes(route_table)
 
+    async def _log_traffic(self) -> None:
+        """Log the bytes of each interval by kind."""
+        interval = traffic.IntervalBytes(self._counters.traffic)
+        while True:
+            await asyncio.sleep(self._traffic_log_seconds)
+            grown = interval.take()
+            log.info(
+                events.Event.TRAFFIC,
+                sent_bytes=grown[traffic.Direction.SENT],
+                received_bytes=grown[traffic.Direction.RECEIVED],
+            )
+
     def _count_configuration(self, direction: traffic.Direction, value: bytes) -> None:
         self._counters.traffic.add(direction, traffic.Kind.CONFIGURATION, len(value))
 
@@ -392,16 +406,3 @@
         address, "POST", MEMBERS_PATH, data, TABLE_TIMEOUT_SECONDS
     )
     return response.body
-
-
-async def _log_traffic(counts: traffic.Traffic, interval_seconds: float) -> None:
-    """Log the bytes of each interval by kind."""
-    interval = traffic.IntervalBytes(counts)
-    while True:
-        await asyncio.sleep(interval_seconds)
-        grown = interval.take()
-        log.info(
-            events.Event.TRAFFIC,
-            sent_bytes=grown[traffic.Direction.SENT],
-            received_bytes=grown[traffic.Direction.RECEIVED],
-        )
--- a/packages/cactushall-daemon/cactushall_daemon/tasks.py
+++ b/packages/cactushall-daemon/cactushall_daemon/tasks.py
@@ -4,8 +4,15 @@
 
 import asyncio
 import collections.abc
+import typing
 
-from cactushall_daemon import events, logs
+from cactushall_daemon import counters, events, logs
+
+RESTART_SECONDS = 1.0
+
+Run = collections.abc.Callable[
+    [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
 
 log = logs.get_logger(__name__)
 
@@ -13,8 +20,13 @@
 class Tasks:
     """All background tasks of a process."""
 
-    def __init__(self) -> None:
-        """Create it without tasks."""
+    def __init__(self, process_counters: counters.Counters) -> None:
+        """Create it without tasks.
+
+        Args:
+            process_counters: The process's counters.
+        """
+        self._counters = process_counters
         self._tasks: set[asyncio.Task[None]] = set()
 
     def spawn(self, coroutine: collections.abc.Coroutine[object, object, None]) -> None:
@@ -23,6 +35,31 @@
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
 
+    def keep_running(self, run: Run) -> None:
+        """Run a task that is to run as long as the process, until all are cancelled.
+
+        Args:
+            run: Makes the coroutine, anew after each unexpected error.
+        """
+        self.spawn(self.run_again(run))
+
+    async def run_again(self, run: Run) -> None:
+        """Run a coroutine until it ends by itself, anew after each unexpected error.
+
+        An error ends the task and not the process, which would go on without it.
+
+        Args:
+            run: Makes the coroutine.
+        """
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self._record_failure(error)
+            else:
+                return
+            await asyncio.sleep(RESTART_SECONDS)
+
     def cancel(self) -> None:
         """Cancel all tasks."""
         for task in self._tasks:
@@ -35,5 +72,19 @@
 
     def _on_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error(events.Event.TASK_FAILED, why=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._record_failure(error)
+
+    def _record_failure(self, error: BaseException) -> None:
+        self._counters.add(counters.Counter.TASKS_FAILED)
+        log.error(events.Event.TASK_FAILED, why=repr(error), exc_info=error)
+
+
+def log_callback_failure(
+    _loop: asyncio.AbstractEventLoop, context: dict[str, typing.Any]
+) -> None:
+    """Log an error that a callback of the event loop has raised."""
+    error = context.get("exception")
+    why = context["message"] if error is None else repr(error)
+    log.error(events.Event.CALLBACK_FAILED, why=why, exc_info=error)
--- a/tests/daemon/packets/test_odd_entries.py
+++ b/tests/daemon/packets/test_odd_entries.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cactushall_daemon import counters, tasks
 from cactushall_platform import configuration
 from cactushall_rpc import store_keys
 from tests.daemon import fleets
@@ -72,3 +73,34 @@
     second = await fleet.start_node(SECOND, [FIRST], store_address=server.address)
     write_configuration(server, 3)
     await fleets.wait_until(lambda: revisions([first, second]) == [3, 3])
+    for node in (first, second):
+        assert counters.Counter.TASKS_FAILED not in dict(node.counters.items())
+
+
+@pytest.mark.parametrize("name", ["handle_snapshot", "handle_change"])
+async def test_a_failing_observer_does_not_end_the_following(
+    fleet, server, monkeypatch, name
+):
+    """Guards against one unexpected error after which no configuration is adopted."""
+    monkeypatch.setattr(tasks, "RESTART_SECONDS", 0.05)
+    node = await fleet.start_node(FIRST, [], store_address=server.address)
+    await fleets.wait_until(lambda: revisions([node]) == [1])
+    observer = node._follower._observer
+    original = getattr(observer, name)
+    failures = []
+
+    def fail_once(argument):
+        if not failures:
+            failures.append(argument)
+            raise KeyError("unexpected")
+        original(argument)
+
+    monkeypatch.setattr(observer, name, fail_once)
+    if name == "handle_snapshot":
+        # All keys are read again.
+        server.come_back_from(server.make_copy())
+    write_configuration(server, 2)
+    await fleets.wait_until(lambda: revisions([node]) == [2])
+    write_configuration(server, 3)
+    await fleets.wait_until(lambda: revisions([node]) == [3])
+    assert len(failures) == 1
--- a/tests/daemon/test_configuration_follower.py
+++ b/tests/daemon/test_configuration_follower.py
@@ -38,7 +38,7 @@
             lambda configuration: self.adopted.append(configuration.revision),
             self.fetch,
             lambda: 2,
-            tasks.Tasks(),
+            tasks.Tasks(counters.Counters()),
             counters.Counters(),
         )
 
@@ -128,7 +128,7 @@
         lambda configuration: log.append(("adopted", configuration.revision)),
         None,
         lambda: 2,
-        tasks.Tasks(),
+        tasks.Tasks(counters.Counters()),
         counters.Counters(),
     )
     observer = Observer(log)
@@ -194,7 +194,7 @@
         lambda configuration: None,
         None,
         lambda: 2,
-        tasks.Tasks(),
+        tasks.Tasks(counters.Counters()),
         counters.Counters(),
     )
     await follow(made)
