A log reader that is gone costs lines, and no task

Found while looking for what else ends a long-running task: a process writes its log to a pipe; once the reader has ended, each log call raised BrokenPipeError (a full disk: OSError) into the code that logs, which ended the task or the callback. Before and after: two new tests of test_logs.py failed with these errors; lines are counted as dropped now, as for a reader that is behind.

--- a/packages/cactushall-daemon/cactushall_daemon/logs.py
+++ b/packages/cactushall-daemon/cactushall_daemon/logs.py
@@ -1,7 +1,7 @@
 """Structured logs: one JSON object per line on standard output.
 
-Logging never blocks. Lines are dropped while the reader of standard output is behind,
-and while an event exceeds its rate limit; the next line has their count.
+Logging neither blocks nor fails. Lines are dropped while the reader of standard output is
+behind or gone, and while an event exceeds its rate limit; the next line has their count.
 """
 
 from __future__ import annotations
@@ -69,14 +69,19 @@
         self._dropped = 0
 
     def msg(self, message: str) -> None:
-        """Write one line, or drop it if writing would block."""
+        """Write one line, or drop it if writing would block or fails."""
         line = message.encode()
         if self._dropped:
             line = b'{"dropped_lines": %d, ' % self._dropped + line[1:]
         if not self._poll.poll(0):
             self._dropped += 1
             return
-        os.write(self._descriptor, line[: MAX_LINE_BYTES - 1] + b"\n")
+        try:
+            os.write(self._descriptor, line[: MAX_LINE_BYTES - 1] + b"\n")
+        except OSError:
+            # The reader is gone; nobody who logs must fail for it.
+            self._dropped += 1
+            return
         self._dropped = 0
 
     log = debug = info = warning = error = critical = exception = msg
--- a/tests/daemon/test_logs.py
+++ b/tests/daemon/test_logs.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import pathlib
 
 import pytest
 import structlog
@@ -48,3 +49,21 @@
     writer.msg(line)
     latest = json.loads(os.read(reading, 1 << 20))
     assert latest["dropped_lines"] == 1000 - received
+
+
+def test_a_reader_that_is_gone_costs_lines_only():
+    """Guards against a log line that ends the task which writes it."""
+    reading, writing = os.pipe()
+    writer = logs.LineWriter(writing)
+    os.close(reading)
+    writer.msg("{}")
+    writer.msg("{}")
+    assert writer._dropped == 2
+    os.close(writing)
+
+
+def test_lines_of_a_failed_disk_are_dropped():
+    with pathlib.Path("/dev/full").open("wb", buffering=0) as full:
+        writer = logs.LineWriter(full.fileno())
+        writer.msg("{}")
+    assert writer._dropped == 1
