A header of the store that is no UTF-8 does not end the calls

Same path: names and values of headers were decoded as UTF-8, outside the errors that the client of the store expects, so that an odd header (of a proxy on the way) ended the task that reads.

--- a/packages/cactushall-rpc/cactushall_rpc/http.py
+++ b/packages/cactushall-rpc/cactushall_rpc/http.py
@@ -18,6 +18,8 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 SERVER_IDLE_TIMEOUT_SECONDS = 60.0
 TCP_USER_TIMEOUT_MILLISECONDS = 2_000
+# Any bytes can be decoded so.
+HEADER_ENCODING = "latin-1"
 JSON_CONTENT_TYPE = "application/json"
 PROMETHEUS_CONTENT_TYPE = "text/plain; version=0.0.4"
 
@@ -203,7 +205,9 @@
             self.close()
         else:
             self._state.start_next_cycle()
-        headers = {name.decode(): value.decode() for name, value in head.headers}
+        headers = {
+            name.decode(): value.decode(HEADER_ENCODING) for name, value in head.headers
+        }
         return Response(head.status_code, response_body, headers=headers)
 
     def _encode_request(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -246,3 +246,23 @@
     changes = client.watch(KEY, 1)
     assert (await next_entry(changes)).value == b"old"
     await changes.aclose()
+
+
+async def test_an_answer_with_a_header_that_is_no_text_is_read():
+    """Guards against a proxy's header that ends the task which reads the store."""
+    body = b'{"items":[],"as_of":7}'
+    head = b"HTTP/1.1 200 OK\r\nX-Odd: \xff\xfe\r\nContent-Length: %d\r\n\r\n"
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head % len(body) + body)
+        await writer.drain()
+        writer.close()
+
+    listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+    address = addresses.Address(*listener.sockets[0].getsockname())
+    client = platform_store.KeyValueStore(address, lambda key, why: None)
+    snapshot = await client.get_prefix(b"op/")
+    assert snapshot.revision == 7
+    client.close()
+    listener.close()
