Numbers that no message can carry are refused where they are read

Cause: numbers were bounded by the decoder's types alone, which have no limit for integers. What passes goes into messages between nodes (64 bits), into times and into sizes. Evidence: test_a_number_that_no_message_can_carry_is_refused failed with OverflowError in the handler for slots, and for seq_no by silencing the true endpoint's later heartbeats; a version of 10^30 was adopted (two tests). Also two lines of a docstring that were too long since.

--- a/packages/cactushall-core/cactushall_core/configuration.py
+++ b/packages/cactushall-core/cactushall_core/configuration.py
@@ -124,6 +124,9 @@
         source: Where it came from, for error messages.
     """
     found: list[findings.Finding] = []
+    if not 0 <= configuration.revision <= decoding.MAX_INTEGER:
+        message = f"must be 0 to {decoding.MAX_INTEGER}"
+        found.append(_error(source, "revision", message))
     names: set[str] = set()
     names_by_address: dict[str, str] = {}
     for index, service in enumerate(configuration.services):
--- a/packages/cactushall-core/cactushall_core/decoding.py
+++ b/packages/cactushall-core/cactushall_core/decoding.py
@@ -8,6 +8,11 @@
 
 from cactushall_core import exceptions
 
+# The largest integer that messages between nodes can carry.
+MAX_INTEGER = 2**63 - 1
+
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
 MessageT = typing.TypeVar("MessageT")
 DecodedT = typing.TypeVar("DecodedT", covariant=True)
 
--- a/packages/cactushall-daemon/cactushall_daemon/logs.py
+++ b/packages/cactushall-daemon/cactushall_daemon/logs.py
@@ -1,7 +1,8 @@
 """Structured logs: one JSON object per line on standard output.
 
-Logging neither blocks nor fails. Lines are dropped while the reader of standard output is
-behind or gone, and while an event exceeds its rate limit; the next line has their count.
+Logging neither blocks nor fails. Lines are dropped while the reader of standard output
+is behind or gone, and while an event exceeds its rate limit; the next line has their
+count.
 """
 
 from __future__ import annotations
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -48,6 +48,14 @@
         configuration.decode(value, "store")
 
 
+@pytest.mark.parametrize("revision", [-1, 10**30])
+def test_a_revision_that_no_message_can_carry_is_refused(revision):
+    """Guards against a member that can send no datagram any more."""
+    value = configuration.encode(make_configuration(revision))
+    with pytest.raises(exceptions.ConfigurationError, match="revision"):
+        configuration.decode(value, "store")
+
+
 def test_oversized_value_is_refused():
     with pytest.raises(exceptions.ConfigurationError, match="exceed"):
         configuration.decode(b" " * (configuration.MAX_VALUE_BYTES + 1), "store")
--- a/tests/daemon/packets/test_announcement_calls.py
+++ b/tests/daemon/packets/test_announcement_calls.py
@@ -12,6 +12,7 @@
 from cactushall_daemon import counters, events
 from cactushall_daemon.packets import announcement_calls
 from cactushall_rpc import http as http_calls
+from tests.core import builders as core_builders
 from tests.core.flows import builders
 
 HEARTBEAT_SECONDS = 1.2
@@ -122,3 +123,14 @@
         builders.opening_packet(), builders.ENTRY, 0.0
     )
     assert told.message.refusal is messages.Refusal.NO_ROUTE
+
+
+@pytest.mark.parametrize("odd", [{"slots": 10**30}, {"seq_no": 10**30}])
+def test_a_number_that_no_message_can_carry_is_refused(beside, odd):
+    """Guards against an agent that can tell nobody of its load any more."""
+    beside.put()
+    assert beside.put(**({"seq_no": 2} | odd)) == http.HTTPStatus.BAD_REQUEST
+    report = messages.LoadReport(beside.flows.load)
+    messages.encode(messages.make_authenticator(core_builders.RING), report)
+    assert beside.put(seq_no=2, state="draining") == http.HTTPStatus.OK
+    assert beside.server.state is servers.State.DRAINING
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -138,6 +138,12 @@
     assert table.cold_limits == expected
 
 
+def test_a_version_that_no_message_can_carry_is_refused():
+    """Guards against a member that can send no datagram any more."""
+    with pytest.raises(exceptions.ConfigurationError):
+        decode(version=10**30)
+
+
 def test_a_heartbeat_is_decoded():
     body = json.dumps(HEARTBEAT).encode()
     assert calls.parse_server_id("/api/instances/i-1") == "i-1"
@@ -163,6 +169,16 @@
         {"address": "10.128.0.9:80800"},
         {"zone": None},
         {"version": 1},
+        {"seq_no": 10**30},
+        {"seq_no": -1},
+        {"slots": 10**30},
+        {"slots": calls.MAX_SLOTS + 1},
+        {"slots": -1},
+        {"born": 10**30},
+        {"born": -1},
+        {"cold_left_ms": 1e308},
+        {"cold_left_ms": calls.MAX_COLD_MILLISECONDS + 1},
+        {"cold_left_ms": -1},
     ],
 )
 def test_a_malformed_heartbeat_is_refused(change):
