A late heartbeat of a former start is no sight of the present one

Cause: an agent denies what it has not tracked if it has seen all flows since its server started. Any heartbeat of another start than the one before counted as such a start, also where the one before was a late one of a former server and the present one had run all the while. Ruled out: the late heartbeat alone (its number is not the first), and a server that counts as stopped. Change: only the first announcement of a start, at most 3 s old by the time of day, proves that all its flows were seen. So a first one that was held up proves nothing either.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -282,11 +282,10 @@
         self._meter.set_slots(announcement.slots)
         self._cold.handle_announcement(announcement, latest_announcement, now)
         self._update_cold_limit(now)
-        is_first = servers.is_first_since_start(announcement, latest_announcement)
-        if latest_announcement is None:
-            self._has_seen_all_flows = is_first
-        elif is_first:
-            self._forget_all()
+        if servers.is_other_start(announcement, latest_announcement):
+            if latest_announcement is not None:
+                self._forget_all()
+            self._has_seen_all_flows = servers.has_just_started(announcement)
         return outcome
 
     def tick(self, now: float) -> list[actions.Action]:
@@ -528,7 +527,6 @@
         for flow_id in list(self._flows):
             self._forget(flow_id)
         self._not_owned.clear()
-        self._has_seen_all_flows = True
 
     def _expire_queue(self, now: float) -> None:
         """Remove queued opening packets whose callers have given up."""
--- a/packages/cactushall-core/cactushall_core/flows/cold_start.py
+++ b/packages/cactushall-core/cactushall_core/flows/cold_start.py
@@ -93,7 +93,10 @@
             previous: The one before it, None if there was none.
             now: Current time in seconds.
         """
-        if servers.is_first_since_start(announcement, previous):
+        is_start = servers.is_other_start(announcement, previous)
+        if is_start and (
+            previous is not None or servers.has_just_started(announcement)
+        ):
             self._seen_start_at = now
         self._reported_until = now + announcement.cold_seconds
         self.update(now)
--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -12,6 +12,7 @@
 UNANSWERED_TIMEOUT_SECONDS = 0.3
 MAX_UNANSWERED = 2
 FIRST_ANNOUNCEMENT_NUMBER = 1
+FIRST_ANNOUNCEMENT_SECONDS = 3.0
 
 
 class State(enum.Enum):
@@ -48,6 +49,7 @@
         slots: Requests that it runs concurrently.
         is_draining: Whether it is draining before it stops.
         cold_seconds: Remaining time for which it is slow after its start.
+        age_seconds: Time since its start, by the time of day of its VM, which may jump.
     """
 
     id: str
@@ -58,6 +60,7 @@
     slots: int
     is_draining: bool
     cold_seconds: float = 0.0
+    age_seconds: float = 0.0
 
 
 class Server:
@@ -206,18 +209,24 @@
     return one.id == other.id and one.started_ms == other.started_ms
 
 
-def is_first_since_start(
-    announcement: Announcement, previous: Announcement | None
-) -> bool:
-    """Return whether an announcement tells of a start that has just been seen.
+def is_other_start(announcement: Announcement, previous: Announcement | None) -> bool:
+    """Return whether an announcement tells of a start that was not known before.
 
     Args:
         announcement: The announcement.
         previous: The one before it, None if there was none.
     """
-    if previous is None:
-        return announcement.number <= FIRST_ANNOUNCEMENT_NUMBER
-    return not is_same_start(announcement, previous)
+    return previous is None or not is_same_start(announcement, previous)
+
+
+def has_just_started(announcement: Announcement) -> bool:
+    """Return whether an announcement is the first one since a start, and not late.
+
+    A later one proves no start: what was heard before it may have been a late
+    announcement of a former start, of which this agent has seen nothing.
+    """
+    is_first = announcement.number <= FIRST_ANNOUNCEMENT_NUMBER
+    return is_first and abs(announcement.age_seconds) <= FIRST_ANNOUNCEMENT_SECONDS
 
 
 def _is_older(announcement: Announcement, latest: Announcement) -> bool:
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -5,6 +5,7 @@
 import asyncio
 import http
 import socket
+import time
 
 from msgspec import structs
 
@@ -77,6 +78,7 @@
             self._flows,
             self._node.counters,
             self._loop.time,
+            time.time,
             self._publish_server_state,
         )
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/announcement_calls.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/announcement_calls.py
@@ -23,6 +23,7 @@
         flows: agent.AgentFlows,
         process_counters: counters.Counters,
         clock: collections.abc.Callable[[], float],
+        time_of_day: collections.abc.Callable[[], float],
         on_announced: collections.abc.Callable[[], None],
     ) -> None:
         """Create it; nothing is bound or sent.
@@ -32,12 +33,14 @@
             flows: The agent's flows.
             process_counters: The process's counters.
             clock: Returns the current time in seconds.
+            time_of_day: Returns the current time in seconds since the epoch.
             on_announced: Called after each call that was understood.
         """
         self._server = server
         self._flows = flows
         self._counters = process_counters
         self._clock = clock
+        self._time_of_day = time_of_day
         self._on_announced = on_announced
         self._latest_ignored: servers.Announcement | None = None
 
@@ -60,7 +63,9 @@
 
     def _handle_heartbeat(self, server_id: str, body: bytes) -> http.HTTPStatus:
         try:
-            announcement = calls.decode_announcement(server_id, body)
+            announcement = calls.decode_announcement(
+                server_id, body, self._time_of_day()
+            )
         except exceptions.DecodeError as error:
             return self._refuse(str(error))
         latest = self._server.latest_announcement
@@ -116,4 +121,5 @@
         service=announcement.service,
         started_ms=announcement.started_ms,
         number=announcement.number,
+        age_seconds=round(announcement.age_seconds, 3),
     )
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -150,9 +150,17 @@
     is_draining=False,
     service=SERVICE,
     address=SERVER,
+    age_seconds=0.0,
 ):
     return servers.Announcement(
-        server_id, started, number, service, address, 1, is_draining
+        server_id,
+        started,
+        number,
+        service,
+        address,
+        1,
+        is_draining,
+        age_seconds=age_seconds,
     )
 
 
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -376,6 +376,48 @@
     assert flows.handle_announcement(old, 1.1) is servers.Outcome.STALE
 
 
+def test_late_heartbeat_of_a_former_start_is_no_sight_of_the_present_one(server):
+    """Guards against an agent that denies flows which its backend server holds."""
+    started = agent.AgentFlows(server, 0.0)
+    started.update_routes(builders.route_table(), 0.0)
+    started.handle_announcement(builders.announcement(7, "former"), 0.1)
+    started.handle_announcement(builders.announcement(9, "s2", started=200), 0.9)
+    assert is_probe(look_up(started, 1.0))
+    bounced = builders.bounced_packet(builders.packet())
+    assert started.handle_server_packet(bounced, 1.1) == [
+        denial(actions.DenialBasis.SERVER_DENIED)
+    ]
+    started.handle_announcement(builders.announcement(10, "s2", started=200), 2.0)
+    other = builders.packet(flow=builders.OTHER_FLOW)
+    decided = started.handle_lookup(other, builders.ENTRY, 2.1)
+    assert decided == [actions.DeliverToServer(other.datagram)]
+
+
+def test_flow_between_a_late_heartbeat_and_that_of_its_server_is_not_denied(server):
+    """Guards against a flow that is forgotten as one of the former start."""
+    started = agent.AgentFlows(server, 0.0)
+    started.update_routes(builders.route_table(), 0.0)
+    started.handle_announcement(builders.announcement(7, "former"), 0.1)
+    open_flow(started, 0.5)
+    started.handle_announcement(builders.announcement(9, "s2", started=200), 0.9)
+    assert is_probe(look_up(started, 1.0))
+
+
+@pytest.mark.parametrize("age_seconds", [4.0, -4.0])
+def test_a_late_first_heartbeat_is_no_sight_of_a_start(server, age_seconds):
+    """Guards against a first heartbeat that was held up while its agent restarted."""
+    started = agent.AgentFlows(server, 0.0)
+    started.update_routes(builders.route_table(), 0.0)
+    late = builders.announcement(1, "s1", age_seconds=age_seconds)
+    started.handle_announcement(late, 0.1)
+    assert is_probe(look_up(started, 0.2))
+
+
+def test_start_whose_first_heartbeat_was_lost_is_not_denied_for(flows):
+    flows.handle_announcement(builders.announcement(2, "s2", started=200), 2.0)
+    assert is_probe(look_up(flows, 2.1))
+
+
 def test_settings_that_change_the_service_end_what_was_known_of_the_server(
     flows, server
 ):
--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -33,7 +33,7 @@
 }
 # Documents of other writers, by what decodes them.
 JSON_DECODERS = {
-    "heartbeat": (lambda data: calls.decode_announcement("i-1", data), HEARTBEAT),
+    "heartbeat": (lambda data: calls.decode_announcement("i-1", data, 0.0), HEARTBEAT),
     "routes": (
         lambda data: platform_configuration.decode(data, "store"),
         packet_site.make_configuration(),
--- a/tests/daemon/packets/test_announcement_calls.py
+++ b/tests/daemon/packets/test_announcement_calls.py
@@ -16,6 +16,7 @@
 from tests.core.flows import builders
 
 HEARTBEAT_SECONDS = 1.2
+STARTED_SECONDS = 0.1
 IGNORED = counters.Counter.ANNOUNCEMENTS_IGNORED
 REFUSED = counters.Counter.ANNOUNCEMENTS_REFUSED
 HEARTBEAT = {
@@ -41,7 +42,12 @@
         self.counters = counters.Counters()
         self.announced = 0
         self._calls = announcement_calls.AnnouncementCalls(
-            self.server, self.flows, self.counters, lambda: self.now, self._count
+            self.server,
+            self.flows,
+            self.counters,
+            lambda: self.now,
+            lambda: STARTED_SECONDS + self.now,
+            self._count,
         )
 
     def put(self, server_id="s1", **changed):
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -40,6 +40,7 @@
     "services": [{"name": "one", "health_path": "/health", "tls": False}],
     "limits": {"idle_timeout_ms": 12000},
 }
+NOW = 3.5
 HEARTBEAT = {
     "service": "one",
     "address": "10.128.0.9:8080",
@@ -147,13 +148,14 @@
 def test_a_heartbeat_is_decoded():
     body = json.dumps(HEARTBEAT).encode()
     assert calls.parse_server_id("/api/instances/i-1") == "i-1"
-    announcement = calls.decode_announcement("i-1", body)
+    announcement = calls.decode_announcement("i-1", body, NOW)
     assert announcement.id == "i-1"
     assert announcement.started_ms == 1234
     assert announcement.number == 4
     assert announcement.address == addresses.Address("10.128.0.9", 8080)
     assert announcement.slots == 2
     assert announcement.cold_seconds == pytest.approx(0.5)
+    assert announcement.age_seconds == pytest.approx(NOW - 1.234)
     assert not announcement.is_draining
 
 
@@ -184,7 +186,7 @@
 def test_a_malformed_heartbeat_is_refused(change):
     body = json.dumps(HEARTBEAT | change).encode()
     with pytest.raises(exceptions.DecodeError):
-        calls.decode_announcement("i-1", body)
+        calls.decode_announcement("i-1", body, NOW)
 
 
 @pytest.mark.parametrize("field", [name for name in HEARTBEAT if name != "born"])
@@ -192,7 +194,7 @@
     """Guards against another writer's heartbeat that redirects a backend server."""
     rest = {name: value for name, value in HEARTBEAT.items() if name != field}
     with pytest.raises(exceptions.DecodeError):
-        calls.decode_announcement("i-1", json.dumps(rest).encode())
+        calls.decode_announcement("i-1", json.dumps(rest).encode(), NOW)
 
 
 @pytest.mark.parametrize(
@@ -204,8 +206,9 @@
 )
 def test_a_heartbeat_that_the_protocol_allows_is_accepted(heartbeat):
     """Guards against refusing one without `born`, or with fields that are new."""
-    announcement = calls.decode_announcement("i-1", json.dumps(heartbeat).encode())
+    announcement = calls.decode_announcement("i-1", json.dumps(heartbeat).encode(), NOW)
     assert announcement.service == "one"
+    assert ("born" in heartbeat) == (announcement.age_seconds > 0)
 
 
 def test_other_paths_contain_no_server_id():
