One odd heartbeat does not silence a server for good

Its own heartbeats counted as late from then on, for as long as the agent ran, and were acknowledged without effect, its draining too. A server that was started again after its VM's clock had been set back met the same. Cause: the time of start alone decided which of two starts is the present one. Change: a start that counts as the earlier one is heard again once the later one has been silent for three intervals and the earlier one has announced itself twice, with rising numbers, at least half an interval apart. A late heartbeat comes once or in a burst, and does neither. Until then such a heartbeat is answered with 409, since one that is acknowledged has to count. What the agent has seen of a start that it hears again is not known, so it asks its server about flows that it has not tracked. Beside it: a deregistration before any heartbeat was believed whatever its id; now it only makes the state unknown, until a heartbeat or a health check. Changed test: a late heartbeat of an earlier start has an outcome of its own now, and the test also checks that denials go on.

--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -9,6 +9,8 @@
 from cactushall_core import addresses, identifiers
 
 MISSED_HEARTBEATS = 3.0
+# Heartbeat intervals for which an earlier start has to announce itself.
+MIN_ANNOUNCING = 0.5
 UNANSWERED_TIMEOUT_SECONDS = 0.3
 MAX_UNANSWERED = 2
 FIRST_ANNOUNCEMENT_NUMBER = 1
@@ -28,12 +30,14 @@
     """Whether an announcement was applied.
 
     APPLIED: It describes the backend server from now on.
-    STALE: A later one is known.
+    STALE: A later one of the same start is known.
+    EARLIER_START: One of a later start is known.
     FOREIGN: It names another service or address than the settings.
     """
 
     APPLIED = "applied"
     STALE = "stale"
+    EARLIER_START = "earlier-start"
     FOREIGN = "foreign"
 
 
@@ -63,6 +67,13 @@
     age_seconds: float = 0.0
 
 
+class _EarlierStart(msgspec.Struct):
+    """A start that announces itself although a later one is known."""
+
+    latest: Announcement
+    first_heard_at: float
+
+
 class Server:
     """State of one backend server, from its announcements and its answers."""
 
@@ -84,6 +95,7 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._state = State.UNKNOWN
         self._latest_announcement: Announcement | None = None
+        self._earlier_start: _EarlierStart | None = None
         self._last_seen_at = float("-inf")
         self._unanswered = 0
         self._unanswered_since = 0.0
@@ -132,6 +144,7 @@
         self._address = address
         self._state = State.UNKNOWN
         self._latest_announcement = None
+        self._earlier_start = None
         self._unanswered = 0
         return True
 
@@ -146,22 +159,56 @@
             self._address,
         ):
             return Outcome.FOREIGN
-        if self._latest_announcement is not None and _is_older(
-            announcement, self._latest_announcement
-        ):
-            return Outcome.STALE
+        outdated = self._outdated(announcement, now)
+        if outdated is not None:
+            return outdated
+        self._earlier_start = None
         self._latest_announcement = announcement
         self._last_seen_at = now
         self._unanswered = 0
         self._state = State.DRAINING if announcement.is_draining else State.READY
         return Outcome.APPLIED
 
+    def _outdated(self, announcement: Announcement, now: float) -> Outcome | None:
+        """Return why an announcement does not count any more, None where it does."""
+        latest = self._latest_announcement
+        if latest is None:
+            return None
+        if is_same_start(announcement, latest):
+            return Outcome.STALE if announcement.number <= latest.number else None
+        is_earlier = announcement.started_ms < latest.started_ms
+        if is_earlier and not self._goes_on_alone(announcement, now):
+            return Outcome.EARLIER_START
+        return None
+
+    def _goes_on_alone(self, announcement: Announcement, now: float) -> bool:
+        """Return whether an earlier start is heard while the latest one is silent.
+
+        A late announcement comes once, or together with others. Times of start may be
+        wrong, after a clock was set back or in an announcement of another writer.
+        """
+        earlier = self._earlier_start
+        if earlier is None or not is_same_start(announcement, earlier.latest):
+            self._earlier_start = _EarlierStart(announcement, now)
+            return False
+        if announcement.number <= earlier.latest.number:
+            return False
+        earlier.latest = announcement
+        silence = now - self._last_seen_at
+        return (
+            now - earlier.first_heard_at >= MIN_ANNOUNCING * self._heartbeat_seconds
+            and silence > MISSED_HEARTBEATS * self._heartbeat_seconds
+        )
+
     def handle_stopped(self, server_id: str, now: float) -> None:
-        """Record that it stops now, unless the id is that of another backend server."""
-        if (
-            self._latest_announcement is None
-            or self._latest_announcement.id == server_id
-        ):
+        """Record that it stops now, unless the id is that of another backend server.
+
+        Before any announcement its id is not known, and the call may be that of a
+        former backend server: then its state has to be found out again.
+        """
+        if self._latest_announcement is None:
+            self._state = State.UNKNOWN
+        elif self._latest_announcement.id == server_id:
             self._state = State.GONE
             self._last_seen_at = now
 
@@ -227,9 +274,3 @@
     """
     is_first = announcement.number <= FIRST_ANNOUNCEMENT_NUMBER
     return is_first and abs(announcement.age_seconds) <= FIRST_ANNOUNCEMENT_SECONDS
-
-
-def _is_older(announcement: Announcement, latest: Announcement) -> bool:
-    if is_same_start(announcement, latest):
-        return announcement.number <= latest.number
-    return announcement.started_ms < latest.started_ms
--- a/packages/cactushall-daemon/cactushall_daemon/packets/announcement_calls.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/announcement_calls.py
@@ -78,9 +78,11 @@
             )
         if outcome is servers.Outcome.APPLIED:
             _log_start(announcement, latest)
-        elif latest is not None:
-            self._record_ignored(announcement, latest)
-        return http.HTTPStatus.OK
+        if outcome is not servers.Outcome.EARLIER_START or latest is None:
+            return http.HTTPStatus.OK
+        self._record_ignored(announcement, latest)
+        # An acknowledged heartbeat has to count: it may say that the server drains.
+        return http.HTTPStatus.CONFLICT
 
     def _refuse(self, why: str) -> http.HTTPStatus:
         """Count and log a heartbeat that names no backend server of this agent."""
@@ -93,10 +95,8 @@
     ) -> None:
         """Count an announcement that was ignored; log the first one of each start."""
         self._counters.add(counters.Counter.ANNOUNCEMENTS_IGNORED)
-        if servers.is_same_start(announcement, latest) or (
-            self._latest_ignored is not None
-            and servers.is_same_start(announcement, self._latest_ignored)
-        ):
+        logged = self._latest_ignored
+        if logged is not None and servers.is_same_start(announcement, logged):
             return
         self._latest_ignored = announcement
         log.warning(
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -373,7 +373,10 @@
 def test_a_late_heartbeat_of_an_earlier_start_changes_nothing(flows):
     flows.handle_announcement(builders.announcement(server_id="s2", started=200), 1.0)
     old = builders.announcement(99, server_id="s1", started=100, is_draining=True)
-    assert flows.handle_announcement(old, 1.1) is servers.Outcome.STALE
+    assert flows.handle_announcement(old, 1.1) is servers.Outcome.EARLIER_START
+    assert flows.handle_query((builders.OTHER_FLOW,), builders.ENTRY)[0].message == (
+        messages.OwnershipAnswer((), (builders.OTHER_FLOW,))
+    )
 
 
 def test_late_heartbeat_of_a_former_start_is_no_sight_of_the_present_one(server):
@@ -418,6 +421,17 @@
     assert is_probe(look_up(flows, 2.1))
 
 
+def test_server_that_is_heard_again_may_hold_any_flow(flows):
+    """Guards against denials after one odd heartbeat of another writer."""
+    odd = builders.announcement(1, "odd", started=10**9)
+    flows.handle_announcement(odd, 1.0)
+    for number in range(2, 8):
+        said = builders.announcement(number)
+        outcome = flows.handle_announcement(said, number * HEARTBEAT_SECONDS)
+    assert outcome is servers.Outcome.APPLIED
+    assert is_probe(look_up(flows, 10.0))
+
+
 def test_settings_that_change_the_service_end_what_was_known_of_the_server(
     flows, server
 ):
--- a/tests/daemon/packets/test_announcement_calls.py
+++ b/tests/daemon/packets/test_announcement_calls.py
@@ -90,6 +90,14 @@
     assert [(x["server"], x["number"]) for x in started] == [("s1", 1), ("s2", 1)]
 
 
+def test_a_heartbeat_without_effect_is_not_acknowledged(beside):
+    """Guards against a server that drains, is acknowledged and gets new flows."""
+    beside.put("s2", born=200)
+    assert beside.put(state="draining") == http.HTTPStatus.CONFLICT
+    assert beside.server.state is servers.State.READY
+    assert beside.announced == 1
+
+
 def test_log_names_a_start_whose_heartbeats_are_ignored_once(beside):
     """Guards against heartbeats that are acknowledged without effect or log line."""
     beside.put("s2", born=200)
