Random model: late heartbeats, and agents that wait for a heartbeat after their start

Now the last announcement of a server that stops may arrive up to 4 s later, at whichever agent runs then, and an agent waits up to one interval for the first. The former rule (any other start counts as seen) is a mutant: detected.

--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -32,6 +32,9 @@
 RECOVERY_SECONDS = 4.0
 LATE_COPY_SHARE = 0.2
 LATE_COPY_SECONDS = (0.5, 4.0)
+HEARTBEAT_WAIT_SECONDS = (0.0, 1.2)
+LATE_ANNOUNCEMENT_SHARE = 0.5
+LATE_ANNOUNCEMENT_SECONDS = (0.1, 4.0)
 
 
 @dataclasses.dataclass
@@ -228,9 +231,10 @@
         host.agent.update_routes(self.table, self.now)
         for record in self.entry_records.values():
             self.deliver_entry_record(host.agent, record)
-        if not host.is_alive:
+        if host.is_alive:
+            self.schedule(HEARTBEAT_WAIT_SECONDS, lambda: self.announce(host))
+        else:
             self.start_server(host)
-        self.announce(host)
 
     def start_server(self, host):
         """Start a backend server without flows."""
@@ -243,25 +247,42 @@
         self.announce(host)
 
     def stop_server(self, host):
-        """Stop a backend server, which loses all its flows."""
+        """Stop a backend server, which loses all its flows.
+
+        Its last announcement may be held up, also until its successor runs.
+        """
         host.is_alive = False
         host.flows = {}
+        if self.rng.random() < LATE_ANNOUNCEMENT_SHARE:
+            host.announcement_number += 1
+            late = self.make_announcement(host)
+            self.schedule(
+                LATE_ANNOUNCEMENT_SECONDS, lambda: self.deliver_announcement(host, late)
+            )
 
     def announce(self, host):
         """Send a backend server's announcement to its agent."""
         if host.agent is None or not host.is_alive:
             return
         host.announcement_number += 1
-        announcement = builders.announcement(
+        self.deliver_announcement(host, self.make_announcement(host))
+        if host.is_draining:
+            host.drained_at = min(host.drained_at, self.now)
+        self.publish_member(host, records.Status.ALIVE)
+
+    def make_announcement(self, host):
+        """Return what a backend server says of itself now."""
+        return builders.announcement(
             host.announcement_number,
             f"s{host.server_id}",
             host.server_id,
             host.is_draining,
         )
-        host.agent.handle_announcement(announcement, self.now)
-        if host.is_draining:
-            host.drained_at = min(host.drained_at, self.now)
-        self.publish_member(host, records.Status.ALIVE)
+
+    def deliver_announcement(self, host, announcement):
+        """Deliver an announcement to the agent that runs now, if any."""
+        if host.agent is not None:
+            host.agent.handle_announcement(announcement, self.now)
 
     def publish_member(self, host, status, recipient=None):
         """Deliver an agent's record to entries after a delay."""
--- a/tests/core/flows/test_model.py
+++ b/tests/core/flows/test_model.py
@@ -72,6 +72,22 @@
     patch.setattr(agent.AgentFlows, "handle_announcement", handle_announcement)
 
 
+def any_other_start_counts_as_seen(patch):
+    original = agent.AgentFlows.handle_announcement
+
+    def handle_announcement(self, announcement, now):
+        previous = self._server.latest_announcement
+        outcome = original(self, announcement, now)
+        is_other = previous is not None and servers.is_other_start(
+            announcement, previous
+        )
+        if outcome is servers.Outcome.APPLIED and is_other:
+            self._has_seen_all_flows = True
+        return outcome
+
+    patch.setattr(agent.AgentFlows, "handle_announcement", handle_announcement)
+
+
 def drains_are_ignored(patch):
     def accepts(self, service):
         return any(e.service == service for e in self.member.endpoints)
@@ -111,6 +127,7 @@
         only_the_registered_owner_counts,
         entries_decide_before_they_know_all_agents,
         agents_assume_to_have_seen_all_flows,
+        any_other_start_counts_as_seen,
         drains_are_ignored,
         nothing_is_reset,
         bounced_packets_are_ignored,
