Contact points notice a silent connection to the store within 4 s

Cause: a watch waits 20 s for an answer, and a connection that has gone silent looks like a store in which nothing changes. All processes renew their watches at the same change, so all are blind until the same time. Evidence: with the watches only made silent the new test fails in the same way; the read that follows a watch waits on the other silent connection for 1 s more. Ruled out: gossip, which spreads a revision as soon as one process has read it; TCP keep-alive as a remedy (the peer's kernel goes on answering). Change: contact points watch with waits of 3 s; a call without an answer on an open connection, such as the renewal of a lease each 2 s, makes the process give up its open connections and read on a new one at once (event 1204). No answer on a new connection is an outage, and ends no watch. Not taken: short waits in all processes (seven times the calls). The fake store of the follower's tests takes the new argument.

--- a/packages/cactushall-core/cactushall_core/store.py
+++ b/packages/cactushall-core/cactushall_core/store.py
@@ -18,6 +18,10 @@
     """The lease has expired or was revoked."""
 
 
+class ConnectionLostError(exceptions.StoreUnavailableError):
+    """An open connection has gone silent; the store may answer on a new one."""
+
+
 class Entry(msgspec.Struct, frozen=True):
     """A key with its value.
 
@@ -138,7 +142,11 @@
         """
 
     def watch(
-        self, prefix: bytes, start_revision: int, era: int | None = None
+        self,
+        prefix: bytes,
+        start_revision: int,
+        era: int | None = None,
+        wait_seconds: float | None = None,
     ) -> collections.abc.AsyncGenerator[Change, None]:
         """Yield each change of the keys that start with a prefix.
 
@@ -147,4 +155,6 @@
             start_revision: First store revision whose changes are included.
             era: The era of that revision, None for the one last seen; the watch ends
                 where the store has been restored from a copy since.
+            wait_seconds: Longest time for which the store may answer nothing, where
+                the protocol has one; None for the usual one.
         """
--- a/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
+++ b/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
@@ -12,6 +12,8 @@
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, logs, tasks
 
+CLOSE_WATCH_SECONDS = 3.0
+
 log = logs.get_logger(__name__)
 
 Fetch = collections.abc.Callable[[records.Member], collections.abc.Awaitable[bytes]]
@@ -74,6 +76,7 @@
         self._prefix = key
         self._observer: StoreObserver = NoObserver()
         self._watch_timeout: asyncio.Timeout | None = None
+        self._wait_seconds: float | None = None
         self._key = key
         self._adopter = adopter
         self._on_adopted = on_adopted
@@ -101,11 +104,31 @@
         while True:
             try:
                 await self._watch_store()
+            except store.ConnectionLostError as error:
+                # The store may answer on a new connection.
+                log.warning(events.Event.STORE_CONNECTION_LOST, why=str(error))
+                continue
             except exceptions.StoreUnavailableError as error:
                 self._failures += 1
                 self.record_store_result(error)
             await asyncio.sleep(self._retry_seconds())
 
+    async def watch_closely(self) -> None:
+        """Until cancelled, keep waits short, so that a silent connection soon shows.
+
+        A few processes do so for the fleet: gossip spreads the revision that they read.
+        """
+        self._use_waits(CLOSE_WATCH_SECONDS)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self._use_waits(None)
+
+    def _use_waits(self, seconds: float | None) -> None:
+        """Watch with waits of some seconds from now on, None for the usual ones."""
+        self._wait_seconds = seconds
+        self._end_watch(asyncio.get_running_loop().time())
+
     def observe(self, prefix: bytes, observer: StoreObserver) -> None:
         """Watch more keys together with the configuration.
 
@@ -118,10 +141,7 @@
 
     def schedule_read(self) -> None:
         """End the watch when the observer needs the next read of the store."""
-        if self._watch_timeout is not None:
-            # Fails where the timeout has just ended the watch; a read follows anyway.
-            with contextlib.suppress(RuntimeError):
-                self._watch_timeout.reschedule(self._observer.next_read_at)
+        self._end_watch(self._observer.next_read_at)
 
     def fetch_if_newer(
         self, member: records.Member, revision: identifiers.Revision
@@ -137,6 +157,13 @@
         if not self.current.revision:
             self.fetch_if_newer(member, identifiers.Revision(1))
 
+    def _end_watch(self, at: float | None) -> None:
+        """End the watch at some time, so that a read follows; None for never."""
+        if self._watch_timeout is not None:
+            # Fails where the timeout has just ended the watch; a read follows anyway.
+            with contextlib.suppress(RuntimeError):
+                self._watch_timeout.reschedule(at)
+
     def _retry_seconds(self) -> float:
         return backoff.retry_delay_seconds(
             max(1, self._failures),
@@ -210,7 +237,7 @@
     async def _follow_changes(self, snapshot: store.Snapshot) -> None:
         first = snapshot.revision + 1
         async with contextlib.aclosing(
-            self._store.watch(self._prefix, first, snapshot.era)
+            self._store.watch(self._prefix, first, snapshot.era, self._wait_seconds)
         ) as changes:
             async for change in changes:
                 self._observer.handle_change(change)
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -28,6 +28,7 @@
     STORE_UNAVAILABLE = (1201, "store unavailable")
     STORE_AVAILABLE = (1202, "store available again")
     STORE_ENTRY_REFUSED = (1203, "store entry cannot be read")
+    STORE_CONNECTION_LOST = (1204, "connection to the store has gone silent")
     CONFIGURATION_ADOPTED = (1301, "service configuration adopted")
     CONFIGURATION_REFUSED = (1302, "service configuration refused")
     CONFIGURATION_FETCH_FAILED = (1303, "cannot fetch service configuration from peer")
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -231,7 +231,10 @@
             member,
             member.control_address,
             self._follower.record_store_result,
-            [functools.partial(self._tasks.run_again, self._discovery.refresh)],
+            [
+                functools.partial(self._tasks.run_again, self._discovery.refresh),
+                self._follower.watch_closely,
+            ],
         )
 
     def stop(self) -> None:
--- a/packages/cactushall-rpc/cactushall_rpc/http.py
+++ b/packages/cactushall-rpc/cactushall_rpc/http.py
@@ -30,6 +30,10 @@
     """A request got no complete response."""
 
 
+class RequestTimeoutError(RequestError):
+    """A request got no complete response in time."""
+
+
 class Request(msgspec.Struct, frozen=True):
     """A received request.
 
@@ -157,6 +161,16 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the next request uses a connection that is open already."""
+        return self._writer is not None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is under way."""
+        return self._lock.locked()
+
     def close(self) -> None:
         """Close the connection; the next request opens a new one."""
         if self._writer is not None:
@@ -175,14 +189,18 @@
             timeout: Seconds to wait for the complete response.
 
         Raises:
-            RequestError: No complete response arrived; the server may have executed the
-                request.
+            RequestTimeoutError: No complete response arrived in time; the server may
+                have executed the request.
+            RequestError: No complete response arrived for another reason.
         """
         async with self._lock:
             try:
                 async with asyncio.timeout(timeout):
                     return await self._request(method, target, body)
-            except (OSError, TimeoutError, EOFError, h11.ProtocolError) as error:
+            except TimeoutError as error:
+                self.close()
+                raise RequestTimeoutError(f"{method} {target}: no answer") from error
+            except (OSError, EOFError, h11.ProtocolError) as error:
                 self.close()
                 raise RequestError(f"{method} {target}: {error!r}") from error
             except asyncio.CancelledError:
--- a/packages/cactushall-rpc/cactushall_rpc/store.py
+++ b/packages/cactushall-rpc/cactushall_rpc/store.py
@@ -150,14 +150,22 @@
                 raise store.LeaseExpiredError(f"lease {lease} has expired")
 
     async def watch(
-        self, prefix: bytes, start_revision: int, era: int | None = None
+        self,
+        prefix: bytes,
+        start_revision: int,
+        era: int | None = None,
+        wait_seconds: float | None = None,
     ) -> collections.abc.AsyncGenerator[store.Change, None]:
         """Yield each change of the keys that start with a prefix.
 
+        It ends where another call gets no answer on the same connection, such as the
+        renewal of a lease.
+
         Args:
             prefix: The prefix.
             start_revision: First store revision whose changes are included.
             era: Not used: this store does not tell of its copies.
+            wait_seconds: Not used: this store answers nothing while nothing changes.
         """
         async with self._call() as channel:
             stub = etcd_grpc.WatchStub(channel)
--- a/tests/daemon/test_configuration_follower.py
+++ b/tests/daemon/test_configuration_follower.py
@@ -112,7 +112,7 @@
         self.reads.append(prefix)
         return store.Snapshot(tuple(self._entries), 20, 3)
 
-    async def watch(self, prefix, start_revision, era=None):
+    async def watch(self, prefix, start_revision, era=None, wait_seconds=None):
         self.watches.append((prefix, start_revision, era))
         for change in self._changes:
             yield change
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -11,6 +11,8 @@
 from tests.standins import platform_store as standin
 
 KEY = b"op/config"
+SHORT_SECONDS = 0.2
+SETTLE_SECONDS = 0.05
 
 
 @pytest.fixture
@@ -266,3 +268,82 @@
     assert snapshot.revision == 7
     client.close()
     listener.close()
+
+
+# Connections that go silent.
+
+
+async def start_watch(client, wait_seconds=None):
+    """Start a watch that waits, and return it with the task that waits."""
+    revision = (await client.get_prefix(b"op/")).revision
+    changes = client.watch(b"op/", revision + 1, wait_seconds=wait_seconds)
+    waiting = asyncio.create_task(next_entry(changes))
+    await asyncio.sleep(SETTLE_SECONDS)
+    return changes, waiting
+
+
+async def test_a_silent_connection_ends_the_waits_on_all_others(
+    server, client, monkeypatch
+):
+    """Guards against a watch that waits for long on a connection that is silent too."""
+    monkeypatch.setattr(platform_store, "CALL_TIMEOUT_SECONDS", SHORT_SECONDS)
+    _, waiting = await start_watch(client)
+    lease = await client.grant(30)
+    server.silence_connections()
+    with pytest.raises(store.ConnectionLostError):
+        await client.keep_alive(lease)
+    with pytest.raises(store.ConnectionLostError):
+        await waiting
+    await client.keep_alive(lease)
+    assert (await client.get_prefix(b"op/")).revision == server.revision
+
+
+async def test_a_silent_watch_ends_after_its_wait_and_so_do_open_connections(
+    server, client, monkeypatch
+):
+    """Guards against a read on a silent connection after a watch that has ended."""
+    monkeypatch.setattr(platform_store, "WATCH_GRACE_SECONDS", SHORT_SECONDS)
+    _, waiting = await start_watch(client, wait_seconds=SHORT_SECONDS)
+    server.silence_connections()
+    with pytest.raises(store.ConnectionLostError):
+        await waiting
+    assert (await client.get_prefix(b"op/")).revision == server.revision
+
+
+async def test_a_watch_that_is_answered_goes_on_with_short_waits(server, client):
+    _, waiting = await start_watch(client, wait_seconds=SHORT_SECONDS)
+    await asyncio.sleep(3 * SHORT_SECONDS)
+    server.put("op/config", b"new")
+    assert (await waiting).value == b"new"
+
+
+async def test_an_outage_does_not_count_as_a_silent_connection(
+    server, client, monkeypatch
+):
+    """Guards against watches that end again and again while the store is down."""
+    monkeypatch.setattr(platform_store, "CALL_TIMEOUT_SECONDS", SHORT_SECONDS)
+    _, waiting = await start_watch(client)
+    client.close()
+    server.fault = "silent"
+    with pytest.raises(exceptions.StoreUnavailableError) as caught:
+        await client.get_prefix(b"op/")
+    assert not isinstance(caught.value, store.ConnectionLostError)
+    assert not waiting.done()
+    server.fault = None
+    server.put("op/config", b"new")
+    assert (await waiting).value == b"new"
+
+
+async def test_a_call_that_is_under_way_is_not_cut_short(server, client, monkeypatch):
+    monkeypatch.setattr(platform_store, "WATCH_GRACE_SECONDS", SHORT_SECONDS)
+    _, waiting = await start_watch(client, wait_seconds=SHORT_SECONDS)
+    server.silence_connections("/api/kv-watch")
+    reading = []
+
+    async def read_on():
+        while not waiting.done():
+            reading.append(await client.get_prefix(b"op/"))
+
+    with pytest.raises(store.ConnectionLostError):
+        await asyncio.gather(waiting, read_on())
+    assert len(reading) > 1
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -6,6 +6,7 @@
 import base64
 import copy
 import itertools
+import weakref
 
 from aiohttp import web
 
@@ -40,6 +41,9 @@
         self.changed = asyncio.Event()
         self.era = 1
         self.fault = None
+        # The path of the latest request, by connection.
+        self._open = weakref.WeakKeyDictionary()
+        self._silent = weakref.WeakSet()
         self._runner = None
 
     async def start(self, host="127.0.0.1"):
@@ -61,6 +65,16 @@
         """Stop listening."""
         await self._runner.cleanup()
 
+    def silence_connections(self, path=""):
+        """Let open connections go silent for good; new ones work.
+
+        Args:
+            path: Only those whose latest request was for a path that begins so.
+        """
+        for transport, latest in self._open.items():
+            if latest.startswith(path):
+                self._silent.add(transport)
+
     def put(self, key, value, lease=0):
         """Write a key without conditions, as an operator does.
 
@@ -117,17 +131,24 @@
 
     @web.middleware
     async def _inject_fault(self, request, handler):
+        self._open[request.transport] = request.path
+        await self._hang_if_silent(request.transport)
         if self.fault == "silent":
             await asyncio.sleep(3600)
         if self.fault in (429, 503):
             return web.Response(status=self.fault)
         answer = await handler(request)
+        await self._hang_if_silent(request.transport)
         if self.era is not None:
             answer.headers["Store-Era"] = str(self.era)
         if self.fault == "lost":
             request.transport.abort()
         return answer
 
+    async def _hang_if_silent(self, transport):
+        if transport in self._silent:
+            await asyncio.sleep(3600)
+
     async def _read_range(self, request):
         prefix = request.query["prefix"]
         after = request.query.get("after", "")
