An agent's memory of flows that it does not track is a class of its own

Behaviour is the same, but for changed settings that name another server: what the former one has returned is forgotten then.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import typing
-
 from cactushall_core import addresses, identifiers
 from cactushall_core.flows import (
     actions,
     admission,
+    bounded,
     cold_start,
     held_flows,
     known_entries,
@@ -19,6 +18,7 @@
     routes,
     servers,
     tracked_flow,
+    untracked_flows,
 )
 from cactushall_core.membership import records
 
@@ -35,8 +35,6 @@
 # Entry of a flow of which no caller's packet has passed yet.
 UNKNOWN_ENTRY = addresses.Address("", 0)
 
-ValueT = typing.TypeVar("ValueT")
-
 
 class AgentFlows:
     """All flows of one backend server.
@@ -62,10 +60,7 @@
         self._routes = routes.EMPTY
         self._is_evacuated = False
         self._flows: dict[packets.FlowId, tracked_flow.Flow] = {}
-        self._not_owned: dict[packets.FlowId, float] = {}
-        # Flows that are not tracked any more, with the times of their latest packets;
-        # the backend server may hold them nevertheless.
-        self._forgotten: dict[packets.FlowId, float] = {}
+        self._untracked = untracked_flows.UntrackedFlows()
         self._awaiting_request: dict[packets.FlowId, float] = {}
         # Flows whose callers have taken another server's answer, with the sequence
         # numbers of their opening packets and when that became known.
@@ -75,9 +70,6 @@
         self._priorities = priorities.Priorities()
         self._entries = known_entries.KnownEntries()
         self._registrations = registrations.Registrations(self._entries)
-        # Whether the agent has seen all flows since the backend server started, so that
-        # a flow that it does not track cannot be one of them.
-        self._has_seen_all_flows = False
         self._next_sweep_at = now + SWEEP_INTERVAL_SECONDS
 
     @property
@@ -120,9 +112,9 @@
         No packet must be delivered to the server afterwards. Where the agent may not
         have seen all flows, it tells nothing.
         """
-        if not self._has_seen_all_flows or self._server.has_certainly_stopped:
+        if not self._untracked.has_seen_all or self._server.has_certainly_stopped:
             return []
-        notice = held_flows.make_notice(self._flows.keys() | self._forgotten.keys())
+        notice = held_flows.make_notice(self._flows.keys() | self._untracked.forgotten)
         return [
             actions.SendMessage(address, message)
             for address in self._entries.control_addresses[:MAX_ENTRIES_TOLD]
@@ -223,7 +215,7 @@
                 return []
             is_late = flow.state is tracked_flow.State.OPENING_ANSWERED
             self._forget(flow_id)
-        _put_bounded(self._released, flow_id, (opening_sequence, now))
+        bounded.put(self._released, flow_id, (opening_sequence, now), MAX_FLOWS)
         late = actions.RecordHedge(flow_id, actions.HedgeOutcome.LATE)
         return [late] if flow is not None and is_late else []
 
@@ -263,7 +255,8 @@
         if not self._server.configure(service, address):
             return False
         # The one that is named now may hold flows already.
-        self._has_seen_all_flows = False
+        self._untracked.forget_returned()
+        self._untracked.record_start(has_seen_all=False)
         self._update_cold_limit(now)
         return True
 
@@ -285,7 +278,8 @@
         if servers.is_other_start(announcement, latest_announcement):
             if latest_announcement is not None:
                 self._forget_all()
-            self._has_seen_all_flows = servers.has_just_started(announcement)
+            has_seen_all = servers.has_just_started(announcement)
+            self._untracked.record_start(has_seen_all=has_seen_all)
         return outcome
 
     def tick(self, now: float) -> list[actions.Action]:
@@ -307,9 +301,7 @@
             self._forget(flow_id)
         self._expire_requests(now)
         self._expire_queue(now)
-        oldest = now - self._routes.idle_timeout_seconds
-        self._not_owned = {f: at for f, at in self._not_owned.items() if at > oldest}
-        self._forgotten = {f: at for f, at in self._forgotten.items() if at > oldest}
+        self._untracked.expire(now - self._routes.idle_timeout_seconds)
         self._expire_released(now)
 
     # New flows.
@@ -358,7 +350,7 @@
             self._awaiting_request[packet.flow] = now
         flow.entry = entry
         flow.last_packet_at = now
-        self._not_owned.pop(packet.flow, None)
+        self._untracked.record_opened(packet.flow)
         self._server.record_opening_sent(now)
         return [actions.DeliverToServer(packet.datagram)]
 
@@ -466,7 +458,7 @@
         """Track a flow that the backend server held before this agent started."""
         flow = tracked_flow.Flow(tracked_flow.State.ESTABLISHED, UNKNOWN_ENTRY, now)
         self._remember(flow_id, flow)
-        self._not_owned.pop(flow_id, None)
+        self._untracked.record_opened(flow_id)
         self._registrations.add_known(flow_id)
         return flow
 
@@ -485,13 +477,12 @@
 
     def _denial_basis(self, flow_id: packets.FlowId) -> actions.DenialBasis | None:
         """Return why an untracked flow is certainly not owned, None if it may be."""
-        if flow_id in self._not_owned:
-            return actions.DenialBasis.SERVER_DENIED
+        basis = self._untracked.denial_basis(flow_id)
+        if basis is actions.DenialBasis.SERVER_DENIED:
+            return basis
         if self._server.has_certainly_stopped:
             return actions.DenialBasis.SERVER_GONE
-        if self._has_seen_all_flows and flow_id not in self._forgotten:
-            return actions.DenialBasis.NEVER_TRACKED
-        return None
+        return basis
 
     def _handle_bounced(
         self, packet: packets.Packet, flow: tracked_flow.Flow | None
@@ -504,7 +495,7 @@
             self._forget(packet.flow)
             return [self._decline(packet.flow, flow.entry, messages.Refusal.FULL)]
         self._forget(packet.flow)
-        self._remember_not_owned(packet.flow, flow.last_packet_at)
+        self._untracked.record_returned(packet.flow, flow.last_packet_at)
         if flow.state is tracked_flow.State.ESTABLISHED and not flow.is_closing:
             reason = actions.Reason.SERVER_LOST_FLOW
             return [actions.Reset(packet.flow, flow.acknowledged, reason)]
@@ -526,7 +517,7 @@
         """Forget all flows, because the backend server has restarted."""
         for flow_id in list(self._flows):
             self._forget(flow_id)
-        self._not_owned.clear()
+        self._untracked.forget_returned()
 
     def _expire_queue(self, now: float) -> None:
         """Remove queued opening packets whose callers have given up."""
@@ -561,28 +552,14 @@
         if len(self._flows) >= MAX_FLOWS:
             self._forget(next(iter(self._flows)))
         self._flows[flow_id] = flow
-        self._forgotten.pop(flow_id, None)
-
-    def _remember_not_owned(self, flow_id: packets.FlowId, now: float) -> None:
-        _put_bounded(self._not_owned, flow_id, now)
+        self._untracked.record_tracked(flow_id)
 
     def _forget(self, flow_id: packets.FlowId) -> None:
         flow = self._flows.pop(flow_id, None)
         self._registrations.remove(flow_id)
         if flow is not None:
             self._meter.record_end(flow.progress)
-            if len(self._forgotten) >= MAX_FLOWS:
-                self._has_seen_all_flows = False
-            _put_bounded(self._forgotten, flow_id, flow.last_packet_at)
-
-
-def _put_bounded(
-    flows: dict[packets.FlowId, ValueT], flow_id: packets.FlowId, value: ValueT
-) -> None:
-    """Add a flow to a dictionary, and remove the first where there are too many."""
-    if len(flows) >= MAX_FLOWS:
-        del flows[next(iter(flows))]
-    flows[flow_id] = value
+            self._untracked.record_forgotten(flow_id, flow.last_packet_at)
 
 
 def _deny(
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -11,6 +11,7 @@
     packets,
     registrations,
     servers,
+    untracked_flows,
 )
 from tests.core.flows import builders
 
@@ -361,12 +362,13 @@
 
 
 def test_memory_of_forgotten_flows_is_bounded(flows, monkeypatch):
-    monkeypatch.setattr(agent, "MAX_FLOWS", 2)
+    for module in (agent, untracked_flows):
+        monkeypatch.setattr(module, "MAX_FLOWS", 2)
     for port in range(40_001, 40_006):
         flow = builders.FLOW._replace(caller_port=port)
         opening = builders.opening_packet(flow=flow)
         flows.handle_caller_packet(opening, builders.ENTRY, 1.0)
-    assert len(flows._forgotten) == 2
+    assert len(flows._untracked.forgotten) == 2
     assert is_probe(look_up(flows, 1.1))
 
 
--- a/tests/core/flows/test_model.py
+++ b/tests/core/flows/test_model.py
@@ -66,7 +66,7 @@
 
     def handle_announcement(self, announcement, now):
         outcome = original(self, announcement, now)
-        self._has_seen_all_flows = True
+        self._untracked.record_start(has_seen_all=True)
         return outcome
 
     patch.setattr(agent.AgentFlows, "handle_announcement", handle_announcement)
@@ -82,7 +82,7 @@
             announcement, previous
         )
         if outcome is servers.Outcome.APPLIED and is_other:
-            self._has_seen_all_flows = True
+            self._untracked.record_start(has_seen_all=True)
         return outcome
 
     patch.setattr(agent.AgentFlows, "handle_announcement", handle_announcement)
@@ -113,7 +113,7 @@
     original = agent.AgentFlows.leave
 
     def leave(self):
-        self._has_seen_all_flows = True
+        self._untracked.record_start(has_seen_all=True)
         return original(self)
 
     patch.setattr(agent.AgentFlows, "leave", leave)
