Tests of nodes share their fleet, their store and the heartbeat document

Four tests had a heartbeat of their own, and three files fixtures for the same store and nodes; test_evacuations imported a test module. tests/daemon/packets/node_fleet.py and conftest.py, and packet_peers.make_heartbeat().

--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -15,22 +15,12 @@
 from cactushall_platform import calls, operator_keys
 from cactushall_platform import configuration as platform_configuration
 from tests.core import builders
-from tests.standins import packet_site
+from tests.standins import packet_peers, packet_site
 
 NESTING = 100_000
 DEEP_JSON = b"[" * NESTING + b"]" * NESTING
 DEEP_MESSAGE_PACK = b"\x91" * NESTING + b"\xc0"
-HEARTBEAT = {
-    "service": "one",
-    "address": "10.128.0.9:8080",
-    "zone": "a",
-    "version": "v1",
-    "slots": 2,
-    "state": "ready",
-    "cold_left_ms": 500,
-    "seq_no": 4,
-    "born": 1234,
-}
+HEARTBEAT = packet_peers.make_heartbeat("one", "10.128.0.9:8080")
 # Documents of other writers, by what decodes them.
 JSON_DECODERS = {
     "heartbeat": (lambda data: calls.decode_announcement("i-1", data, 0.0), HEARTBEAT),
--- a/tests/daemon/packets/test_agent_process.py
+++ b/tests/daemon/packets/test_agent_process.py
@@ -65,17 +65,9 @@
 
 
 async def announce(agent):
-    heartbeat = {
-        "service": "board",
-        "address": str(agent["server"]),
-        "zone": "attica-a",
-        "version": "v1",
-        "slots": 1,
-        "state": "ready",
-        "cold_left_ms": 60_000,
-        "seq_no": 1,
-        "born": 100,
-    }
+    heartbeat = packet_peers.make_heartbeat(
+        "board", str(agent["server"]), cold_left_ms=60_000
+    )
     body = json.dumps(heartbeat).encode()
     address = agent["announcements"]
     target = "/api/instances/i-1"
--- a/tests/daemon/packets/test_announcement_calls.py
+++ b/tests/daemon/packets/test_announcement_calls.py
@@ -14,22 +14,13 @@
 from cactushall_rpc import http as http_calls
 from tests.core import builders as core_builders
 from tests.core.flows import builders
+from tests.standins import packet_peers
 
 HEARTBEAT_SECONDS = 1.2
 STARTED_SECONDS = 0.1
 IGNORED = counters.Counter.ANNOUNCEMENTS_IGNORED
 REFUSED = counters.Counter.ANNOUNCEMENTS_REFUSED
-HEARTBEAT = {
-    "service": str(builders.SERVICE),
-    "address": str(builders.SERVER),
-    "zone": "a",
-    "version": "v1",
-    "slots": 2,
-    "state": "ready",
-    "cold_left_ms": 0,
-    "seq_no": 1,
-    "born": 100,
-}
+HEARTBEAT = packet_peers.make_heartbeat(str(builders.SERVICE), str(builders.SERVER))
 
 
 class Beside:
--- a/tests/daemon/packets/test_evacuations.py
+++ b/tests/daemon/packets/test_evacuations.py
@@ -18,7 +18,7 @@
 from cactushall_rpc import http as http_calls
 from tests.core.flows import builders
 from tests.daemon import fleets
-from tests.daemon.packets import test_table_exchange
+from tests.daemon.packets import node_fleet
 from tests.standins import packet_site, platform_store
 
 KEY = "op/evacuate/attica-a"
@@ -132,7 +132,7 @@
 # Processes' nodes, on loopback addresses.
 
 
-class Fleet(test_table_exchange.Fleet):
+class Fleet(node_fleet.Fleet):
     """Nodes that record which zones they take for evacuated."""
 
     def __init__(self, folder):
--- a/tests/daemon/packets/test_odd_entries.py
+++ b/tests/daemon/packets/test_odd_entries.py
@@ -7,11 +7,9 @@
 import pytest
 
 from cactushall_daemon import counters, tasks
-from cactushall_platform import configuration
 from cactushall_rpc import store_keys
 from tests.daemon import fleets
-from tests.daemon.packets import test_table_exchange
-from tests.standins import packet_site, platform_store
+from tests.standins import packet_site
 
 NESTING = 100_000
 FIRST, SECOND = fleets.HOSTS[:2]
@@ -34,27 +32,6 @@
 )
 
 
-@pytest.fixture
-async def fleet(tmp_path):
-    made = test_table_exchange.Fleet(tmp_path)
-    yield made
-    await made.stop()
-
-
-@pytest.fixture
-async def server():
-    made = platform_store.PlatformStore()
-    write_configuration(made, 1)
-    made.address = await made.start()
-    yield made
-    await made.stop()
-
-
-def write_configuration(server, version):
-    document = packet_site.make_configuration(version)
-    server.put(configuration.KEY.decode(), json.dumps(document).encode())
-
-
 def revisions(nodes):
     return [node.route_table.revision for node in nodes]
 
@@ -62,16 +39,16 @@
 @pytest.mark.parametrize("key", ODD_KEYS)
 @pytest.mark.parametrize("kind", ODD_VALUES)
 async def test_an_odd_entry_stops_nobody_from_following_the_store(
-    fleet, server, kind, key
+    fleet, store, kind, key
 ):
     """Guards against processes that follow no configuration after an odd entry."""
-    first = await fleet.start_node(FIRST, [SECOND], store_address=server.address)
+    first = await fleet.start_node(FIRST, [SECOND], store_address=store.address)
     await fleets.wait_until(lambda: revisions([first]) == [1])
-    server.put(key, ODD_VALUES[kind])
-    write_configuration(server, 2)
+    store.put(key, ODD_VALUES[kind])
+    packet_site.write_configuration(store, packet_site.make_configuration(2))
     await fleets.wait_until(lambda: revisions([first]) == [2])
-    second = await fleet.start_node(SECOND, [FIRST], store_address=server.address)
-    write_configuration(server, 3)
+    second = await fleet.start_node(SECOND, [FIRST], store_address=store.address)
+    packet_site.write_configuration(store, packet_site.make_configuration(3))
     await fleets.wait_until(lambda: revisions([first, second]) == [3, 3])
     for node in (first, second):
         assert counters.Counter.TASKS_FAILED not in dict(node.counters.items())
@@ -79,11 +56,11 @@
 
 @pytest.mark.parametrize("name", ["handle_snapshot", "handle_change"])
 async def test_a_failing_observer_does_not_end_the_following(
-    fleet, server, monkeypatch, name
+    fleet, store, monkeypatch, name
 ):
     """Guards against one unexpected error after which no configuration is adopted."""
     monkeypatch.setattr(tasks, "RESTART_SECONDS", 0.05)
-    node = await fleet.start_node(FIRST, [], store_address=server.address)
+    node = await fleet.start_node(FIRST, [], store_address=store.address)
     await fleets.wait_until(lambda: revisions([node]) == [1])
     observer = node._follower._observer
     original = getattr(observer, name)
@@ -98,9 +75,9 @@
     monkeypatch.setattr(observer, name, fail_once)
     if name == "handle_snapshot":
         # All keys are read again.
-        server.come_back_from(server.make_copy())
-    write_configuration(server, 2)
+        store.come_back_from(store.make_copy())
+    packet_site.write_configuration(store, packet_site.make_configuration(2))
     await fleets.wait_until(lambda: revisions([node]) == [2])
-    write_configuration(server, 3)
+    packet_site.write_configuration(store, packet_site.make_configuration(3))
     await fleets.wait_until(lambda: revisions([node]) == [3])
     assert len(failures) == 1
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -10,6 +10,7 @@
 from cactushall_core import addresses, exceptions
 from cactushall_core.flows import packets, routes
 from cactushall_platform import calls, configuration
+from tests.standins import packet_peers
 
 STORED = {
     "version": 7,
@@ -41,17 +42,9 @@
     "limits": {"idle_timeout_ms": 12000},
 }
 NOW = 3.5
-HEARTBEAT = {
-    "service": "one",
-    "address": "10.128.0.9:8080",
-    "zone": "a",
-    "version": "v1",
-    "slots": 2,
-    "state": "ready",
-    "cold_left_ms": 500,
-    "seq_no": 4,
-    "born": 1234,
-}
+HEARTBEAT = packet_peers.make_heartbeat(
+    "one", "10.128.0.9:8080", slots=2, cold_left_ms=500, seq_no=4, born=1234
+)
 
 
 def flow_to(host, port, caller_port=1):
--- a/tests/standins/packet_peers.py
+++ b/tests/standins/packet_peers.py
@@ -28,6 +28,28 @@
     return socket.inet_ntoa(number.to_bytes(4, "big"))
 
 
+def make_heartbeat(service, address, **changes):
+    """Return what a backend server says of itself.
+
+    Args:
+        service: Name of its service.
+        address: Where it receives packets, as text.
+        **changes: Fields that differ from those of a server that has just started.
+    """
+    heartbeat = {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 1,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq_no": 1,
+        "born": 100,
+    }
+    return heartbeat | changes
+
+
 def encode_packet(source, target, flags, seq=0, ack=0, data=b"", echo=0):
     """Encode one packet.
 
@@ -136,17 +158,13 @@
 
     async def announce(self):
         """Send one heartbeat and return whether it was acknowledged."""
-        body = {
-            "service": self.service,
-            "address": f"{self._address[0]}:{self._address[1]}",
-            "zone": "a",
-            "version": "v1",
-            "slots": 1,
-            "state": self.state,
-            "cold_left_ms": 0,
-            "seq_no": next(self._sequence_numbers),
-            "born": self._incarnation,
-        }
+        body = make_heartbeat(
+            self.service,
+            f"{self._address[0]}:{self._address[1]}",
+            state=self.state,
+            seq_no=next(self._sequence_numbers),
+            born=self._incarnation,
+        )
         return await asyncio.to_thread(
             self._put_announcement, json.dumps(body).encode()
         )
--- a/tests/standins/packet_site.py
+++ b/tests/standins/packet_site.py
@@ -61,6 +61,11 @@
     }
 
 
+def write_configuration(store, value):
+    """Write a configuration to the platform's store, as operators do."""
+    store.put("op/config", json.dumps(value).encode())
+
+
 class PacketSite:
     """Entries and agents as child processes, the rest in this process.
 
@@ -131,7 +136,7 @@
 
     def configure(self, value):
         """Write a configuration to the store, as operators do."""
-        self.store.put("op/config", json.dumps(value).encode())
+        write_configuration(self.store, value)
 
     def start_entry(self, host):
         """Start the entry of a host."""
