--- a/packages/cactushall-daemon/cactushall_daemon/__main__.py
+++ b/packages/cactushall-daemon/cactushall_daemon/__main__.py
@@ -4,6 +4,7 @@
 
 import gc
 import pathlib
+import signal
 import typing
 
 import click
@@ -30,6 +31,8 @@
     """Run one process of the cactushall load balancer."""
     # Imports leave no garbage to collect; `commands.run` enables collection again.
     gc.disable()
+    # Its default action would end a process that has not read its settings yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 
 @cli.command()
--- a/tests/daemon/test_startup.py
+++ b/tests/daemon/test_startup.py
@@ -34,6 +34,19 @@
 """
 
 
+IGNORES_SIGHUP = """
+import signal
+from cactushall_daemon import __main__
+__main__.cli.callback()
+print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+"""
+
+
+def test_a_signal_before_the_handler_is_set_does_not_end_the_process():
+    """Guards against a process that ends when its settings change while it starts."""
+    assert python_path.run(IGNORES_SIGHUP).split() == ["True"]
+
+
 @pytest.mark.parametrize("role", ["entry", "agent"])
 def test_only_what_the_transport_needs_is_imported(role):
     program = PROGRAM.format(role=role)
