--- a/packages/cactushall-daemon/cactushall_daemon/contacts.py
+++ b/packages/cactushall-daemon/cactushall_daemon/contacts.py
@@ -30,10 +30,17 @@
 
 
 class SlotClaim(msgspec.Struct, frozen=True):
-    """A contact slot that this process holds."""
+    """A contact slot that this process holds.
+
+    Attributes:
+        key: Key of the slot.
+        lease: Its lease.
+        is_first: Whether it is the first slot of its availability zone.
+    """
 
     key: bytes
     lease: store.LeaseId
+    is_first: bool
 
 
 class StoredContacts(msgspec.Struct, frozen=True):
@@ -133,7 +140,8 @@
     for key in free:
         latest = store.Write(store_keys.latest_holder(key), value)
         if await client.create(key, value, lease, [latest]):
-            return SlotClaim(key, lease)
+            is_first = key == store_keys.contact(member.zone, 0)
+            return SlotClaim(key, lease, is_first)
     await client.revoke(lease)
     return None
 
@@ -181,7 +189,9 @@
     member: records.Member,
     address: addresses.Address,
     record_store_result: StoreResultCallback,
-    while_held: collections.abc.Sequence[tasks.Run],
+    while_held: collections.abc.Callable[
+        [SlotClaim], collections.abc.Sequence[tasks.Run]
+    ],
 ) -> None:
     """Claim and hold a contact slot whenever one is free, until cancelled.
 
@@ -191,7 +201,7 @@
         address: The address that joining processes should use.
         record_store_result: Called after each claim with the error if the store did not
             respond, else with None.
-        while_held: What to run while a slot is held.
+        while_held: Returns what to run while a slot is held.
     """
     while True:
         try:
@@ -209,7 +219,7 @@
             await asyncio.sleep(LEASE_SECONDS)
             continue
         log.info(events.Event.CONTACT_CLAIMED, key=claim.key.decode())
-        running = [asyncio.create_task(run()) for run in while_held]
+        running = [asyncio.create_task(run()) for run in while_held(claim)]
         try:
             await hold_slot(client, claim)
         finally:
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -200,7 +200,7 @@
             member,
             member.control_address,
             self._follower.record_store_result,
-            [
+            lambda _claim: [
                 functools.partial(self._tasks.run_again, run)
                 for run in (self._follower.run, self._discovery.refresh)
             ],
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -231,12 +231,15 @@
             member,
             member.control_address,
             self._follower.record_store_result,
-            [
-                functools.partial(self._tasks.run_again, self._discovery.refresh),
-                self._follower.watch_closely,
-            ],
+            self._tasks_of_contact_point,
         )
 
+    def _tasks_of_contact_point(self, claim: contacts.SlotClaim) -> list[tasks.Run]:
+        """Return what to run while a slot is held."""
+        refresh = functools.partial(self._tasks.run_again, self._discovery.refresh)
+        # One process of each availability zone is enough for close watches.
+        return [refresh, self._follower.watch_closely] if claim.is_first else [refresh]
+
     def stop(self) -> None:
         """Announce the departure, cancel tasks and close all sockets."""
         self._tasks.cancel()
