Scenarios with real processes: odd entries and heartbeats of another writer

Nine odd values at four keys of the store and 21 odd heartbeats to each agent: a configuration is followed afterwards, open flows go on, no process ends or logs a failed task. And a complete heartbeat that names a later start than the server's own: the server gets new flows again after five intervals, and its draining counts.

--- a/tests/core/test_decoding.py
+++ b/tests/core/test_decoding.py
@@ -15,11 +15,10 @@
 from cactushall_platform import calls, operator_keys
 from cactushall_platform import configuration as platform_configuration
 from tests.core import builders
-from tests.standins import packet_peers, packet_site
+from tests.standins import odd_entries, packet_peers, packet_site
 
-NESTING = 100_000
-DEEP_JSON = b"[" * NESTING + b"]" * NESTING
-DEEP_MESSAGE_PACK = b"\x91" * NESTING + b"\xc0"
+DEEP_JSON = odd_entries.DEEP_JSON
+DEEP_MESSAGE_PACK = b"\x91" * odd_entries.NESTING + b"\xc0"
 HEARTBEAT = packet_peers.make_heartbeat("one", "10.128.0.9:8080")
 # Documents of other writers, by what decodes them.
 JSON_DECODERS = {
--- a/tests/scenarios/packets.feature
+++ b/tests/scenarios/packets.feature
@@ -61,3 +61,21 @@
   Scenario: Settings are reloaded
     When an entry gets SIGHUP with invalid settings and then with valid ones
     Then it stays ready and has logged both
+
+  Scenario: Another writer leaves odd entries and sends odd heartbeats
+    Given 5 open flows to plans
+    When another writer leaves odd entries and sends odd heartbeats to all agents
+    Then all open flows continue at their servers
+    When the route of plans is removed
+    Then its open flows are reset within 2 seconds
+    And a new flow to plans is reset
+    When the route of plans is added again
+    Then a new flow to plans is served
+    And no process has ended or failed
+
+  Scenario: A heartbeat of another writer names a later start
+    When another writer announces a later start of a board server
+    Then the server gets new flows after 5 intervals
+    When a board server announces that it is draining
+    Then the announcement is acknowledged
+    And the next 20 flows to board go to the other server
--- a/tests/scenarios/test_packets.py
+++ b/tests/scenarios/test_packets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+import json
 import signal
 
 import pytest
@@ -11,11 +12,12 @@
 import yaml
 from pytest_bdd import parsers
 
-from tests.standins import packet_peers, packet_site
+from tests.standins import odd_entries, packet_peers, packet_site
 
 pytestmark = pytest.mark.scenario
 pytest_bdd.scenarios("packets.feature")
 
+FLOWS_SECONDS = 3.0
 SERVICE_ADDRESSES = {
     name: address for address, name in packet_site.SERVICE_NAMES.items()
 }
@@ -329,3 +331,49 @@
     logged = [line.get("event_id") for line in world.site.log_lines(host)]
     assert 1006 in logged
     assert 1007 in logged
+
+
+@pytest_bdd.when(
+    "another writer leaves odd entries and sends odd heartbeats to all agents"
+)
+def _(world):
+    async def send():
+        odd_entries.leave_in(world.site.store)
+        for server in world.site.servers:
+            for body in odd_entries.make_heartbeats(
+                server.service, server.address, "nothing"
+            ):
+                assert not await server.put_announcement(body)
+
+    world.run(send())
+
+
+@pytest_bdd.then("no process has ended or failed")
+def _(world):
+    site = world.site
+    hosts = [*site.entries, *(site.agent_host(server) for server in site.servers)]
+    for host in hosts:
+        assert site.is_running(host)
+        events = {line.get("event_id") for line in site.log_lines(host)}
+        assert not events & {1005, 1010, 2004}
+
+
+@pytest_bdd.when("another writer announces a later start of a board server")
+def _(world):
+    server = world.site.servers[0]
+    odd = packet_peers.make_heartbeat(server.service, server.address, born=1 << 50)
+    assert world.run(server.put_announcement(json.dumps(odd).encode(), "odd"))
+
+
+@pytest_bdd.then("the server gets new flows after 5 intervals")
+def _(world):
+    server = world.site.servers[0]
+
+    async def open_flows():
+        await asyncio.sleep(5 * packet_peers.HEARTBEAT_MILLISECONDS / 1000)
+        accepted = server.accepted_flows
+        async with asyncio.timeout(FLOWS_SECONDS):
+            while server.accepted_flows == accepted:
+                await (await world.site.open_flow()).close()
+
+    world.run(open_flows())
--- a/tests/standins/packet_peers.py
+++ b/tests/standins/packet_peers.py
@@ -136,6 +136,11 @@
         self._socket = None
         self._heartbeat_task = None
 
+    @property
+    def address(self):
+        """Where the server receives packets, as text."""
+        return f"{self._address[0]}:{self._address[1]}"
+
     async def start(self):
         """Start to receive packets and to send heartbeats."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -160,17 +165,24 @@
         """Send one heartbeat and return whether it was acknowledged."""
         body = make_heartbeat(
             self.service,
-            f"{self._address[0]}:{self._address[1]}",
+            self.address,
             state=self.state,
             seq_no=next(self._sequence_numbers),
             born=self._incarnation,
         )
-        return await asyncio.to_thread(
-            self._put_announcement, json.dumps(body).encode()
-        )
+        return await self.put_announcement(json.dumps(body).encode())
+
+    async def put_announcement(self, body, name=None):
+        """Send any body as a heartbeat and return whether it was acknowledged.
+
+        Args:
+            body: The body.
+            name: Name of the server that it is said to come from; the own one if None.
+        """
+        return await asyncio.to_thread(self._put, body, name or self.name)
 
-    def _put_announcement(self, body):
-        url = f"http://{self._control[0]}:{self._control[1]}/api/instances/{self.name}"
+    def _put(self, body, name):
+        url = f"http://{self._control[0]}:{self._control[1]}/api/instances/{name}"
         request = urllib.request.Request(url, body, method="PUT")
         try:
             with urllib.request.urlopen(request, timeout=1) as response:
--- a/tests/standins/packet_site.py
+++ b/tests/standins/packet_site.py
@@ -184,6 +184,10 @@
         """Wait until the process of a host has exited and return its exit code."""
         return await asyncio.to_thread(self._processes[host].wait, STOP_TIMEOUT_SECONDS)
 
+    def is_running(self, host):
+        """Return whether the latest process of a host runs."""
+        return self._processes[host].poll() is None
+
     async def wait_until_ready(self, host):
         """Wait until an entry reports that it is ready."""
         async with asyncio.timeout(START_TIMEOUT_SECONDS):
@@ -226,9 +230,7 @@
 
         Only running entries are considered, as if the routers had noticed at once.
         """
-        running = [
-            host for host in self.entries if self._processes[host].poll() is None
-        ]
+        running = [host for host in self.entries if self.is_running(host)]
         return running[source[1] % len(running)], PACKET_PORT
 
     def _start(self, role, host, role_settings):
