Agents log why the outcome of an earlier submission is unknown

KNOWN-RED, test_an_agent_is_stopped: one proposal answered 504 "unknown; earlier-submission" while an agent stops. Event 3102 tells the key, the reason and the holder.

--- a/packages/cactushall-daemon/cactushall_daemon/agent/idempotency.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/idempotency.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import enum
 
 from cactushall_core import identifiers, peering
 from cactushall_core.once import key_registry, messages
@@ -57,9 +58,34 @@
     """The request has not run and may be submitted again."""
 
 
+class UnknownReason(enum.Enum):
+    """Why the outcome of an earlier submission is not known.
+
+    UNDECIDED: The members could not tell in time whether the key is new.
+    HOLDER_GONE: The member that holds the key does not run any more.
+    NO_ANSWER: It did not answer.
+    NO_RESPONSE: It has no response that it could give.
+    LATE: The run did not end before the deadline.
+    """
+
+    UNDECIDED = "undecided"
+    HOLDER_GONE = "holder-gone"
+    NO_ANSWER = "no-answer"
+    NO_RESPONSE = "no-response"
+    LATE = "late"
+
+
 @dataclasses.dataclass(frozen=True)
 class Unknown:
-    """The request may have run, and its response is not known."""
+    """The request may have run, and its response is not known.
+
+    Attributes:
+        reason: Why it is not known.
+        holder: The member that holds the key, None where that is not known.
+    """
+
+    reason: UnknownReason
+    holder: identifiers.MemberId | None = None
 
 
 Admission = Start | Replay | NotRun | Unknown
@@ -142,13 +168,13 @@
                 decision.kind is key_registry.DecisionKind.UNKNOWN
                 or decision.holder is None
             ):
-                return Unknown()
+                return Unknown(UnknownReason.UNDECIDED)
             admission = await self._fetch_response(key, decision.holder, deadline)
             if admission is not None:
                 return admission
             released_by = decision.holder
             await asyncio.sleep(RETRY_DELAY_SECONDS)
-        return Unknown()
+        return Unknown(UnknownReason.UNDECIDED)
 
     def try_start(self, key: messages.KeyDigest) -> bool:
         """Mark an admitted request as started.
@@ -298,17 +324,19 @@
     ) -> Admission:
         run = self._runs.get(key)
         if run is None:
-            return Unknown()
+            return Unknown(UnknownReason.NO_RESPONSE)
         remaining = max(0.0, deadline - self._loop.time())
         try:
             response = await asyncio.wait_for(asyncio.shield(run.finished), remaining)
         except TimeoutError:
-            return Unknown()
+            return Unknown(UnknownReason.LATE)
         except asyncio.CancelledError:
             if run.finished.cancelled():
                 return NotRun()
             raise
-        return Unknown() if response is None else Replay(response)
+        if response is None:
+            return Unknown(UnknownReason.NO_RESPONSE)
+        return Replay(response)
 
     async def _fetch_response(
         self, key: messages.KeyDigest, holder: identifiers.MemberId, deadline: float
@@ -320,7 +348,7 @@
         """
         member = self._peers.present_members().get(holder)
         if member is None:
-            return Unknown()
+            return Unknown(UnknownReason.HOLDER_GONE, holder)
         remaining = max(0.0, deadline - self._loop.time())
         request = control_pb2.AnswerRequest(
             service=self._service,
@@ -333,12 +361,12 @@
                 member.control_address, request
             )
         except control.ControlError:
-            return Unknown()
+            return Unknown(UnknownReason.NO_ANSWER, holder)
         if response.result == control_pb2.AnswerResponse.ANSWERED:
             return Replay(_from_message(response))
         if response.result == control_pb2.AnswerResponse.NEVER_RAN:
             return None
-        return Unknown()
+        return Unknown(UnknownReason.NO_RESPONSE, holder)
 
 
 def _to_message(response: StoredResponse) -> control_pb2.AnswerResponse:
--- a/packages/cactushall-daemon/cactushall_daemon/agent/requests.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/requests.py
@@ -264,6 +264,13 @@
             retry_after = exchange.RETRY_AFTER_SECONDS
             refusal = outcomes.Refusal(outcomes.Outcome.UNKNOWN, reason, retry_after)
             self._counters.add(counters.Counter.REQUESTS_UNKNOWN)
+            log.warning(
+                events.Event.REQUEST_UNKNOWN,
+                service=self._service,
+                key=key.hex(),
+                why=admission.reason.value,
+                holder=admission.holder,
+            )
             exchange.send_refusal(stream, refusal)
             stream.flow.remove_stream(stream.stream_id)
 
