A claim that is under way when its member leaves is free afterwards

Cause: a member that leaves exported keys that it was only claiming as its own, although it starts none of them any more; a claim that arrived after its export was recorded too. Later submissions were sent to the member that had gone, and got "unknown", though nothing had run. Change: own claims end when a member begins to leave, and are exported as released; a member that has handed over its keys gets no key any more, and inquiries on its behalf are dropped. Such a member grants and starts nothing, so that its claims never run.

--- a/packages/cactushall-core/cactushall_core/once/key_registry.py
+++ b/packages/cactushall-core/cactushall_core/once/key_registry.py
@@ -328,9 +328,18 @@
         self._store_entry(key, KeyState.RESERVED, member, now)
         return True
 
-    def begin_leaving(self) -> None:
-        """Stop granting and recording keys, so that an export stays complete."""
+    def begin_leaving(self) -> list[Action]:
+        """Stop granting and recording keys, so that an export stays complete.
+
+        Own claims that are under way end: their keys never run here.
+        """
         self._is_leaving = True
+        actions: list[Action] = []
+        for key in [k for k in self._entries if self._is_claiming(k)]:
+            self._claim_deadlines.pop(key, None)
+            self._pending_inquiries.pop(key, None)
+            actions += self._abandon_claim(key, DecisionKind.NOT_RUN)
+        return actions
 
     def export(self, now: float) -> list[tuple[messages.KeyDigest, int]]:
         """Return all keys that are not released, with their holders."""
@@ -377,6 +386,7 @@
             now: Current time in seconds.
         """
         self._handed_over.add(member)
+        self._drop_inquiries_for(member)
         actions: list[Action] = []
         for key, holder in keys:
             entry = self._find_entry(key, now)
@@ -444,6 +454,9 @@
         key, number = claim.key, self._epoch.number
         if claim.epoch != number or self._member not in self._epoch.members:
             return [Send(sender, messages.Refused(key, claim.epoch, True))]
+        if sender in self._handed_over:
+            # It has ended its claims since, and would hold the key for good.
+            return []
         entry = self._find_entry(key, now)
         if entry is not None and entry.state is not KeyState.RELEASED:
             if entry.holder not in (sender, claim.released_by):
@@ -476,7 +489,7 @@
             is_available = True
         if self._is_leaving:
             return []
-        if is_available:
+        if is_available and runner not in self._handed_over:
             self._store_entry(key, KeyState.RESERVED, runner, now)
         return [Send(sender, messages.Reserved(key, inquiry.epoch, runner))]
 
@@ -524,6 +537,12 @@
 
     # Inquiries.
 
+    def _drop_inquiries_for(self, runner: identifiers.MemberId) -> None:
+        """Forget inquiries for a member that starts no key any more."""
+        pending = self._pending_inquiries.items()
+        for key in [key for key, inquiry in pending if inquiry.runner == runner]:
+            del self._pending_inquiries[key]
+
     def _claim_for_self(
         self,
         key: messages.KeyDigest,
--- a/packages/cactushall-daemon/cactushall_daemon/agent/idempotency.py
+++ b/packages/cactushall-daemon/cactushall_daemon/agent/idempotency.py
@@ -252,7 +252,7 @@
         Returns:
             Whether enough other agents have received them.
         """
-        self._registry.begin_leaving()
+        self._execute(self._registry.begin_leaving())
         entries = [
             control_pb2.HandoverEntry(key=key, holder=holder)
             for key, holder in self._registry.export(self._loop.time())
--- a/tests/core/once_model.py
+++ b/tests/core/once_model.py
@@ -230,7 +230,7 @@
         for key in node.ready:
             node.registry.release(key)
         node.ready = []
-        node.registry.begin_leaving()
+        self.execute(node, node.registry.begin_leaving())
         node.handover = Handover(
             node.registry.export(self.now), node.registry.export_released(self.now)
         )
--- a/tests/core/test_once.py
+++ b/tests/core/test_once.py
@@ -392,6 +392,27 @@
     assert coordinator.registry.key_count == 0
 
 
+@pytest.mark.parametrize("is_recent", [False, True])
+@pytest.mark.parametrize("delivered", range(4))
+def test_claim_that_is_under_way_when_its_member_leaves_is_free(is_recent, delivered):
+    """Guards against a key whose caller never learns that it has not run."""
+    service = service_after_epoch_change() if is_recent else once_model.Service(4)
+    leaving = node_at(service, 3)
+    key = key_of_coordinator(service, 3, 0)
+    service.submit(leaving, key)
+    for _ in range(min(delivered, len(service.in_flight))):
+        service.deliver(0)
+    service.leave(leaving)
+    for slot in (0, 1, 2):
+        service.receive(node_at(service, slot), leaving.member, leaving.handover)
+    settle(service)
+    final = decision_kinds(service, 3)[-1]
+    assert final in (key_registry.DecisionKind.NOT_RUN, key_registry.DecisionKind.START)
+    service.kill(leaving)
+    run_once(service, 1, key)
+    assert service.runs_total == 1
+
+
 def test_claim_ends_if_a_leaving_member_held_the_key():
     service = service_after_epoch_change()
     leaving, runner = node_at(service, 3), node_at(service, 0)
