A question to all members after a lost claim tells who has released the key

Cause: the coordinator of a key had granted it to itself, released it while draining, passed it on to the agent that asked, and left; that agent's claim got no answer, and its question to all members did not say any more that the key had been released. Another member still named the one that had left as its holder. Change: a pending claim keeps who released the key.

--- a/packages/cactushall-core/cactushall_core/once/key_registry.py
+++ b/packages/cactushall-core/cactushall_core/once/key_registry.py
@@ -95,6 +95,19 @@
     expires_at: float
 
 
+@dataclasses.dataclass(frozen=True)
+class _PendingClaim:
+    """A claim that waits for the answer of its coordinator.
+
+    Attributes:
+        deadline: Time at which waiting ends, in seconds.
+        released_by: A former holder that has released the key.
+    """
+
+    deadline: float
+    released_by: identifiers.MemberId | None
+
+
 @dataclasses.dataclass
 class _PendingInquiry:
     """An inquiry about a key that waits for answers.
@@ -146,7 +159,7 @@
         self._handed_over: set[identifiers.MemberId] = set()
         self._reachable: set[identifiers.MemberId] | None = None
         self._entries: dict[messages.KeyDigest, _Entry] = {}
-        self._claim_deadlines: dict[messages.KeyDigest, float] = {}
+        self._pending_claims: dict[messages.KeyDigest, _PendingClaim] = {}
         self._pending_inquiries: dict[messages.KeyDigest, _PendingInquiry] = {}
         self._heartbeat_sent_at: dict[identifiers.MemberId, float] = {}
         self._adopted_by: set[identifiers.MemberId] = set()
@@ -280,7 +293,8 @@
             return self._claim_for_self(key, now, released_by)
         if not self._is_reachable(coordinator):
             return self._inquire_all(key, self._member, now, released_by)
-        self._claim_deadlines[key] = now + ANSWER_TIMEOUT_SECONDS
+        deadline = now + ANSWER_TIMEOUT_SECONDS
+        self._pending_claims[key] = _PendingClaim(deadline, released_by)
         return [Send(coordinator, messages.Claim(key, self._epoch.number, released_by))]
 
     def start(self, key: messages.KeyDigest, now: float) -> bool:
@@ -336,7 +350,7 @@
         self._is_leaving = True
         actions: list[Action] = []
         for key in [k for k in self._entries if self._is_claiming(k)]:
-            self._claim_deadlines.pop(key, None)
+            self._pending_claims.pop(key, None)
             self._pending_inquiries.pop(key, None)
             actions += self._abandon_claim(key, DecisionKind.NOT_RUN)
         return actions
@@ -393,7 +407,7 @@
             if entry is None:
                 self._store_entry(key, KeyState.RESERVED, holder, now)
             elif entry.state is KeyState.CLAIMING and holder != self._member:
-                self._claim_deadlines.pop(key, None)
+                self._pending_claims.pop(key, None)
                 self._pending_inquiries.pop(key, None)
                 self._store_entry(key, KeyState.RESERVED, holder, now)
                 actions.append(Decision(key, DecisionKind.FETCH, holder))
@@ -437,11 +451,13 @@
         """Time out claims and inquiries, and forget expired keys."""
         self._expire(now)
         actions: list[Action] = []
-        for key, deadline in list(self._claim_deadlines.items()):
-            if now >= deadline:
-                del self._claim_deadlines[key]
+        for key, claim in list(self._pending_claims.items()):
+            if now >= claim.deadline:
+                del self._pending_claims[key]
                 if self._is_claiming(key):
-                    actions += self._inquire_all(key, self._member, now)
+                    actions += self._inquire_all(
+                        key, self._member, now, claim.released_by
+                    )
         for key, pending in list(self._pending_inquiries.items()):
             if now >= pending.deadline:
                 del self._pending_inquiries[key]
@@ -494,7 +510,7 @@
         return [Send(sender, messages.Reserved(key, inquiry.epoch, runner))]
 
     def _handle_granted(self, key: messages.KeyDigest, now: float) -> list[Action]:
-        self._claim_deadlines.pop(key, None)
+        self._pending_claims.pop(key, None)
         return self._grant_locally(key, now)
 
     def _handle_held(self, held: messages.Held, now: float) -> list[Action]:
@@ -507,16 +523,16 @@
                     self._store_entry(key, KeyState.RESERVED, held.holder, now)
                 answer = messages.Held(key, self._epoch.number, held.holder)
                 return [Send(pending.runner, answer)]
-        elif key not in self._claim_deadlines:
+        elif key not in self._pending_claims:
             return []
-        self._claim_deadlines.pop(key, None)
+        self._pending_claims.pop(key, None)
         if not self._is_claiming(key) or held.holder == self._member:
             return []
         self._store_entry(key, KeyState.RESERVED, held.holder, now)
         return [Decision(key, DecisionKind.FETCH, held.holder)]
 
     def _handle_refused(self, refused: messages.Refused) -> list[Action]:
-        if self._claim_deadlines.pop(refused.key, None) is None:
+        if self._pending_claims.pop(refused.key, None) is None:
             return []
         kind = DecisionKind.RETRY if refused.is_stale else DecisionKind.UNKNOWN
         return self._abandon_claim(refused.key, kind)
--- a/tests/core/test_once.py
+++ b/tests/core/test_once.py
@@ -357,6 +357,27 @@
     assert service.runs_total == 1
 
 
+def test_key_released_by_a_coordinator_that_leaves_runs_elsewhere():
+    """Guards against a caller who never learns that its request has not run."""
+    service = service_after_epoch_change()
+    leaving, runner = node_at(service, 3), node_at(service, 0)
+    key = key_of_coordinator(service, 0, 3)
+    service.submit(leaving, key)
+    settle(service)
+    assert leaving.ready == [key]
+    leaving.registry.release(key)
+    leaving.ready.clear()
+    service.submit(runner, key)
+    settle(service)
+    assert decision_kinds(service, 0) == [key_registry.DecisionKind.FETCH]
+    assert leaving.registry.transfer(key, runner.member, service.now)
+    service.leave(leaving)
+    again = runner.registry.submit(key, service.now, leaving.member)
+    service.execute(runner, again)
+    settle(service)
+    assert runner.ready == [key]
+
+
 def test_member_that_handed_over_its_keys_need_not_answer():
     service = service_after_epoch_change(4)
     leaving, dead = node_at(service, 3), node_at(service, 2)
