Review: one restart of an entry ends the close watch of its zone for good

The first contact slot, whose holder alone watches with short waits, stays empty after its holder was restarted, so that nobody notices that the connections of watches have gone silent.

--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -94,6 +94,7 @@
         """Wrap the streams of a connection."""
         self.reader = reader
         self.writer = writer
+        self.path = ""
         self.is_silent = False
 
     async def read_request(self):
@@ -109,6 +110,7 @@
                 size = int(value)
         body = await self.reader.readexactly(size)
         path, _, query = target.partition("?")
+        self.path = path
         return method, path, dict(urllib.parse.parse_qsl(query)), body
 
     async def answer(self, status, value):
@@ -202,12 +204,18 @@
         self._expiry.cancel()
         self._server.close()
 
-    def silence_connections(self):
-        """Let all open connections go silent for good; new ones work."""
-        for connection in self._connections:
+    def silence_connections(self, path=""):
+        """Let open connections go silent for good; new ones work.
+
+        Args:
+            path: Only those whose latest request was for a path that begins so.
+        """
+        silenced = [c for c in self._connections if c.path.startswith(path)]
+        for connection in silenced:
             connection.is_silent = True
-        count = len(self._connections)
-        self._record.write(f"store: {count} open connections go silent, new ones work")
+        self._record.write(
+            f"store: {len(silenced)} open connections go silent, new ones work"
+        )
 
     def write_configuration(self, value):
         """Write a configuration, as the operator does; the write is acknowledged."""
@@ -219,6 +227,13 @@
             f"operator: version {value['version']} is acknowledged ({routes})"
         )
 
+    def holder_of_first_slot(self):
+        """Return the host of the entry that holds the first contact slot, if any."""
+        for key, item in self.items.items():
+            if item["lease"] and key.endswith("/0"):
+                return base64.b64decode(item["value"]).decode().rpartition(":")[0]
+        return None
+
     def _put(self, key, value, lease):
         self.revision += 1
         created = self.items.get(key, {}).get("created", self.revision)
