Review: a new entry resets open flows after the entries were replaced

With planned work only, and stale seeds, a new entry and a new agent take themselves for the whole fleet.

--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -55,6 +55,7 @@
 SERVER_RETRANSMISSIONS = 8
 WORK_SECONDS = 0.005
 MAX_PAGE_ITEMS = 500
+MAX_SEEDS = 3
 BOUNDS = {
     "contact_ms": 4000,
     "drain_ms": 3000,
@@ -453,6 +454,8 @@
 
     def stop(self):
         """End without a word, like a crash."""
+        if self._socket is None:
+            return
         for task in self._tasks:
             task.cancel()
         self._health.close()
@@ -789,6 +792,7 @@
         servers: The backend servers; each has an agent at its host.
         caller: The callers and the routers.
         record: What was sent, answered and run.
+        seeds: Hosts of the entries that the settings of new processes name.
     """
 
     def __init__(self, folder, services, entries=2):
@@ -812,6 +816,7 @@
             service: (f"{network}.6.{n + 1}", 8443)
             for n, service in enumerate(dict.fromkeys(services))
         }
+        self.seeds = self.entries[:MAX_SEEDS]
         self._store_host = f"{network}.9.1"
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
         self._roles = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
@@ -848,26 +853,28 @@
             "limits": {"idle_timeout_ms": 15000} | limits,
         }
 
-    async def start(self, entries=None):
+    async def start(self, entries=None, servers=None):
         """Start everything and wait until all entries are in rotation.
 
         Args:
             entries: How many entries to start; by default all.
+            servers: How many backend servers to start, with their agents.
         """
         await self.store.start(self._store_host)
         self.store.write_configuration(self.configuration(1))
         started = self.entries[:entries]
         for host in started:
             self.start_process("entry", host)
-        for server in self.servers:
+        started_servers = self.servers[:servers]
+        for server in started_servers:
             self.start_process("agent", server.host, server)
         await asyncio.sleep(SERVER_DELAY_SECONDS)
-        for server in self.servers:
+        for server in started_servers:
             await server.start()
         self.caller.start()
         await self.wait_until(lambda: len(self.caller.in_rotation) == len(started), 20)
         await self.wait_until(
-            lambda: all(s.acknowledged == 200 for s in self.servers), 10
+            lambda: all(s.acknowledged == 200 for s in started_servers), 10
         )
 
     async def wait_until(self, is_true, seconds):
@@ -897,19 +904,19 @@
         self.record.write(f"platform: {signal.Signals(number).name} to {host}")
         self._processes[host].send_signal(number)
 
-    def process_of(self, host):
-        """Return the process of a host."""
-        return self._processes[host]
-
-    async def restart(self, role, host, server=None, down=RESTART_SECONDS):
-        """Stop a process with SIGTERM, SIGKILL after the grace, and start it again."""
-        self.signal(host, signal.SIGTERM)
+    async def wait_for_exit(self, host):
+        """Wait until a process has ended after SIGTERM; SIGKILL follows the grace."""
         process = self._processes[host]
         try:
             await asyncio.to_thread(process.wait, BOUNDS["grace_s"])
         except subprocess.TimeoutExpired:
             process.kill()
             process.wait()
+
+    async def restart(self, role, host, server=None, down=RESTART_SECONDS):
+        """Stop a process with SIGTERM, SIGKILL after the grace, and start it again."""
+        self.signal(host, signal.SIGTERM)
+        await self.wait_for_exit(host)
         self.record.write(f"platform: {host} has ended")
         await asyncio.sleep(down)
         self.start_process(role, host, server)
@@ -939,7 +946,7 @@
             "zone": "zone-a",
             "ip": host,
             "port_range": list(PORT_RANGE),
-            "seeds": [f"{entry}:{CONTROL_PORT}" for entry in self.entries[:3]],
+            "seeds": [f"{entry}:{CONTROL_PORT}" for entry in self.seeds],
             "heartbeat_ms": HEARTBEAT_MS,
             "listen": {
                 "datagram_addr": f"{host}:{PACKET_PORT}",
