--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -924,9 +924,8 @@
     def start_process(self, role, host, server=None):
         """Start the process of a host as the deploy file says."""
         deployed = self._roles[role]
-        template = (ROOT / deployed["template"]).read_text()
         settings = self._folder / f"{host}.json"
-        settings.write_text(render(template, self._values(role, host, server)))
+        self.rewrite_settings(role, host, server)
         command = shlex.split(deployed["run"])
         command[command.index("--config") + 1] = str(settings)
         environment = {"PATH": os.environ["PATH"], "PYTHONPATH": "target/deps"}
@@ -936,6 +935,12 @@
             )
         self.record.write(f"platform: starts {role} at {host}")
 
+    def rewrite_settings(self, role, host, server=None):
+        """Write the settings of a host again, with the seeds of now."""
+        template = (ROOT / self._roles[role]["template"]).read_text()
+        settings = self._folder / f"{host}.json"
+        settings.write_text(render(template, self._values(role, host, server)))
+
     def logs(self, host):
         """Return the log lines of all processes of a host."""
         return (self._folder / f"{host}.log").read_text().splitlines()
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -31,6 +31,7 @@
 DEADLINE_SECONDS = 5.0
 CHECKED_SECONDS = 16.0
 IDLE_SECONDS = 9.0
+SEED_LAG_SECONDS = 3.0
 
 
 async def remove_entry(site, host):
@@ -74,6 +75,14 @@
     return others
 
 
+def rename_seeds(site):
+    """Name entries that run as seeds in the settings of the new machines."""
+    site.seeds = site.entries[FIRST_ENTRIES:-1]
+    site.rewrite_settings("entry", site.entries[-1])
+    site.rewrite_settings("agent", site.servers[-1].host, site.servers[-1])
+    site.record.write(f"platform: the settings name {', '.join(site.seeds)} as seeds")
+
+
 async def run(site, is_disrupted):
     """Return how many open flows were reset by the system, and how many there were."""
     await site.start(FIRST_ENTRIES, FIRST_SERVERS)
@@ -91,6 +100,8 @@
     traffic = asyncio.gather(*using)
     await asyncio.sleep(standins.SERVER_DELAY_SECONDS)
     await site.servers[-1].start()
+    await asyncio.sleep(SEED_LAG_SECONDS - standins.SERVER_DELAY_SECONDS)
+    rename_seeds(site)
     await traffic
     return sum(flow.is_reset for flow in flows), len(flows)
 
