--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -203,8 +203,9 @@
 
     def stop(self):
         """Stop listening."""
-        self._expiry.cancel()
-        self._server.close()
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._server.close()
 
     def silence_connections(self, path=""):
         """Let open connections go silent for good; new ones work.
@@ -698,6 +699,8 @@
 
     def stop(self):
         """Stop."""
+        if self._task is None:
+            return
         self._task.cancel()
         asyncio.get_running_loop().remove_reader(self._socket)
         self._socket.close()
@@ -783,6 +786,17 @@
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", place, text)
 
 
+def _find_free_network():
+    """Return the first two octets of loopback addresses that no other case uses."""
+    while True:
+        network = f"127.{random.randrange(20, 250)}"
+        with (
+            contextlib.suppress(OSError),
+            socket.create_server((f"{network}.9.1", STORE_PORT)),
+        ):
+            return network
+
+
 class Site:
     """A small deployment in one availability zone.
 
@@ -803,7 +817,7 @@
             services: Service of each backend server.
             entries: Number of entries.
         """
-        network = f"127.{random.randrange(20, 250)}"
+        network = _find_free_network()
         self.record = Record(folder / "record.txt")
         self.store = Store(self.record)
         self.entries = [f"{network}.3.{n + 1}" for n in range(entries)]
