--- a/review/9/case.py
+++ b/review/9/case.py
@@ -99,7 +99,7 @@
         if before < 1 / 4:
             return 2
         return 1 if after < 1 / 4 else 0
-    except (TimeoutError, OSError) as error:
+    except (TimeoutError, OSError, standins.FlowResetError) as error:
         site.record.write(f"result: the case could not run: {error!r}")
         return 2
     finally:
