--- a/review/6/standins.py
+++ b/review/6/standins.py
@@ -786,15 +786,20 @@
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", place, text)
 
 
-def _find_free_network():
-    """Return the first two octets of loopback addresses that no other case uses."""
+def _reserve_network():
+    """Return the first two octets of loopback addresses, and what reserves them.
+
+    The socket keeps other cases from the same addresses until it is closed.
+    """
     while True:
         network = f"127.{random.randrange(20, 250)}"
-        with (
-            contextlib.suppress(OSError),
-            socket.create_server((f"{network}.9.1", STORE_PORT)),
-        ):
-            return network
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            reservation.bind((f"{network}.9.2", STORE_PORT))
+        except OSError:
+            reservation.close()
+        else:
+            return network, reservation
 
 
 class Site:
@@ -817,7 +822,7 @@
             services: Service of each backend server.
             entries: Number of entries.
         """
-        network = _find_free_network()
+        network, self._reservation = _reserve_network()
         self.record = Record(folder / "record.txt")
         self.store = Store(self.record)
         self.entries = [f"{network}.3.{n + 1}" for n in range(entries)]
@@ -912,6 +917,7 @@
         self.caller.stop()
         self.store.stop()
         self.record.close()
+        self._reservation.close()
 
     def signal(self, host, number):
         """Send a signal to the process of a host."""
