--- a/review/6/case.py
+++ b/review/6/case.py
@@ -20,6 +20,7 @@
 
 SERVICE = "board"
 SERVERS = 4
+ENTRIES = 5
 AT_A_TIME = 2
 GAP_SECONDS = 1.0
 FREEZE_SECONDS = 5.0
@@ -110,7 +111,7 @@
 async def main():
     """Run the case and return the exit code."""
     is_disrupted = os.environ.get("TROUBLE", "1") != "0"
-    site = standins.Site(FOLDER, [SERVICE] * SERVERS)
+    site = standins.Site(FOLDER, [SERVICE] * SERVERS, entries=ENTRIES)
     try:
         reset, opened = await run(site, is_disrupted)
         site.record.write(
