A slot of a contact point that has gone is claimed at once

Cause: the list of contact points in the store followed leases only. A holder that stopped kept its slot for 30 s, and a process that had found no slot free slept for 30 s, though gossip told all members at once that the holder had left. The store named processes that were gone and none that ran.

Change: a contact point that stops revokes its lease. The three members that run longest in the zone look for a slot when a holder is dead or has left or when they become one of the three, and replace a claim by compare-and-swap. A holder checks at its regular read that it is still listed. The decision is in contact_slots (core), the calls are in contact_service.

No call of the store is added while nothing changes.

That 3 s of silence of an old list count as knowledge is a fault of its own.

--- a/packages/cactushall-core/cactushall_core/membership/table.py
+++ b/packages/cactushall-core/cactushall_core/membership/table.py
@@ -28,6 +28,12 @@
         self._gone_at: dict[identifiers.MemberId, float] = {}
         self._hashes = [0] * BUCKETS
         self._present_count = 0
+        self._change_count = 0
+
+    @property
+    def change_count(self) -> int:
+        """How often a record was stored, to tell whether anything may have changed."""
+        return self._change_count
 
     @property
     def present_count(self) -> int:
@@ -56,6 +62,7 @@
         copied._gone_at = self._gone_at.copy()
         copied._hashes = self._hashes.copy()
         copied._present_count = self._present_count
+        copied._change_count = self._change_count
         return copied
 
     def get(self, member: identifiers.MemberId) -> records.Record | None:
@@ -70,6 +77,7 @@
     def put(self, record: records.Record, now: float) -> None:
         """Store a record, replacing an older one of the same member."""
         member = record.member.id
+        self._change_count += 1
         old = self._records.get(member)
         if old is None:
             self._member_ids.append(member)
--- a/packages/cactushall-core/cactushall_core/store.py
+++ b/packages/cactushall-core/cactushall_core/store.py
@@ -116,16 +116,32 @@
         lease: LeaseId = NO_LEASE,
         beside: collections.abc.Sequence[Write] = (),
     ) -> bool:
-        """Create a key unless it exists.
+        """Create a key unless it exists, as `replace` does with revision 0."""
+
+    async def replace(
+        self,
+        key: bytes,
+        value: bytes,
+        mod_revision: int,
+        lease: LeaseId = NO_LEASE,
+        beside: collections.abc.Sequence[Write] = (),
+    ) -> bool:
+        """Write a key by compare-and-swap.
 
         Args:
             key: The key.
-            value: Its value.
-            lease: The lease that deletes the key when it ends.
-            beside: Other keys to write, without the lease, if the key is created.
+            value: Its new value.
+            mod_revision: Expected revision of the key's last change, 0 if the key must
+                not exist.
+            lease: The lease that deletes the key when it ends; a former one does not
+                any more.
+            beside: Other keys to write, without the lease, if the key is written.
 
         Returns:
-            Whether the key was created.
+            Whether the key was written.
+
+        Raises:
+            LeaseExpiredError: The lease no longer exists.
         """
 
     async def grant(self, ttl_seconds: int) -> LeaseId:
--- a/packages/cactushall-daemon/cactushall_daemon/contacts.py
+++ b/packages/cactushall-daemon/cactushall_daemon/contacts.py
@@ -8,52 +8,30 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections.abc
 
 import msgspec
 
-from cactushall_core import addresses, exceptions, store
-from cactushall_core.membership import records
-from cactushall_daemon import events, logs, tasks, unreadable_entries
+from cactushall_core import addresses, exceptions, identifiers, store
+from cactushall_core.membership import contact_slots
+from cactushall_daemon import unreadable_entries
 from cactushall_rpc import store_keys
 
-log = logs.get_logger(__name__)
-
-SLOTS_PER_ZONE = 3
-LEASE_SECONDS = 30
-# Contact points whose leases have ended are back so soon after the store is.
-KEEP_ALIVE_SECONDS = 2.0
-RETRY_SECONDS = 2.0
-
 StoreResultCallback = collections.abc.Callable[[Exception | None], None]
 
 
-class SlotClaim(msgspec.Struct, frozen=True):
-    """A contact slot that this process holds.
-
-    Attributes:
-        key: Key of the slot.
-        lease: Its lease.
-        is_first: Whether it is the first slot of its availability zone.
-    """
-
-    key: bytes
-    lease: store.LeaseId
-    is_first: bool
-
-
 class StoredContacts(msgspec.Struct, frozen=True):
-    """Addresses that the store lists, by their keys.
+    """What the store lists, by its keys.
 
     Attributes:
-        current: The contact points.
-        latest: The latest holders of all slots, by the key of the slot; they may be
-            gone.
+        current: Addresses of the contact points.
+        latest: Addresses of the latest holders of all slots; they may be gone.
+        revisions: Revision of the latest change of each key, also of unreadable ones.
     """
 
     current: dict[bytes, addresses.Address]
     latest: dict[bytes, addresses.Address]
+    revisions: dict[bytes, int]
 
     @property
     def all_addresses(self) -> list[addresses.Address]:
@@ -61,6 +39,21 @@
         listed = (*self.current.values(), *self.latest.values())
         return list(dict.fromkeys(listed))
 
+    def slots(self, zone: identifiers.ZoneName) -> list[contact_slots.Slot]:
+        """Return all slots of an availability zone."""
+        return [
+            self._slot(zone, number) for number in range(contact_slots.SLOTS_PER_ZONE)
+        ]
+
+    def _slot(self, zone: identifiers.ZoneName, number: int) -> contact_slots.Slot:
+        key = store_keys.contact(zone, number)
+        return contact_slots.Slot(
+            number,
+            self.current.get(key),
+            self.revisions.get(key, 0),
+            self.latest.get(store_keys.latest_holder(key)),
+        )
+
 
 async def read(
     client: store.Store, on_unreadable: unreadable_entries.Reporter
@@ -81,8 +74,11 @@
 def _decode(
     snapshot: store.Snapshot, on_unreadable: unreadable_entries.Reporter
 ) -> StoredContacts:
-    found = StoredContacts({}, {})
+    found = StoredContacts({}, {}, {})
+    for unreadable in snapshot.unreadable:
+        found.revisions[unreadable.key] = unreadable.mod_revision
     for entry in snapshot.entries:
+        found.revisions[entry.key] = entry.mod_revision
         try:
             address = addresses.parse(entry.value.decode())
         except ValueError as error:
@@ -113,115 +109,3 @@
     except exceptions.StoreUnavailableError as error:
         record_store_result(error)
         return None
-
-
-async def claim_slot(
-    client: store.Store, member: records.Member, address: addresses.Address
-) -> SlotClaim | None:
-    """Claim a free contact slot of the member's availability zone.
-
-    Args:
-        client: The store.
-        member: The member that becomes a contact point.
-        address: The address that joining processes should use.
-
-    Returns:
-        The claim, or None if all slots are taken.
-
-    Raises:
-        StoreUnavailableError: The store did not respond.
-    """
-    snapshot = await client.get_prefix(store_keys.CONTACTS)
-    free = _free_slots(snapshot, member, address)
-    if not free:
-        return None
-    lease = await client.grant(LEASE_SECONDS)
-    value = str(address).encode()
-    for key in free:
-        latest = store.Write(store_keys.latest_holder(key), value)
-        if await client.create(key, value, lease, [latest]):
-            is_first = key == store_keys.contact(member.zone, 0)
-            return SlotClaim(key, lease, is_first)
-    await client.revoke(lease)
-    return None
-
-
-def _free_slots(
-    snapshot: store.Snapshot, member: records.Member, address: addresses.Address
-) -> list[bytes]:
-    """Return the free slots of a zone, in the order in which to claim them.
-
-    A slot that another member held last comes last: its address is overwritten.
-    """
-    values = {entry.key: entry.value for entry in snapshot.entries}
-    own = str(address).encode()
-
-    def is_of_another(key: bytes) -> bool:
-        return values.get(store_keys.latest_holder(key), own) != own
-
-    def is_unused(key: bytes) -> bool:
-        return store_keys.latest_holder(key) not in values
-
-    slots = (store_keys.contact(member.zone, slot) for slot in range(SLOTS_PER_ZONE))
-    free = [key for key in slots if key not in values]
-    return sorted(free, key=lambda key: (is_of_another(key), is_unused(key)))
-
-
-async def hold_slot(client: store.Store, claim: SlotClaim) -> None:
-    """Renew the lease of a claim until it has expired.
-
-    The store may be unavailable for any time; the claim is lost only when the store
-    reports that the lease has expired.
-    """
-    while True:
-        await asyncio.sleep(KEEP_ALIVE_SECONDS)
-        try:
-            await client.keep_alive(claim.lease)
-        except store.LeaseExpiredError:
-            log.info(events.Event.CONTACT_LOST, key=claim.key.decode())
-            return
-        except exceptions.StoreUnavailableError:
-            continue
-
-
-async def serve(
-    client: store.Store,
-    member: records.Member,
-    address: addresses.Address,
-    record_store_result: StoreResultCallback,
-    while_held: collections.abc.Callable[
-        [SlotClaim], collections.abc.Sequence[tasks.Run]
-    ],
-) -> None:
-    """Claim and hold a contact slot whenever one is free, until cancelled.
-
-    Args:
-        client: The store.
-        member: The member that serves as a contact point.
-        address: The address that joining processes should use.
-        record_store_result: Called after each claim with the error if the store did not
-            respond, else with None.
-        while_held: Returns what to run while a slot is held.
-    """
-    while True:
-        try:
-            claim = await claim_slot(client, member, address)
-            record_store_result(None)
-        except exceptions.StoreUnavailableError as error:
-            record_store_result(error)
-            await asyncio.sleep(RETRY_SECONDS)
-            continue
-        except store.LeaseExpiredError:
-            # It lapsed while the claim was under way.
-            await asyncio.sleep(RETRY_SECONDS)
-            continue
-        if claim is None:
-            await asyncio.sleep(LEASE_SECONDS)
-            continue
-        log.info(events.Event.CONTACT_CLAIMED, key=claim.key.decode())
-        running = [asyncio.create_task(run()) for run in while_held(claim)]
-        try:
-            await hold_slot(client, claim)
-        finally:
-            for task in running:
-                task.cancel()
--- a/packages/cactushall-daemon/cactushall_daemon/discovery.py
+++ b/packages/cactushall-daemon/cactushall_daemon/discovery.py
@@ -11,7 +11,6 @@
 CHECK_SECONDS = 0.1
 ALONE_READ_SECONDS = 0.4
 INCOMPLETE_READ_SECONDS = 1.0
-CONTACT_REFRESH_SECONDS = 10.0
 
 SettingsContacts = collections.abc.Callable[[], list[addresses.Address]]
 
@@ -55,28 +54,27 @@
                 next_read_at = loop.time() + pause
             await asyncio.sleep(CHECK_SECONDS)
 
-    async def refresh(self) -> None:
-        """Merge with unknown contact points regularly, as a split fleet has to."""
-        while True:
-            await asyncio.sleep(CONTACT_REFRESH_SECONDS)
-            table = self._gossip.membership.table
-            known = {r.member.control_address for r in table if r.is_present}
-            found = await self._read()
-            current = found.current.values() if found is not None else ()
-            for address in (*self._settings_contacts(), *current):
-                if address not in known:
-                    self._gossip.request_merge(address)
+    def merge_unknown(
+        self, listed: collections.abc.Iterable[addresses.Address]
+    ) -> None:
+        """Merge with contact points that are not known, as a split fleet has to.
+
+        Args:
+            listed: The contact points that the store lists.
+        """
+        table = self._gossip.membership.table
+        known = {r.member.control_address for r in table if r.is_present}
+        for address in (*self._settings_contacts(), *listed):
+            if address not in known:
+                self._gossip.request_merge(address)
 
     async def _look_for_contacts(self) -> None:
         self._gossip.set_contacts([*self._settings_contacts(), *self._stored])
-        found = await self._read()
+        found = await contacts.read_if_available(
+            self._store, self._on_unreadable, self._record_store_result
+        )
         if found is None:
             return
         self._stored = found.all_addresses
         self._gossip.set_contacts([*self._settings_contacts(), *self._stored])
         self._gossip.record_contacts_listed()
-
-    async def _read(self) -> contacts.StoredContacts | None:
-        return await contacts.read_if_available(
-            self._store, self._on_unreadable, self._record_store_result
-        )
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -16,7 +16,7 @@
 from cactushall_core.membership import records
 from cactushall_daemon import (
     configuration_follower,
-    contacts,
+    contact_service,
     control,
     counters,
     discovery,
@@ -117,6 +117,17 @@
             self._follower.record_store_result,
             lambda: list(self._settings.contacts),
         )
+        # A contact point watches the store for the fleet.
+        follow = functools.partial(self._tasks.run_again, self._follower.run)
+        self._contact_service = contact_service.ContactService(
+            self._store,
+            self._gossip,
+            tuple(records.Role),
+            self._report_unreadable,
+            self._follower.record_store_result,
+            self._discovery.merge_unknown,
+            lambda _claim: [follow],
+        )
         view = control.NodeView(
             snapshot=self._gossip.membership.snapshot,
             handle_table_request=self._gossip.handle_table_request,
@@ -169,7 +180,7 @@
             raise sockets.BindError(f"cannot bind TCP {address}: {error}") from error
         self.keep_running(self._discovery.run)
         if self._settings.store:
-            self.keep_running(self._serve_as_contact)
+            self.keep_running(self._contact_service.run)
 
     def reload(self, settings: schema.NodeSettings) -> None:
         """Apply the contact points of changed settings."""
@@ -177,6 +188,7 @@
 
     async def stop(self) -> None:
         """Announce the departure, cancel tasks and close all sockets."""
+        await self._contact_service.release()
         await self._tasks.stop()
         self._gossip.stop()
         self._store.close()
@@ -192,20 +204,6 @@
         self._follower.offer(response.configuration, str(address))
         return response.table
 
-    async def _serve_as_contact(self) -> None:
-        """Hold a contact slot and, while holding it, watch the store for the fleet."""
-        member = self._gossip.membership.member
-        await contacts.serve(
-            self._store,
-            member,
-            member.control_address,
-            self._follower.record_store_result,
-            lambda _claim: [
-                functools.partial(self._tasks.run_again, run)
-                for run in (self._follower.run, self._discovery.refresh)
-            ],
-        )
-
     def _adopt(self, adopted: ServiceConfiguration) -> None:
         self._gossip.membership.set_revision(adopted.revision)
         self._on_configuration(adopted)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/entry_process.py
@@ -90,6 +90,7 @@
             if is_idle and now - started_at > MIN_STOP_SECONDS:
                 break
             await asyncio.sleep(STOP_CHECK_SECONDS)
+        await self._node.release_contact_slot()
         self._node.stop()
         if self._socket is not None:
             sockets.close(self._socket)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections.abc
 import dataclasses
-import functools
 import http
 import secrets
 import socket
@@ -19,7 +18,7 @@
 from cactushall_core.membership import completeness, records, timing, zone_states
 from cactushall_daemon import (
     configuration_follower,
-    contacts,
+    contact_service,
     counters,
     discovery,
     events,
@@ -164,6 +163,15 @@
             self._follower.record_store_result,
             self._seed_addresses,
         )
+        self._contact_service = contact_service.ContactService(
+            self._store,
+            self._gossip,
+            (records.Role.ENTRY,),
+            self._report_unreadable,
+            self._follower.record_store_result,
+            self._discovery.merge_unknown,
+            self._tasks_of_contact_point,
+        )
 
     @property
     def counters(self) -> counters.Counters:
@@ -222,23 +230,18 @@
 
     def serve_as_contact(self) -> None:
         """Act as a contact point that new processes find in the store."""
-        self._tasks.keep_running(self._serve_contact_slot)
+        self._tasks.keep_running(self._contact_service.run)
 
-    async def _serve_contact_slot(self) -> None:
-        member = self._gossip.membership.member
-        await contacts.serve(
-            self._store,
-            member,
-            member.control_address,
-            self._follower.record_store_result,
-            self._tasks_of_contact_point,
-        )
-
-    def _tasks_of_contact_point(self, claim: contacts.SlotClaim) -> list[tasks.Run]:
+    def _tasks_of_contact_point(
+        self, claim: contact_service.SlotClaim
+    ) -> list[tasks.Run]:
         """Return what to run while a slot is held."""
-        refresh = functools.partial(self._tasks.run_again, self._discovery.refresh)
         # One process of each availability zone is enough for close watches.
-        return [refresh, self._follower.watch_closely] if claim.is_first else [refresh]
+        return [self._follower.watch_closely] if claim.is_first else []
+
+    async def release_contact_slot(self) -> None:
+        """Give the slot of a contact point back, so that another one claims it."""
+        await self._contact_service.release()
 
     def stop(self) -> None:
         """Announce the departure, cancel tasks and close all sockets."""
--- a/packages/cactushall-rpc/cactushall_rpc/store.py
+++ b/packages/cactushall-rpc/cactushall_rpc/store.py
@@ -73,38 +73,29 @@
         lease: store.LeaseId = store.NO_LEASE,
         beside: collections.abc.Sequence[store.Write] = (),
     ) -> bool:
-        """Create a key unless it exists.
+        """Create a key unless it exists, as `replace` does with revision 0."""
+        return await self.replace(key, value, 0, lease, beside)
 
-        Args:
-            key: The key.
-            value: Its value.
-            lease: Lease whose end deletes the key, if any.
-            beside: Other keys to write, without the lease, if the key is created.
-
-        Returns:
-            Whether the key was created.
-        """
-        compare = etcd_pb2.Compare(
-            result=etcd_pb2.Compare.EQUAL,
-            target=etcd_pb2.Compare.CREATE,
-            key=key,
-            create_revision=0,
-        )
-        puts = [etcd_pb2.PutRequest(key=key, value=value, lease=lease)]
-        puts += [etcd_pb2.PutRequest(key=w.key, value=w.value) for w in beside]
-        return await self._put_if_unchanged(compare, puts)
-
-    async def replace(self, key: bytes, value: bytes, mod_revision: int) -> bool:
-        """Replace the value of a key by compare-and-swap.
+    async def replace(
+        self,
+        key: bytes,
+        value: bytes,
+        mod_revision: int,
+        lease: store.LeaseId = store.NO_LEASE,
+        beside: collections.abc.Sequence[store.Write] = (),
+    ) -> bool:
+        """Write a key by compare-and-swap.
 
         Args:
             key: The key.
             value: The new value.
             mod_revision: Expected revision of the key's last change, or 0 if the key
                 must not exist.
+            lease: Lease whose end deletes the key, if any.
+            beside: Other keys to write, without the lease, if the key is written.
 
         Returns:
-            Whether the value was replaced.
+            Whether the key was written.
         """
         compare = etcd_pb2.Compare(
             result=etcd_pb2.Compare.EQUAL,
@@ -112,8 +103,9 @@
             key=key,
             mod_revision=mod_revision,
         )
-        put = etcd_pb2.PutRequest(key=key, value=value)
-        return await self._put_if_unchanged(compare, [put])
+        puts = [etcd_pb2.PutRequest(key=key, value=value, lease=lease)]
+        puts += [etcd_pb2.PutRequest(key=w.key, value=w.value) for w in beside]
+        return await self._put_if_unchanged(compare, puts)
 
     async def grant(self, ttl_seconds: int) -> store.LeaseId:
         """Request a new lease from the store.
--- a/tests/daemon/packets/node_fleet.py
+++ b/tests/daemon/packets/node_fleet.py
@@ -27,7 +27,7 @@
         self._readiness_port = fleets.free_port()
         self.closed_port = fleets.free_port()
         self._nodes = []
-        self._entries = []
+        self._entries = {}
 
     def peer_address(self, host):
         """Return the address at which a node is asked for its table."""
@@ -86,9 +86,13 @@
     async def start_entry(self, host, seeds, store_address=None):
         """Start an entry process."""
         process = entry_process.EntryProcess(self.settings(host, seeds, store_address))
-        self._entries.append(process)
+        self._entries[host] = process
         await process.start()
 
+    async def stop_entry(self, host):
+        """Stop an entry process as planned."""
+        await self._entries.pop(host).stop()
+
     async def readiness(self, host):
         """Return the status with which a process answers its readiness check."""
         address = addresses.Address(host, self._readiness_port)
@@ -104,7 +108,7 @@
 
     async def stop(self):
         """Stop all processes."""
-        for process in self._entries:
+        for process in self._entries.values():
             await process.stop()
         for started_node in self._nodes:
             started_node.stop()
--- a/tests/daemon/packets/test_table_exchange.py
+++ b/tests/daemon/packets/test_table_exchange.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cactushall_core.membership import completeness
-from cactushall_daemon import contacts, counters
+from cactushall_daemon import contact_service, counters
 from cactushall_daemon.packets import node
 from cactushall_rpc import http as http_calls
 from cactushall_rpc import store_keys
@@ -115,7 +115,7 @@
     fleet, store, monkeypatch
 ):
     """Guards against new nodes that take each other for the whole fleet."""
-    monkeypatch.setattr(contacts, "KEEP_ALIVE_SECONDS", NEVER_SECONDS)
+    monkeypatch.setattr(contact_service, "KEEP_ALIVE_SECONDS", NEVER_SECONDS)
     pair = await fleet.start_complete_pair(store.address)
     pair[0].serve_as_contact()
     await fleets.wait_until(lambda: store.leases)
--- a/tests/daemon/test_contacts.py
+++ b/tests/daemon/test_contacts.py
@@ -5,19 +5,17 @@
 import pytest
 
 from cactushall_core import addresses, store
-from cactushall_daemon import contacts
+from cactushall_core.membership import contact_slots, records
+from cactushall_daemon import contact_service, contacts
 from cactushall_platform import store as platform_client
 from cactushall_rpc import store as etcd_client
 from cactushall_rpc import store_keys
-from tests.core import builders
-from tests.daemon import fleets
+from tests.daemon import contact_zone, fleets
 from tests.standins import platform_store
 from tests.standins import store as etcd_store
 
 PREFIX = store_keys.CONTACT_PREFIX.decode()
 ADDRESS = addresses.Address("10.0.0.2", 7720)
-OTHER_ADDRESS = addresses.Address("10.0.0.3", 7720)
-MEMBER = builders.make_agent(1).member
 
 
 class FixedStore:
@@ -44,7 +42,7 @@
 async def platform(platform_server):
     """A client of the platform's store."""
     address = addresses.Address(*await platform_server.start())
-    client = platform_client.KeyValueStore(address, fail)
+    client = platform_client.KeyValueStore(address, contact_zone.fail)
     yield client
     client.close()
 
@@ -62,14 +60,6 @@
         made.close()
 
 
-def fail(key, why):
-    pytest.fail(f"{key}: {why}")
-
-
-def slot(number):
-    return store_keys.contact(MEMBER.zone, number)
-
-
 @pytest.mark.parametrize("value", [b"", b"nonsense", b"10.0.0.1", b"\xff\xfe", b"{}"])
 async def test_an_undecodable_entry_is_reported_and_skipped(value):
     reported = []
@@ -81,55 +71,62 @@
     assert why
 
 
-async def test_latest_holder_is_listed_after_its_lease_has_ended(client):
-    """Guards against a fleet that nobody finds after an outage of the store."""
-    claim = await contacts.claim_slot(client, MEMBER, ADDRESS)
-    found = await contacts.read(client, fail)
-    assert list(found.current.values()) == [ADDRESS]
-    await client.revoke(claim.lease)
-    found = await contacts.read(client, fail)
-    assert found.current == {}
-    assert found.all_addresses == [ADDRESS]
+@pytest.fixture
+async def zone(client, monkeypatch):
+    """A zone whose members look for a change often."""
+    monkeypatch.setattr(contact_service, "CHECK_SECONDS", 0.02)
+    monkeypatch.setattr(contact_service, "KEEP_ALIVE_SECONDS", 0.05)
+    made = contact_zone.Zone(client)
+    yield made
+    made.close()
 
 
-async def test_claims_overwrite_the_latest_holders_of_other_members_last(client):
-    """Guards against new members that overwrite the addresses of the old ones."""
-    first = await contacts.claim_slot(client, MEMBER, ADDRESS)
-    await client.revoke(first.lease)
-    claims = [
-        await contacts.claim_slot(client, MEMBER, OTHER_ADDRESS)
-        for _ in range(contacts.SLOTS_PER_ZONE - 1)
-    ]
-    assert first.key not in [claim.key for claim in claims]
-    assert set((await contacts.read(client, fail)).all_addresses) == {
-        ADDRESS,
-        OTHER_ADDRESS,
-    }
-    again = await contacts.claim_slot(client, MEMBER, ADDRESS)
-    assert again.key == first.key
-    assert await contacts.claim_slot(client, MEMBER, OTHER_ADDRESS) is None
-
-
-async def test_a_holder_claims_its_former_slot_first(client):
-    for number in range(contacts.SLOTS_PER_ZONE):
-        address = ADDRESS if number == 1 else OTHER_ADDRESS
-        latest = store.Write(
-            store_keys.latest_holder(slot(number)), str(address).encode()
-        )
-        lease = await client.grant(contacts.LEASE_SECONDS)
-        assert await client.create(slot(number), b"", lease, [latest])
-        await client.revoke(lease)
-    claim = await contacts.claim_slot(client, MEMBER, ADDRESS)
-    assert claim.key == slot(1)
+async def test_latest_holder_is_listed_after_its_lease_has_ended(zone):
+    """Guards against a fleet that nobody finds after an outage of the store."""
+    zone.start(1)
+    await zone.wait_for_listed([1])
+    await zone.stop(1)
+    assert await zone.listed() == set()
+    assert await zone.latest() == {1}
 
 
 async def test_a_contact_point_is_back_soon_after_its_lease_has_ended(
     platform_server, platform, monkeypatch
 ):
     """Guards against an outage after which contact points are not listed for long."""
-    monkeypatch.setattr(contacts, "KEEP_ALIVE_SECONDS", 0.05)
-    claim = await contacts.claim_slot(platform, MEMBER, ADDRESS)
-    platform_server.expire(claim.lease)
-    await contacts.hold_slot(platform, claim)
-    again = await contacts.claim_slot(platform, MEMBER, ADDRESS)
-    assert again.key == claim.key
+    monkeypatch.setattr(contact_service, "KEEP_ALIVE_SECONDS", 0.05)
+    zone = contact_zone.Zone(platform)
+    zone.start(1)
+    await zone.wait_for_listed([1])
+    for lease in tuple(platform_server.leases):
+        platform_server.expire(lease)
+    assert await zone.listed() == set()
+    await zone.wait_for_listed([1])
+    zone.close()
+
+
+async def test_the_slot_of_a_stopped_contact_point_is_claimed_at_once(zone):
+    """Guards against running members that nobody finds after planned stops."""
+    for number in range(5):
+        zone.start(number)
+    await fleets.wait_for(lambda: has_full_list(zone))
+    first, second, *_ = sorted(await zone.listed())
+    await zone.stop(first)
+    await fleets.wait_for(lambda: has_full_list(zone))
+    await zone.stop(second)
+    await zone.wait_for_listed(set(range(5)) - {first, second})
+
+
+async def test_the_slot_of_a_dead_contact_point_is_claimed_before_its_lease_ends(zone):
+    """Guards against joining members that are told of dead ones only."""
+    for number in range(4):
+        zone.start(number)
+    await fleets.wait_for(lambda: has_full_list(zone))
+    dead = min(await zone.listed())
+    zone.kill(dead)
+    zone.set_status(dead, records.Status.DEAD)
+    await zone.wait_for_listed(set(range(4)) - {dead})
+
+
+async def has_full_list(zone):
+    return len(await zone.listed()) == contact_slots.SLOTS_PER_ZONE
--- a/tests/daemon/test_silent_store.py
+++ b/tests/daemon/test_silent_store.py
@@ -7,10 +7,9 @@
 import pytest
 
 from cactushall_core import addresses, exceptions
-from cactushall_daemon import contacts
+from cactushall_daemon import contact_service
 from cactushall_rpc import store
-from tests.core import builders
-from tests.daemon import fleets
+from tests.daemon import contact_zone, fleets
 from tests.standins import store as store_standin
 
 KEEP_ALIVE_SECONDS = 0.1
@@ -57,15 +56,15 @@
 
 async def test_a_silent_connection_ends_the_watch_of_a_contact_point(monkeypatch):
     """Guards against a fleet that follows no configuration on a silent connection."""
-    monkeypatch.setattr(contacts, "KEEP_ALIVE_SECONDS", KEEP_ALIVE_SECONDS)
+    monkeypatch.setattr(contact_service, "KEEP_ALIVE_SECONDS", KEEP_ALIVE_SECONDS)
     monkeypatch.setattr(store, "CALL_TIMEOUT_SECONDS", CALL_TIMEOUT_SECONDS)
     address = addresses.Address(fleets.HOSTS[0], fleets.free_port())
     async with store_standin.serving(*address):
         link = Link(address)
         client = store.Store((await link.start(fleets.HOSTS[1]),))
-        member = builders.make_agent(1).member
-        claim = await contacts.claim_slot(client, member, address)
-        holding = asyncio.create_task(contacts.hold_slot(client, claim))
+        zone = contact_zone.Zone(client)
+        zone.start(1)
+        await zone.wait_for_listed([1])
         changes = client.watch(b"/", 1)
         await anext(changes)
         link.silence()
@@ -74,6 +73,6 @@
                 while True:
                     await anext(changes)
         assert (await client.get_prefix(b"/")).entries
-        holding.cancel()
+        zone.close()
         client.close()
         link.stop()
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -96,6 +96,10 @@
         self.items[key] = item
         self._append_event(item)
 
+    def value_of(self, key):
+        """Return the value of a key as bytes."""
+        return base64.b64decode(self.items[key]["value"])
+
     def remove(self, key):
         """Remove a key."""
         self.revision += 1
