Contact slots of processes that are lost for good are claimed

Cause: a slot belonged to its lease whatever became of its holder. Processes that start again know nobody, so that membership could not tell that the holders had gone, and each slept for 30 s beside a list of dead processes.

Change: a process that finds no slot free and holders of whom nothing is known gives them 2 s, in which membership asks all contact points, asks once more, and then replaces the claim of one that does not answer. The latest holder stays listed until the new one knows that it is gone, since the silent process may belong to a fleet from which the new holder is cut off. A process that starts again takes over the slot of its predecessor.

--- a/packages/cactushall-core/cactushall_core/membership/contact_slots.py
+++ b/packages/cactushall-core/cactushall_core/membership/contact_slots.py
@@ -22,13 +22,15 @@
 class HolderState(enum.Enum):
     """What is known of the process at the address of a slot's holder.
 
-    RUNNING: It is a member that is believed to run, or it has answered.
+    RUNNING: It is a member that is believed to run.
     GONE: It was a member, and is dead or has left.
-    UNKNOWN: It is no known member.
+    SILENT: It is no known member, and has not answered for a while.
+    UNKNOWN: It is no known member, and may answer.
     """
 
     RUNNING = "running"
     GONE = "gone"
+    SILENT = "silent"
     UNKNOWN = "unknown"
 
 
@@ -49,16 +51,31 @@
     latest: addresses.Address | None = None
 
 
+class Option(msgspec.Struct, frozen=True):
+    """A slot that may be claimed.
+
+    Attributes:
+        slot: The slot, to be claimed only if it is still as it was listed.
+        is_latest_kept: Whether the latest holder stays listed beside the claim: it may
+            belong to a fleet that runs.
+    """
+
+    slot: Slot
+    is_latest_kept: bool = False
+
+
 HolderStates = typing.Mapping[addresses.Address, HolderState]
 
 
-def order_claims(
+def order_options(
     slots: typing.Iterable[Slot], own: addresses.Address, states: HolderStates
-) -> list[Slot]:
+) -> list[Option]:
     """Return the slots that a member may claim, in the order in which to try them.
 
-    Free slots come first, those that another member held last after the others, since
-    its address is overwritten; then those whose holders are gone.
+    The slot of its own predecessor comes first: that process cannot run, since this
+    one has bound its address. Free slots follow, those that another member held last
+    after the others, since its address is overwritten; then those whose holders are
+    gone, and at last those whose holders do not answer.
 
     Args:
         slots: All slots of the member's availability zone.
@@ -67,21 +84,32 @@
     """
     ranks = {slot: _rank(slot, own, states) for slot in slots}
     claimable = {slot: rank for slot, rank in ranks.items() if rank is not None}
-    return sorted(claimable, key=lambda slot: claimable[slot])
+    return [
+        Option(slot, is_latest_kept=rank == _SILENT_RANK)
+        for slot, rank in sorted(claimable.items(), key=lambda item: item[1])
+    ]
+
+
+_SILENT_RANK = (3, False, False)
 
 
 def _rank(
     slot: Slot, own: addresses.Address, states: HolderStates
 ) -> tuple[int, bool, bool] | None:
     """Return the place of a slot in the order of claims, None where it is held."""
+    if slot.holder == own:
+        return (0, False, False)
     if not slot.revision:
         is_of_another = slot.latest not in (None, own)
-        return (0, is_of_another, slot.latest is None)
+        return (1, is_of_another, slot.latest is None)
     if slot.holder is None:
         # Its value cannot be read: another writer's, which its lease will end.
         return None
-    if states.get(slot.holder) is HolderState.GONE:
-        return (1, False, False)
+    state = states.get(slot.holder, HolderState.UNKNOWN)
+    if state is HolderState.GONE:
+        return (2, False, False)
+    if state is HolderState.SILENT:
+        return _SILENT_RANK
     return None
 
 
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -271,7 +271,9 @@
         decides_by_table = self._member.role is not records.Role.AGENT
         return self.is_alone or (decides_by_table and not self.is_complete)
 
-    def request_merge(self, address: addresses.Address) -> list[member_actions.Action]:
+    def request_merge(
+        self, address: addresses.Address
+    ) -> list[member_actions.RequestTable]:
         """Exchange whole tables with a member of what may be another fleet."""
         request = self._exchange.make_request(self._own_record(), self.snapshot())
         return [member_actions.RequestTable(address, request)]
--- a/packages/cactushall-daemon/cactushall_daemon/contact_service.py
+++ b/packages/cactushall-daemon/cactushall_daemon/contact_service.py
@@ -26,6 +26,8 @@
 RACE_RETRY_SECONDS = 0.5
 CHECK_SECONDS = 0.25
 RELEASE_TIMEOUT_SECONDS = 0.3
+# A member that starts asks all contact points, so that those that run become known.
+UNKNOWN_HOLDER_SECONDS = 2.0
 
 MergeCallback = collections.abc.Callable[
     [collections.abc.Iterable[addresses.Address]], None
@@ -183,28 +185,71 @@
         """
         found = await contacts.read(self._store, self._on_unreadable)
         slots = found.slots(self._member.zone)
-        states = {
-            slot.holder: self._state_of(slot.holder) for slot in slots if slot.holder
-        }
-        claimable = contact_slots.order_claims(slots, self._own_address, states)
-        self._listed_holders = tuple(states)
-        if not claimable:
+        holders = tuple(slot.holder for slot in slots if slot.holder is not None)
+        options = self._order_options(slots, frozenset())
+        if not options:
+            options = self._order_options(slots, await self._find_silent(holders))
+        self._listed_holders = holders
+        if not options:
             return None
         lease = await self._store.grant(LEASE_SECONDS)
-        for slot in claimable:
-            if await self._write_claim(slot, lease):
+        for option in options:
+            if await self._write_claim(option, lease):
                 return 0.0
         await self._store.revoke(lease)
         return RACE_RETRY_SECONDS * self._rng.uniform(0.5, 1.5)
 
+    def _order_options(
+        self,
+        slots: collections.abc.Sequence[contact_slots.Slot],
+        silent: collections.abc.Set[addresses.Address],
+    ) -> list[contact_slots.Option]:
+        states = {
+            slot.holder: contact_slots.HolderState.SILENT
+            if slot.holder in silent
+            else self._state_of(slot.holder)
+            for slot in slots
+            if slot.holder is not None
+        }
+        return contact_slots.order_options(slots, self._own_address, states)
+
+    async def _find_silent(
+        self, holders: collections.abc.Sequence[addresses.Address]
+    ) -> frozenset[addresses.Address]:
+        """Return those that are still no known members after a while, nor answer."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + UNKNOWN_HOLDER_SECONDS
+        while self._find_unknown(holders) and loop.time() < deadline:
+            await asyncio.sleep(CHECK_SECONDS)
+        unknown = self._find_unknown(holders)
+        answered = await asyncio.gather(
+            *(self._gossip.exchange_tables(holder) for holder in unknown)
+        )
+        return frozenset(
+            holder
+            for holder, is_answered in zip(unknown, answered, strict=True)
+            if not is_answered
+        )
+
+    def _find_unknown(
+        self, holders: collections.abc.Sequence[addresses.Address]
+    ) -> list[addresses.Address]:
+        return [
+            holder
+            for holder in holders
+            if self._state_of(holder) is contact_slots.HolderState.UNKNOWN
+        ]
+
     async def _write_claim(
-        self, slot: contact_slots.Slot, lease: store.LeaseId
+        self, option: contact_slots.Option, lease: store.LeaseId
     ) -> bool:
         """Claim a slot unless it has changed since it was listed."""
+        slot = option.slot
         key = store_keys.contact(self._member.zone, slot.number)
         value = str(self._own_address).encode()
         latest = store.Write(store_keys.latest_holder(key), value)
-        if not await self._store.replace(key, value, slot.revision, lease, (latest,)):
+        beside = () if option.is_latest_kept else (latest,)
+        if not await self._store.replace(key, value, slot.revision, lease, beside):
             return False
         replaced = None if slot.holder is None else str(slot.holder)
         log.info(events.Event.CONTACT_CLAIMED, key=key.decode(), replaced=replaced)
@@ -258,4 +303,26 @@
             self._store, self._on_unreadable, self._record_store_result
         )
         self._on_merge_due(() if found is None else found.current.values())
-        return found is None or found.current.get(claim.key) == self._own_address
+        if found is None:
+            return True
+        if found.current.get(claim.key) != self._own_address:
+            return False
+        await self._replace_latest(claim, found)
+        return True
+
+    async def _replace_latest(
+        self, claim: SlotClaim, found: contacts.StoredContacts
+    ) -> None:
+        """Become the latest holder of the slot where the one that is listed is gone."""
+        key = store_keys.latest_holder(claim.key)
+        latest = found.latest.get(key)
+        if latest == self._own_address or not self._gossip.membership.is_complete:
+            return
+        if (
+            latest is not None
+            and self._state_of(latest) is contact_slots.HolderState.RUNNING
+        ):
+            return
+        value = str(self._own_address).encode()
+        with contextlib.suppress(exceptions.StoreUnavailableError):
+            await self._store.replace(key, value, found.revisions.get(key, 0))
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -173,6 +173,16 @@
         """Exchange whole tables with a member of what may be another fleet."""
         self._execute(self._membership.request_merge(address))
 
+    async def exchange_tables(self, address: addresses.Address) -> bool:
+        """Exchange whole tables with the process at a control address.
+
+        Returns:
+            Whether it has answered.
+        """
+        requests = self._membership.request_merge(address)
+        answered = [await self._request_table(request) for request in requests]
+        return all(answered)
+
     def handle_table_request(self, data: bytes) -> bytes:
         """Return the encoded answer to another member's request for a table.
 
@@ -251,7 +261,9 @@
         self._counters.add(counters.Counter.GOSSIP_REJECTED)
         log.debug(events.Event.GOSSIP_REJECTED, why=str(error), **fields)
 
-    def _execute(self, actions: list[member_actions.Action]) -> None:
+    def _execute(
+        self, actions: collections.abc.Sequence[member_actions.Action]
+    ) -> None:
         for action in actions:
             if isinstance(action, member_actions.Send):
                 self._send(action)
@@ -269,7 +281,8 @@
             else:
                 self._callbacks.on_revision_seen(action.member, action.revision)
 
-    async def _request_table(self, action: member_actions.RequestTable) -> None:
+    async def _request_table(self, action: member_actions.RequestTable) -> bool:
+        """Request a table, and return whether the request was answered."""
         data = messages.encode_exchange(self._authenticator, action.request)
         address = action.address
         self._count_table(traffic.Direction.SENT, data)
@@ -287,6 +300,7 @@
         finally:
             # After any error, so that the member can be asked again.
             self._end_request(address, reply)
+        return reply is not None
 
     def _end_request(
         self, address: addresses.Address, reply: messages.TableReply | None
--- a/packages/cactushall-daemon/cactushall_daemon/tasks.py
+++ b/packages/cactushall-daemon/cactushall_daemon/tasks.py
@@ -27,10 +27,12 @@
             process_counters: The process's counters.
         """
         self._counters = process_counters
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[object]] = set()
 
-    def spawn(self, coroutine: collections.abc.Coroutine[object, object, None]) -> None:
-        """Run a task until it ends or all are cancelled."""
+    def spawn(
+        self, coroutine: collections.abc.Coroutine[object, object, object]
+    ) -> None:
+        """Run a task until it ends or all are cancelled; its result is not used."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
@@ -70,7 +72,7 @@
         self.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def _on_done(self, task: asyncio.Task[None]) -> None:
+    def _on_done(self, task: asyncio.Task[object]) -> None:
         self._tasks.discard(task)
         error = None if task.cancelled() else task.exception()
         if error is not None:
--- a/tests/core/test_contact_slots.py
+++ b/tests/core/test_contact_slots.py
@@ -13,6 +13,7 @@
 OTHER = addresses.Address("10.0.0.3", 7720)
 THIRD = addresses.Address("10.0.0.4", 7720)
 GONE = contact_slots.HolderState.GONE
+SILENT = contact_slots.HolderState.SILENT
 RUNNING = contact_slots.HolderState.RUNNING
 
 
@@ -29,7 +30,7 @@
         address: states.get(name, contact_slots.HolderState.UNKNOWN)
         for name, address in (("other", OTHER), ("third", THIRD))
     }
-    return [s.number for s in contact_slots.order_claims(slots, OWN, known)]
+    return [o.slot.number for o in contact_slots.order_options(slots, OWN, known)]
 
 
 def test_latest_holders_that_are_other_members_are_overwritten_last():
@@ -53,6 +54,24 @@
     assert order([contact_slots.Slot(0, None, 7)]) == []
 
 
+def test_a_member_takes_over_the_slot_of_its_predecessor_first():
+    assert order([free(0), held(1, OWN)]) == [1, 0]
+
+
+def test_the_slot_of_a_holder_that_does_not_answer_is_claimed_last():
+    slots = [held(0, OTHER), held(1, THIRD)]
+    assert order(slots, other=SILENT, third=GONE) == [1, 0]
+    assert order(slots, other=SILENT) == [0]
+
+
+def test_a_holder_that_does_not_answer_stays_listed_as_latest_one():
+    """Guards against a process that is cut off and hides a fleet that runs."""
+    states = {OTHER: SILENT, THIRD: GONE}
+    slots = [held(0, OTHER), held(1, THIRD)]
+    options = contact_slots.order_options(slots, OWN, states)
+    assert {o.slot.number: o.is_latest_kept for o in options} == {0: True, 1: False}
+
+
 # What membership tells.
 
 
--- a/tests/daemon/contact_zone.py
+++ b/tests/daemon/contact_zone.py
@@ -26,11 +26,13 @@
 
     Attributes:
         members: The table of each of them.
+        answering: Control addresses of processes that answer questions.
     """
 
     def __init__(self, client):
         """Have no members."""
         self.members = table.Table()
+        self.answering = set()
         self._client = client
         self._services = {}
         self._tasks = {}
@@ -49,10 +51,22 @@
             lambda claim: [],
         )
         self._tasks[number] = asyncio.create_task(self._services[number].run())
+        self.answering.add(member.control_address)
 
     def kill(self, number):
         """End a process without a word."""
         self._tasks.pop(number).cancel()
+        self.answering.discard(make_member(number).control_address)
+
+    def lose_power(self):
+        """End all processes; those that start later know nobody."""
+        for number in list(self._tasks):
+            self.kill(number)
+        self.forget_all()
+
+    def forget_all(self):
+        """Let all members know nobody."""
+        self.members = table.Table()
 
     async def stop(self, number):
         """Stop a process as planned."""
@@ -95,6 +109,7 @@
         """Know what the zone knows."""
         self.membership = self
         self.member = member
+        self.is_complete = True
         self._zone = zone
 
     @property
@@ -102,6 +117,10 @@
         """Records of all members."""
         return self._zone.members
 
+    async def exchange_tables(self, address):
+        """Return whether a process answers."""
+        return address in self._zone.answering
+
 
 def make_member(number):
     """Return a member of the zone; those with lower numbers start earlier."""
--- a/tests/daemon/test_contacts.py
+++ b/tests/daemon/test_contacts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from cactushall_core import addresses, store
@@ -76,6 +78,7 @@
     """A zone whose members look for a change often."""
     monkeypatch.setattr(contact_service, "CHECK_SECONDS", 0.02)
     monkeypatch.setattr(contact_service, "KEEP_ALIVE_SECONDS", 0.05)
+    monkeypatch.setattr(contact_service, "UNKNOWN_HOLDER_SECONDS", 0.1)
     made = contact_zone.Zone(client)
     yield made
     made.close()
@@ -128,5 +131,62 @@
     await zone.wait_for_listed(set(range(4)) - {dead})
 
 
+async def test_the_slots_of_processes_that_nobody_knows_are_claimed(zone):
+    """Guards against restarted members that find nobody until leases have ended."""
+    lost = set(range(3))
+    for number in lost:
+        zone.start(number)
+    await zone.wait_for_listed(lost)
+    zone.lose_power()
+    for number in (3, 4):
+        zone.start(number)
+
+    async def are_listed():
+        return {3, 4} < await zone.listed()
+
+    await fleets.wait_for(are_listed)
+    assert await zone.latest() == lost
+
+
+async def test_a_holder_becomes_the_latest_one_once_the_former_is_known_to_be_gone(
+    zone, monkeypatch
+):
+    """Guards against latest holders that are long gone in a later outage."""
+    monkeypatch.setattr(contact_service, "REFRESH_SECONDS", 0.1)
+    for number in range(3):
+        zone.start(number)
+    await zone.wait_for_listed(range(3))
+    zone.lose_power()
+    zone.start(3)
+
+    async def is_latest():
+        return 3 in await zone.latest()
+
+    await fleets.wait_for(is_latest)
+
+
+async def test_the_slot_of_a_process_that_answers_is_not_claimed(zone):
+    """Guards against members that take each other's slots in turn."""
+    for number in range(3):
+        zone.start(number)
+    await zone.wait_for_listed(range(3))
+    zone.forget_all()
+    zone.start(3)
+    await asyncio.sleep(1.0)
+    assert await zone.listed() == set(range(3))
+
+
+async def test_a_process_that_starts_again_holds_its_former_slot_by_its_own_lease(zone):
+    """Guards against slots that restarted holders lose when their old leases end."""
+    for number in range(3):
+        zone.start(number)
+    await zone.wait_for_listed(range(3))
+    zone.lose_power()
+    zone.start(0)
+    await asyncio.sleep(0.5)
+    await zone.stop(0)
+    assert await zone.listed() == {1, 2}
+
+
 async def has_full_list(zone):
     return len(await zone.listed()) == contact_slots.SLOTS_PER_ZONE
