Silence of contact points counts only beside a list that is read again

What callers saw: nothing on its own yet; in the simulated fleet a new entry and a new agent that had read the list of contact points once, before the fleet was listed, reset open flows from 3 s after that read on.

Cause: silence counted from the first read of the list. A contact point that was listed later was given no time to answer, and a process that had stopped reading (each agent, with the first member that it finds) concluded from the old list; its answer then counts for entries as that of a complete member.

Change: silence of a contact point counts from when that one was listed, and only while the list is less than 2 s old.

Tests: two in test_completeness.py and the scenario new_members_have_an_old_list fail without the age of the list (shown by the mutant silence_counts_beside_an_old_list). The test of a fleet that starts with stale seeds ran two agents; a fleet has an entry, so it runs an entry and an agent now, and both must become complete in the same time as before.

--- a/packages/cactushall-core/cactushall_core/membership/completeness.py
+++ b/packages/cactushall-core/cactushall_core/membership/completeness.py
@@ -5,7 +5,8 @@
 it before through others: from then on it receives all updates. Where a whole fleet
 starts, no member is complete, and the first ones have to go by time. Contact points
 that do not answer may belong to a fleet that runs, so their silence counts only once
-the list in the store is known, which outlives its fleet.
+the list in the store is known, which outlives its fleet. A fleet whose contact points
+have gone is listed again within seconds, so the list has to be read again meanwhile.
 """
 
 from __future__ import annotations
@@ -23,6 +24,8 @@
 COLD_START_STABLE_SECONDS = 0.3
 COLD_START_ANSWERS = 16
 COLD_START_SILENT_CONTACTS_SECONDS = 3.0
+# Longer than the pause between two reads of a process that goes on reading the list.
+LIST_VALID_SECONDS = 2.0
 ASKED_AT_ONCE = 2
 LONGEST_RUNNING = 16
 ASK_INTERVAL_SECONDS = 0.2
@@ -94,8 +97,10 @@
         self._evidence: Evidence | None = None
         self._incomplete_since = now
         self._last_new_member_at = now
-        # When the list of contact points in the store became known.
-        self._contacts_listed_at: float | None = None
+        # When the store's list of contact points was last read, and since when each
+        # contact point has been known to be among those to ask.
+        self._list_read_at = float("-inf")
+        self._listed_since: dict[addresses.Address, float] = {}
         self._answers: dict[addresses.Address, Answer] = {}
         self._in_progress: set[addresses.Address] = set()
         # Members that were asked before updates may have been missed.
@@ -118,15 +123,24 @@
         """Record that updates may have been missed until now."""
         self._evidence = None
         self._incomplete_since = now
-        self._contacts_listed_at = None
+        self._list_read_at = float("-inf")
+        self._listed_since.clear()
         self._answers.clear()
         self._asked_at.clear()
         self._outdated |= self._in_progress
 
-    def record_contacts_listed(self, now: float) -> None:
-        """Record that the contact points hold all that the store lists."""
-        if self._contacts_listed_at is None:
-            self._contacts_listed_at = now
+    def record_contacts_listed(
+        self, contacts: typing.Iterable[addresses.Address], now: float
+    ) -> None:
+        """Record that the store's list of contact points was read.
+
+        Args:
+            contacts: All contact points, those of the list included.
+            now: Current time in seconds.
+        """
+        self._list_read_at = now
+        known = self._listed_since
+        self._listed_since = {address: known.get(address, now) for address in contacts}
 
     def handle_new_member(self, now: float, *, has_started_before: bool) -> None:
         """Record that a member was discovered.
@@ -228,26 +242,29 @@
         is_enough = len(self._answered()) >= COLD_START_ANSWERS
         if not is_enough and self._unanswered(present):
             return
-        silent = len(self._without_answer(contacts))
-        if 2 * silent < len(contacts) or self._is_silence_explained(silent, now):
-            self._conclude(Basis.COLD_START, now, silent)
+        silent = self._without_answer(contacts)
+        if 2 * len(silent) < len(contacts) or self._is_silence_explained(silent, now):
+            self._conclude(Basis.COLD_START, now, len(silent))
 
-    def _is_silence_explained(self, silent: int, now: float) -> bool:
+    def _is_silence_explained(
+        self, silent: typing.Collection[addresses.Address], now: float
+    ) -> bool:
         """Return whether no silent contact point can belong to a fleet that runs.
 
         The settings may name VMs that are gone while the fleet runs elsewhere, so
-        all that the store lists must have been asked for a while.
+        all that the store lists now must have been asked for a while.
 
         Args:
-            silent: Number of contact points that have not answered.
+            silent: Contact points that have not answered.
             now: Current time in seconds.
         """
         if not silent:
             return True
-        listed_at = self._contacts_listed_at
-        return (
-            listed_at is not None
-            and now - listed_at >= COLD_START_SILENT_CONTACTS_SECONDS
+        if now - self._list_read_at > LIST_VALID_SECONDS:
+            return False
+        listed_before = now - COLD_START_SILENT_CONTACTS_SECONDS
+        return all(
+            self._listed_since.get(address, now) <= listed_before for address in silent
         )
 
     def _without_answer(
--- a/packages/cactushall-core/cactushall_core/membership/state.py
+++ b/packages/cactushall-core/cactushall_core/membership/state.py
@@ -257,7 +257,7 @@
         self._exchange.set_contacts(address for address in contacts if address != own)
 
     def record_contacts_listed(self, now: float) -> None:
-        """Record that the contact points hold all that the store lists."""
+        """Record that the contact points hold all that the store lists now."""
         self._exchange.record_contacts_listed(now)
 
     @property
--- a/packages/cactushall-core/cactushall_core/membership/table_exchange.py
+++ b/packages/cactushall-core/cactushall_core/membership/table_exchange.py
@@ -59,8 +59,8 @@
         self._contacts = tuple(contacts)
 
     def record_contacts_listed(self, now: float) -> None:
-        """Record that the contact points hold all that the store lists."""
-        self._completeness.record_contacts_listed(now)
+        """Record that the contact points hold all that the store lists now."""
+        self._completeness.record_contacts_listed(self._contacts, now)
 
     def record_received(self, now: float) -> None:
         """Record that another member has sent a datagram."""
--- a/packages/cactushall-daemon/cactushall_daemon/gossip.py
+++ b/packages/cactushall-daemon/cactushall_daemon/gossip.py
@@ -166,7 +166,7 @@
         self._membership.set_contacts(contacts)
 
     def record_contacts_listed(self) -> None:
-        """Record that the contact points hold all that the store lists."""
+        """Record that the contact points hold all that the store lists now."""
         self._membership.record_contacts_listed(self._loop.time())
 
     def request_merge(self, address: addresses.Address) -> None:
--- a/tests/core/flows/test_started_entry_mutants.py
+++ b/tests/core/flows/test_started_entry_mutants.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 import pytest
 
@@ -35,6 +37,7 @@
 SHORT_SILENCE_SECONDS = 0.4
 # Longer than new members wait for contact points that do not answer.
 OUTAGE_SECONDS = 4.5
+READ_SECONDS = 0.1
 LONG_SILENCE_SECONDS = 1.0
 
 
@@ -281,15 +284,38 @@
     agent = members.start_agent([*gone, started.address])
     add_callers(members, owners, started, OUTAGE_SECONDS)
     members.run(OUTAGE_SECONDS)
-    for process in (started, agent):
-        listed = [*gone, *fleet_seeds, started.address]
+    list_contacts(members, (started, agent), [*gone, *fleet_seeds, started.address])
+    check_answers(members)
+
+
+def new_members_have_an_old_list(seed):
+    """An entry and an agent find only each other in a list that is read once.
+
+    The fleet is listed after that read, and the store is away until the end.
+    """
+    members = make_fleet(seed, SMALL_FLEET_AGENTS)
+    owners, fleet_seeds = members.agents, seeds_of(members)
+    gone = [members.make_member(records.Role.ENTRY).control_address for _ in range(3)]
+    started = members.start_entry(gone)
+    agent = members.start_agent([*gone, started.address])
+    members.run(READ_SECONDS)
+    list_contacts(members, (started, agent), [*gone, started.address])
+    add_callers(members, owners, started, OUTAGE_SECONDS)
+    members.run(OUTAGE_SECONDS)
+    list_contacts(members, (started, agent), [*gone, *fleet_seeds, started.address])
+    check_answers(members)
+
+
+def list_contacts(members, processes, listed):
+    """Let processes read the contact points in the store."""
+    for process in processes:
         process.membership.set_contacts(listed)
         process.membership.record_contacts_listed(members.now)
-    check_answers(members)
 
 
 SCENARIOS = [
     new_members_have_stale_seeds,
+    new_members_have_an_old_list,
     entry_starts,
     entries_start_while_their_seed_is_silent,
     started_members_know_each_other_while_their_seed_is_silent,
@@ -436,6 +462,10 @@
     )
 
 
+def silence_counts_beside_an_old_list(patch):
+    patch.setattr(completeness, "LIST_VALID_SECONDS", math.inf)
+
+
 def silent_contacts_are_not_asked_again(patch):
     original = completeness.Completeness._silent_contacts
 
@@ -486,6 +516,7 @@
         silence_counts_although_the_store_has_listed_nothing,
         new_members_have_stale_seeds,
     ),
+    (silence_counts_beside_an_old_list, new_members_have_an_old_list),
 ]
 
 
--- a/tests/core/test_completeness.py
+++ b/tests/core/test_completeness.py
@@ -57,6 +57,10 @@
         for number in range(len(self.present)):
             self.answer(number, now, is_complete=is_complete, knew_sender=knew_sender)
 
+    def read_list(self, now):
+        """Read the contact points in the store."""
+        self.state.record_contacts_listed(self.contacts, now)
+
     def tick(self, now):
         """Decide by time."""
         self.state.tick(self.contacts, self.present, now)
@@ -370,18 +374,43 @@
 def test_silence_counts_from_when_the_store_has_listed_contact_points():
     """Guards against the time of an outage of the store that counts as silence."""
     asker = make_newcomer()
-    asker.state.record_contacts_listed(10.0)
+    asker.read_list(10.0)
     asker.tick(10.0 + WAIT - 0.01)
     assert asker.basis is None
-    asker.state.record_contacts_listed(10.0 + WAIT - 0.01)
+    asker.read_list(10.0 + WAIT - 0.01)
     asker.tick(10.0 + WAIT)
     assert asker.basis is COLD_START
     assert asker.state.evidence.silent_contacts == len(STALE_SEEDS)
 
 
+def test_silence_does_not_count_beside_an_old_list():
+    """Guards against a fleet that was listed only after the list had been read."""
+    asker = make_newcomer()
+    asker.read_list(10.0)
+    asker.tick(PATIENCE_SECONDS)
+    assert asker.basis is None
+    asker.read_list(PATIENCE_SECONDS)
+    asker.tick(PATIENCE_SECONDS)
+    assert asker.basis is COLD_START
+
+
+def test_silence_of_a_contact_point_counts_from_when_that_one_was_listed():
+    """Guards against a member of the fleet that is listed last and not yet asked."""
+    asker = make_newcomer()
+    for now in (10.0, 11.0, 12.0):
+        asker.read_list(now)
+    asker.contacts.append(address_of(93))
+    asker.read_list(12.9)
+    asker.tick(10.0 + WAIT)
+    assert asker.basis is None
+    asker.read_list(12.9 + WAIT)
+    asker.tick(12.9 + WAIT)
+    assert asker.basis is COLD_START
+
+
 def test_list_from_before_updates_were_missed_does_not_count():
     asker = make_newcomer()
-    asker.state.record_contacts_listed(0.1)
+    asker.read_list(0.1)
     asker.state.forget_evidence(10.0)
     asker.answer(0, 10.1, is_complete=False, knew_sender=True)
     asker.tick(PATIENCE_SECONDS)
@@ -407,7 +436,7 @@
 def test_listed_member_of_the_running_fleet_prevents_a_cold_start():
     asker = make_newcomer(1, 2)
     asker.present += [builders.make_agent(number).member for number in (1, 2)]
-    asker.state.record_contacts_listed(10.0)
+    asker.read_list(10.0)
     for number in (1, 2):
         asker.answer(number, 10.1, is_complete=True, knew_sender=False)
     asker.tick(PATIENCE_SECONDS)
--- a/tests/daemon/packets/node_fleet.py
+++ b/tests/daemon/packets/node_fleet.py
@@ -53,12 +53,19 @@
         cls = packet_schema.PacketEntrySettings
         return fleets.load_settings(self._folder, cls, values)
 
-    async def start_node(self, host, seeds, on_complete=None, store_address=None):
+    async def start_node(
+        self,
+        host,
+        seeds,
+        on_complete=None,
+        store_address=None,
+        role=records.Role.AGENT,
+    ):
         """Start a node and return it."""
         settings = self.settings(host, seeds, store_address)
         started_node = node.Node(
             settings,
-            node.make_member(settings, records.Role.AGENT, ()),
+            node.make_member(settings, role, ()),
             gossip.Callbacks(
                 on_member_changed=lambda record: None,
                 on_completeness_changed=on_complete or (lambda evidence: None),
--- a/tests/daemon/packets/test_table_exchange.py
+++ b/tests/daemon/packets/test_table_exchange.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cactushall_core.membership import completeness
+from cactushall_core.membership import completeness, records
 from cactushall_daemon import contact_service, counters
 from cactushall_daemon.packets import node
 from cactushall_rpc import http as http_calls
@@ -153,11 +153,12 @@
             ).decode()
             store.put(key, str(fleet.peer_address(host)).encode())
     recorders = [CompletenessRecorder(), CompletenessRecorder()]
-    for host, recorder in zip((first, second), recorders, strict=True):
+    roles = (records.Role.ENTRY, records.Role.AGENT)
+    for host, role, recorder in zip((first, second), roles, recorders, strict=True):
         recorder.node = await fleet.start_node(
-            host, absent[:3], recorder.record, store.address
+            host, absent[:3], recorder.record, store.address, role
         )
-        recorder.node.serve_as_contact()
+    recorders[0].node.serve_as_contact()
     await fleets.wait_until(lambda: all(r.evidence is not None for r in recorders))
     assert recorders[0].known_members == recorders[1].known_members
     bases = {recorder.evidence.basis for recorder in recorders}
