Denials and notices about flows count for the process that sent them

Cause: messages about flows named no process, and an entry attributed them to the agent that it knew at the sender's address. An entry that wakes reads gossip first: the successor is known when the notice of its predecessor is read, and the notice was kept for the successor, which sends none.

Change: OwnershipDenied, OwnershipAnswer and HeldFlows carry the id of their sender as a trailing field, which older releases ignore. What a predecessor denies changes nothing; a process that is not known yet is asked for its record first.

--- a/packages/cactushall-core/cactushall_core/flows/entry.py
+++ b/packages/cactushall-core/cactushall_core/flows/entry.py
@@ -197,19 +197,45 @@
         agent = self._view.agents.by_peer_address(sender)
         if agent is None:
             return [actions.ReportUnknownSender(sender)]
+        if isinstance(message, messages.DENIALS):
+            return self._handle_denial(agent, message, now)
         agent.last_message_at = now
         if isinstance(message, messages.LOAD_MESSAGES):
             return self._handle_load_message(agent, message, now)
-        if isinstance(message, messages.HeldFlows):
-            agent.held.add(message)
         if isinstance(message, messages.OwnershipConfirmed):
             return self._handle_owned(agent, message.flow, now)
-        if isinstance(message, messages.OwnershipDenied):
-            return self._handle_not_owned(agent, message.flow, now)
-        if isinstance(message, messages.OwnershipAnswer):
-            return self._handle_ownership_answer(agent, message, now)
         return []
 
+    def _handle_denial(
+        self, agent: directory.Agent, message: messages.Denial, now: float
+    ) -> list[actions.Action]:
+        """Handle what a process at the address of an agent knows not to be held.
+
+        The process may be a predecessor of the agent, or a successor that is not known
+        yet: what that one denies is no evidence about the agent.
+        """
+        is_known = message.sender in (messages.NO_SENDER, agent.member.id)
+        is_predecessor = not is_known and message.sender < agent.member.id
+        decided: list[actions.Action] = []
+        if not is_known and not is_predecessor:
+            decided.append(actions.ReportUnknownSender(agent.peer_address))
+        if not is_predecessor:
+            agent.last_message_at = now
+        if isinstance(message, messages.OwnershipAnswer):
+            for flow_id in message.owned:
+                decided += self._handle_owned(agent, flow_id, now)
+            for flow_id in () if is_predecessor else message.undecided:
+                decided += self._lookups.handle_undecided(flow_id, agent, now)
+        if not is_known:
+            return decided
+        if isinstance(message, messages.HeldFlows):
+            if message.sender != messages.NO_SENDER:
+                agent.held.add(message)
+            return decided
+        for flow_id in message.denied:
+            decided += self._handle_not_owned(agent, flow_id, now)
+        return decided
+
     def _handle_load_message(
         self,
         agent: directory.Agent,
@@ -383,21 +409,6 @@
         decided = self._lookups.handle_packet(packet, now)
         return decided + self._lookups.reset_if_unowned(packet.flow, now)
 
-    def _handle_ownership_answer(
-        self,
-        agent: directory.Agent,
-        answer: messages.OwnershipAnswer,
-        now: float,
-    ) -> list[actions.Action]:
-        decided: list[actions.Action] = []
-        for flow_id in answer.owned:
-            decided += self._handle_owned(agent, flow_id, now)
-        for flow_id in answer.denied:
-            decided += self._handle_not_owned(agent, flow_id, now)
-        for flow_id in answer.undecided:
-            decided += self._lookups.handle_undecided(flow_id, agent, now)
-        return decided
-
     def _handle_owned(
         self, agent: directory.Agent, flow_id: packets.FlowId, now: float
     ) -> list[actions.Action]:
--- a/packages/cactushall-core/cactushall_core/flows/messages.py
+++ b/packages/cactushall-core/cactushall_core/flows/messages.py
@@ -6,11 +6,14 @@
 import typing
 
 import msgspec
+from msgspec import structs
 
-from cactushall_core import addresses, keys, signed_datagram, traffic
+from cactushall_core import addresses, identifiers, keys, signed_datagram, traffic
 from cactushall_core.flows import packets
 
 VERSION = 3
+# Sender of a message of a release that does not tell it.
+NO_SENDER = identifiers.MemberId(0)
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -61,9 +64,20 @@
 
 
 class OwnershipDenied(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """The sender certainly does not own the flow."""
+    """The sender certainly does not own the flow.
+
+    Attributes:
+        flow: The flow.
+        sender: The process that denies.
+    """
 
     flow: packets.FlowId
+    sender: identifiers.MemberId = NO_SENDER
+
+    @property
+    def denied(self) -> tuple[packets.FlowId, ...]:
+        """The flow, as in the answer to a query about several."""
+        return (self.flow,)
 
 
 class Accepted(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -115,11 +129,13 @@
         owned: Flows that its backend server holds.
         denied: Flows that it certainly does not own.
         undecided: Flows about which it cannot tell without a packet.
+        sender: The process that answers.
     """
 
     owned: tuple[packets.FlowId, ...] = ()
     denied: tuple[packets.FlowId, ...] = ()
     undecided: tuple[packets.FlowId, ...] = ()
+    sender: identifiers.MemberId = NO_SENDER
 
 
 class RegisterFlows(msgspec.Struct, frozen=True, array_like=True, tag=9):
@@ -165,11 +181,13 @@
         part: Number of this message, from 0.
         parts: Number of messages of the notice.
         hashes: Hashes of the flows, 4 bytes each.
+        sender: The process that leaves.
     """
 
     part: int
     parts: int
     hashes: bytes
+    sender: identifiers.MemberId = NO_SENDER
 
 
 AgentMessage = (
@@ -189,6 +207,11 @@
 LOAD_MESSAGES = (LoadReport, Accepted, Declined)
 ENTRY_MESSAGES = typing.get_args(EntryMessage)
 
+# What one process knows of flows that its backend server does not hold: it is no
+# evidence about an earlier or a later process at the same address.
+Denial = OwnershipDenied | OwnershipAnswer | HeldFlows
+DENIALS = typing.get_args(Denial)
+
 KINDS = {
     Accepted: traffic.Kind.OPENING_ANSWERS,
     Declined: traffic.Kind.OPENING_ANSWERS,
@@ -215,6 +238,14 @@
     )
 
 
+def tell_sender(message: Message, sender: identifiers.MemberId) -> Message:
+    """Return a message that tells which process sends it, where that matters."""
+    if not isinstance(message, DENIALS):
+        return message
+    told: Message = structs.replace(message, sender=sender)
+    return told
+
+
 def encode(authenticator: keys.Authenticator, message: Message) -> bytes:
     """Encode one message."""
     return signed_datagram.encode(authenticator, VERSION, message)
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -274,7 +274,8 @@
         message: messages.Message,
     ) -> None:
         """Send one message to several nodes; it is encoded and signed once."""
-        datagram = messages.encode(self._authenticator, message)
+        told = messages.tell_sender(message, self._gossip.membership.member.id)
+        datagram = messages.encode(self._authenticator, told)
         kind = messages.KINDS[type(message)]
         count = self._counters.traffic.count(traffic.Direction.SENT, kind)
         for address in recipients:
--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -30,6 +30,9 @@
 ENTRIES = 2
 SERVERS = 5
 RECOVERY_SECONDS = 4.0
+# Notices that an entry which stood still reads after the records of later starts.
+LATE_NOTICE_SHARE = 0.5
+LATE_NOTICE_SECONDS = (0.5, 4.0)
 LATE_COPY_SHARE = 0.2
 LATE_COPY_SECONDS = (0.5, 4.0)
 HEARTBEAT_WAIT_SECONDS = (0.0, 1.2)
@@ -448,10 +451,15 @@
             elif isinstance(action, actions.Reset):
                 self.reset_caller(action)
             elif isinstance(action, actions.SendMessage):
-                peer = builders.agent_record(host.number).member.control_address
-                self.send_to_entry(peer, action)
-
-    def send_to_entry(self, peer, action):
+                member = builders.agent_record(host.number, start=host.start).member
+                message = messages.tell_sender(action.message, member.id)
+                told = actions.SendMessage(action.address, message)
+                is_notice = isinstance(message, messages.HeldFlows)
+                is_late = is_notice and self.rng.random() < LATE_NOTICE_SHARE
+                delays = LATE_NOTICE_SECONDS if is_late else NETWORK_DELAY_SECONDS
+                self.send_to_entry(member.control_address, told, delays)
+
+    def send_to_entry(self, peer, action, delays=NETWORK_DELAY_SECONDS):
         """Send a member's message to an entry."""
         index = int(action.address.host.rpartition(".")[2])
         one = self.entries[index]
@@ -461,7 +469,7 @@
                 decided = one.handle_message(peer, action.message, self.now)
                 self.execute_entry_actions(index, decided)
 
-        self.schedule(NETWORK_DELAY_SECONDS, arrive)
+        self.schedule(delays, arrive)
 
     def deliver_to_server(self, host, packet):
         """Deliver a packet to a backend server, which answers at once."""
--- a/tests/core/flows/test_entry.py
+++ b/tests/core/flows/test_entry.py
@@ -509,6 +509,39 @@
     assert flows.tick(SETTLED + 60) == []
 
 
+@pytest.mark.parametrize("is_answer", [False, True])
+@pytest.mark.parametrize("is_later", [False, True])
+def test_a_denial_of_another_process_at_the_address_does_not_count(
+    flows, is_answer, is_later
+):
+    """Guards against a denial of one agent that counts for another one there."""
+    look_up(flows)
+    deny(flows, (1, 2), SETTLED)
+    known = builders.agent_record(3).member.id
+    sender = identifiers.MemberId(known + 1 if is_later else known - 1)
+    if is_answer:
+        denial = messages.OwnershipAnswer(denied=(builders.FLOW,), sender=sender)
+    else:
+        denial = messages.OwnershipDenied(builders.FLOW, sender)
+    address = peer_address_of(3)
+    decided = flows.handle_message(address, denial, SETTLED)
+    assert decided == ([actions.ReportUnknownSender(address)] if is_later else [])
+    assert flows.tick(SETTLED + 0.1) == []
+    decided = deny(flows, (3,), SETTLED + 0.1)
+    assert [type(action) for action in decided] == [actions.Reset]
+
+
+def test_a_flow_is_held_whichever_process_at_the_address_tells(flows):
+    """Guards against a lookup that waits for a process that the entry knows."""
+    look_up(flows)
+    sender = identifiers.MemberId(builders.agent_record(3).member.id + 1)
+    answer = messages.OwnershipAnswer(owned=(builders.FLOW,), sender=sender)
+    decided = flows.handle_message(peer_address_of(3), answer, SETTLED)
+    assert actions.ReportUnknownSender(peer_address_of(3)) in decided
+    (forwarded,) = flows.handle_packet(builders.packet(), SETTLED)
+    assert forwarded.address == packet_address_of(builders.agent_record(3))
+
+
 def test_silent_agents_are_asked_again(flows):
     look_up(flows)
     deny(flows, (1,), SETTLED)
--- a/tests/core/flows/test_held_flows.py
+++ b/tests/core/flows/test_held_flows.py
@@ -52,11 +52,24 @@
 
 def leave(made, number, held=None):
     """Let an agent leave, after a notice of the flows that its server holds."""
-    for message in held_flows.make_notice(held) if held is not None else ():
-        made.handle_message(address_of(number), message, LEFT_AT)
+    if held is not None:
+        tell(made, number, held, numbered(number).member.id)
     made.update_member(numbered(number, records.Status.LEFT), LEFT_AT)
 
 
+def tell(made, number, held, sender):
+    """Let the process with an id send a notice from the address of an agent."""
+    for message in held_flows.make_notice(held):
+        told = messages.tell_sender(message, sender)
+        made.handle_message(address_of(number), told, LEFT_AT)
+
+
+def successor_of(record, status=records.Status.ALIVE):
+    """Return the record of the process that starts after another at its address."""
+    member = msgspec.structs.replace(record.member, id=record.member.id + 1_000_000)
+    return msgspec.structs.replace(record, member=member, status=status)
+
+
 def reset_after(made, flow, silent):
     """Return the seconds until a flow is reset that all but some agents deny."""
     sent = made.handle_packet(builders.packet(flow=flow), LEFT_AT)
@@ -131,6 +144,36 @@
     assert held_flows.make_notice([flow_of(n) for n in range(limit + 1)]) == []
 
 
+def test_a_notice_that_arrives_late_does_not_count_for_the_successor():
+    """Guards against a notice of one agent that resets flows of the next one."""
+    made = make_entry(10)
+    successor = successor_of(numbered(3))
+    made.update_member(successor, LEFT_AT)
+    tell(made, 3, [], numbered(3).member.id)
+    made.update_member(successor_of(numbered(3), records.Status.LEFT), LEFT_AT)
+    seconds = reset_after(made, flow_of(2), {address_of(3)})
+    assert seconds >= lookups.SUCCESSOR_GRACE_SECONDS
+
+
+def test_a_notice_of_an_unknown_successor_does_not_count_for_its_predecessor():
+    """Guards against a notice that is taken for one of an agent that goes on."""
+    made = make_entry(10)
+    sender = successor_of(numbered(3)).member.id
+    tell(made, 3, [], sender)
+    made.update_member(numbered(3, records.Status.LEFT), LEFT_AT)
+    seconds = reset_after(made, flow_of(2), {address_of(3)})
+    assert seconds >= lookups.SUCCESSOR_GRACE_SECONDS
+
+
+def test_a_notice_that_does_not_tell_its_sender_excludes_nothing():
+    """Guards against a notice of a former release that counts for any process."""
+    made = make_entry(10)
+    tell(made, 3, [], messages.NO_SENDER)
+    made.update_member(numbered(3, records.Status.LEFT), LEFT_AT)
+    seconds = reset_after(made, flow_of(2), {address_of(3)})
+    assert seconds >= lookups.SUCCESSOR_GRACE_SECONDS
+
+
 def make_agent(first_number=1):
     made = agent.AgentFlows(builders.make_server(1.0), 0.0)
     made.update_routes(builders.route_table(), 0.0)
@@ -174,6 +217,5 @@
 def test_a_notice_counts_only_for_an_agent_that_has_left():
     """Guards against an agent that goes on, or is killed, after its notice."""
     made = make_entry(10)
-    for message in held_flows.make_notice([]):
-        made.handle_message(address_of(3), message, LEFT_AT)
+    tell(made, 3, [], numbered(3).member.id)
     assert reset_after(made, packets.FlowId(*flow_of(2)), {address_of(3)}) > 6.0
--- a/tests/core/flows/test_model.py
+++ b/tests/core/flows/test_model.py
@@ -9,8 +9,10 @@
     agent,
     cluster_view,
     directory,
+    entry,
     held_flows,
     lookups,
+    messages,
     servers,
 )
 from tests.core.flows import builders, model
@@ -119,9 +121,20 @@
     patch.setattr(agent.AgentFlows, "leave", leave)
 
 
+def notices_count_for_any_process_at_the_address(patch):
+    original = entry.EntryFlows._handle_denial
+
+    def handle_denial(self, agent, message, now):
+        told = messages.tell_sender(message, agent.member.id)
+        return original(self, agent, told, now)
+
+    patch.setattr(entry.EntryFlows, "_handle_denial", handle_denial)
+
+
 @pytest.mark.parametrize(
     "mutate",
     [
+        notices_count_for_any_process_at_the_address,
         no_grace_period_for_dead_agents,
         silence_counts_as_denial,
         only_the_registered_owner_counts,
