A heartbeat without the time of a start is refused

Cause: born was the one field of a heartbeat that could be absent, with 0 in its place, and an age of 0 s was made of that. Such a heartbeat with number 1 counted as the first one of a server that has just started, so that a restarted agent took itself to have seen all flows, and denied the others.

Evidence: with born absent, has_just_started is true whatever the time.

--- a/tests/daemon/packets/test_announcement_calls.py
+++ b/tests/daemon/packets/test_announcement_calls.py
@@ -100,6 +100,16 @@
     assert dict(beside.counters.items())[IGNORED] == 2
 
 
+def test_a_heartbeat_of_another_writer_without_born_tells_of_no_start(beside):
+    """Guards against a restarted agent that denies flows that its server holds."""
+    body = {name: value for name, value in HEARTBEAT.items() if name != "born"}
+    status = beside.call("PUT", "/api/instances/s2", json.dumps(body).encode())
+    assert status == http.HTTPStatus.BAD_REQUEST
+    assert beside.server.latest_announcement is None
+    assert beside.server.state is servers.State.UNKNOWN
+    assert beside.announced == 0
+
+
 @pytest.mark.parametrize(
     "change",
     [
