The entry that has run longest in its zone watches the store closely

Cause: the holder of the first contact slot watched closely. After a restart nobody had to claim that slot again, so that the zone had no close watch.

Evidence: without the restart the case holds; with it no process reads the version before the first watch has waited for its 20 s.

Change: the duty is bound to membership, not to a key in the store: the entry that has run longest in its zone has it, and the next one takes over within a second of knowing that it is gone. Contact slots have one meaning only.

Test: test_a_change_is_adopted_after_the_first_contact_point_has_left fails on the untouched code.

--- a/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
+++ b/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
@@ -113,21 +113,17 @@
                 self.record_store_result(error)
             await asyncio.sleep(self._retry_seconds())
 
-    async def watch_closely(self) -> None:
-        """Until cancelled, keep waits short, so that a silent connection soon shows.
+    def set_close_watch(self, is_close: bool) -> None:
+        """Keep waits short from now on or not, so that a silent connection soon shows.
 
         A few processes do so for the fleet: gossip spreads the revision that they read.
         """
-        self._use_waits(CLOSE_WATCH_SECONDS)
-        try:
-            await asyncio.Event().wait()
-        finally:
-            self._use_waits(None)
-
-    def _use_waits(self, seconds: float | None) -> None:
-        """Watch with waits of some seconds from now on, None for the usual ones."""
-        self._wait_seconds = seconds
-        self._end_watch(asyncio.get_running_loop().time())
+        wait_seconds = CLOSE_WATCH_SECONDS if is_close else None
+        if wait_seconds == self._wait_seconds:
+            return
+        self._wait_seconds = wait_seconds
+        if is_close:
+            self._end_watch(asyncio.get_running_loop().time())
 
     def observe(self, prefix: bytes, observer: StoreObserver) -> None:
         """Watch more keys together with the configuration.
--- a/packages/cactushall-daemon/cactushall_daemon/contact_service.py
+++ b/packages/cactushall-daemon/cactushall_daemon/contact_service.py
@@ -40,12 +40,10 @@
     Attributes:
         key: Key of the slot.
         lease: Its lease.
-        is_first: Whether it is the first slot of its availability zone.
     """
 
     key: bytes
     lease: store.LeaseId
-    is_first: bool
 
 
 class ContactService:
@@ -63,9 +61,7 @@
         on_unreadable: unreadable_entries.Reporter,
         record_store_result: contacts.StoreResultCallback,
         on_merge_due: MergeCallback,
-        while_held: collections.abc.Callable[
-            [SlotClaim], collections.abc.Sequence[tasks.Run]
-        ],
+        while_held: collections.abc.Sequence[tasks.Run] = (),
     ) -> None:
         """Create it without a slot.
 
@@ -78,7 +74,7 @@
                 error if the store did not respond, else with None.
             on_merge_due: Called with the contact points that the store lists, regularly
                 while a slot is held; with none if the store did not respond.
-            while_held: Returns what to run while a slot is held.
+            while_held: What to run while a slot is held.
         """
         self._store = client
         self._gossip = gossip_endpoint
@@ -253,14 +249,14 @@
             return False
         replaced = None if slot.holder is None else str(slot.holder)
         log.info(events.Event.CONTACT_CLAIMED, key=key.decode(), replaced=replaced)
-        self._claim = SlotClaim(key, lease, is_first=slot.number == 0)
+        self._claim = SlotClaim(key, lease)
         return True
 
     # Holding.
 
     async def _serve(self, claim: SlotClaim) -> None:
         """Run what a contact point runs until the slot is lost."""
-        running = [asyncio.create_task(run()) for run in self._while_held(claim)]
+        running = [asyncio.create_task(run()) for run in self._while_held]
         try:
             await self._hold(claim)
         finally:
--- a/packages/cactushall-daemon/cactushall_daemon/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/node.py
@@ -126,7 +126,7 @@
             self._report_unreadable,
             self._follower.record_store_result,
             self._discovery.merge_unknown,
-            lambda _claim: [follow],
+            (follow,),
         )
         view = control.NodeView(
             snapshot=self._gossip.membership.snapshot,
--- a/packages/cactushall-daemon/cactushall_daemon/packets/node.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/node.py
@@ -15,7 +15,13 @@
 
 from cactushall_core import addresses, adoption, exceptions, identifiers, traffic
 from cactushall_core.flows import messages, packets, routes
-from cactushall_core.membership import completeness, records, timing, zone_states
+from cactushall_core.membership import (
+    completeness,
+    contact_slots,
+    records,
+    timing,
+    zone_states,
+)
 from cactushall_daemon import (
     configuration_follower,
     contact_service,
@@ -47,6 +53,9 @@
 )
 FETCH_TIMEOUT_SECONDS = 1.0
 TABLE_TIMEOUT_SECONDS = 0.5
+CLOSE_WATCH_CHECK_SECONDS = 1.0
+# Agents, of which there are many more, find contact points and are none.
+CONTACT_ROLES = (records.Role.ENTRY,)
 CONFIGURATION_PATH = "/configuration"
 MEMBERS_PATH = "/members"
 EVACUATIONS_PATH = "/evacuations"
@@ -166,11 +175,10 @@
         self._contact_service = contact_service.ContactService(
             self._store,
             self._gossip,
-            (records.Role.ENTRY,),
+            CONTACT_ROLES,
             self._report_unreadable,
             self._follower.record_store_result,
             self._discovery.merge_unknown,
-            self._tasks_of_contact_point,
         )
 
     @property
@@ -231,13 +239,21 @@
     def serve_as_contact(self) -> None:
         """Act as a contact point that new processes find in the store."""
         self._tasks.keep_running(self._contact_service.run)
+        self._tasks.keep_running(self._watch_closely_where_first)
+
+    async def _watch_closely_where_first(self) -> None:
+        """Watch the store closely while this is the member of its zone to do so.
 
-    def _tasks_of_contact_point(
-        self, claim: contact_service.SlotClaim
-    ) -> list[tasks.Run]:
-        """Return what to run while a slot is held."""
-        # One process of each availability zone is enough for close watches.
-        return [self._follower.watch_closely] if claim.is_first else []
+        That is the contact point that has run longest, so that another one takes over
+        as soon as membership tells that it is gone, whoever holds which slot.
+        """
+        while True:
+            await asyncio.sleep(CLOSE_WATCH_CHECK_SECONDS)
+            membership = self._gossip.membership
+            first = contact_slots.find_longest_running(
+                membership.table, membership.member.zone, CONTACT_ROLES, 1
+            )
+            self._follower.set_close_watch(membership.member.id in first)
 
     async def release_contact_slot(self) -> None:
         """Give the slot of a contact point back, so that another one claims it."""
--- a/tests/daemon/contact_zone.py
+++ b/tests/daemon/contact_zone.py
@@ -48,7 +48,6 @@
             fail,
             lambda error: None,
             lambda listed: None,
-            lambda claim: [],
         )
         self._tasks[number] = asyncio.create_task(self._services[number].run())
         self.answering.add(member.control_address)
--- a/tests/daemon/packets/test_silent_connections.py
+++ b/tests/daemon/packets/test_silent_connections.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from cactushall_core.membership import records
 from tests.daemon import fleets
 from tests.standins import packet_site
 
@@ -19,16 +20,40 @@
     fleet, store, silent
 ):
     """Guards against a removed route that all nodes serve until their watches end."""
-    nodes = [
-        await fleet.start_node(host, [HOSTS[0]], store_address=store.address)
-        for host in HOSTS
-    ]
-    nodes[0].serve_as_contact()
+    nodes = await start_contact_points(fleet, store)
+    await check_change_is_adopted(nodes, store, silent)
+
+
+async def test_a_change_is_adopted_after_the_first_contact_point_has_left(fleet, store):
+    """Guards against a zone in which nobody watches closely after one restart."""
+    first, *others = await start_contact_points(fleet, store)
+    first.stop()
+    await fleets.wait_until(
+        lambda: all(n.gossip.membership.table.present_count == 2 for n in others)
+    )
+    await check_change_is_adopted(others, store, "/api/kv-watch")
+
+
+async def start_contact_points(fleet, store):
+    """Start nodes that serve as contact points, the longest-running one first."""
+    nodes = []
+    for host in HOSTS:
+        node = await fleet.start_node(
+            host, [HOSTS[0]], store_address=store.address, role=records.Role.ENTRY
+        )
+        node.serve_as_contact()
+        nodes.append(node)
+        await fleets.wait_until(lambda: len(store.leases) == len(nodes))
+    return nodes
+
+
+async def check_change_is_adopted(nodes, store, silent):
+    """Let open connections go silent and write a change, which all must adopt."""
 
     def has_adopted(version):
         return all(node.route_table.revision == version for node in nodes)
 
-    await fleets.wait_until(lambda: has_adopted(1) and store.leases)
+    await fleets.wait_until(lambda: has_adopted(1))
     packet_site.write_configuration(store, packet_site.make_configuration(2))
     await fleets.wait_until(lambda: has_adopted(2))
     await asyncio.sleep(1.0)
