--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -6,7 +6,6 @@
 from cactushall_core.flows import (
     actions,
     admission,
-    bounded,
     cold_start,
     held_flows,
     known_entries,
@@ -14,6 +13,7 @@
     packets,
     priorities,
     registrations,
+    released_flows,
     requests,
     routes,
     servers,
@@ -62,9 +62,7 @@
         self._flows: dict[packets.FlowId, tracked_flow.Flow] = {}
         self._untracked = untracked_flows.UntrackedFlows()
         self._awaiting_request: dict[packets.FlowId, float] = {}
-        # Flows whose callers have taken another server's answer, with the sequence
-        # numbers of their opening packets and when that became known.
-        self._released: dict[packets.FlowId, tuple[int, float]] = {}
+        self._released = released_flows.ReleasedFlows()
         self._queue: dict[packets.FlowId, tracked_flow.QueuedOpening] = {}
         self._meter = requests.RequestMeter()
         self._priorities = priorities.Priorities()
@@ -215,7 +213,7 @@
                 return []
             is_late = flow.state is tracked_flow.State.OPENING_ANSWERED
             self._forget(flow_id)
-        bounded.put(self._released, flow_id, (opening_sequence, now), MAX_FLOWS)
+        self._released.add(flow_id, opening_sequence, now)
         late = actions.RecordHedge(flow_id, actions.HedgeOutcome.LATE)
         return [late] if flow is not None and is_late else []
 
@@ -302,7 +300,7 @@
         self._expire_requests(now)
         self._expire_queue(now)
         self._untracked.expire(now - self._routes.idle_timeout_seconds)
-        self._expire_released(now)
+        self._released.expire(now - CLOSED_RETENTION_SECONDS)
 
     # New flows.
 
@@ -324,7 +322,7 @@
         if not self._routes.is_known and len(self._queue) < MAX_QUEUED_OPENINGS:
             self._queue[packet.flow] = tracked_flow.QueuedOpening(packet, entry, now)
             return []
-        if self._is_released(packet):
+        if self._released.is_late(packet):
             return []
         is_new = flow is None or tracked_flow.is_port_reused(flow, packet)
         if is_new:
@@ -354,14 +352,6 @@
         self._server.record_opening_sent(now)
         return [actions.DeliverToServer(packet.datagram)]
 
-    def _is_released(self, packet: packets.Packet) -> bool:
-        """Return whether an opening packet arrives after its flow was released."""
-        released = self._released.get(packet.flow)
-        if released is not None and released[0] != packet.sequence:
-            del self._released[packet.flow]
-            return False
-        return released is not None
-
     def _refusal(self, packet: packets.Packet) -> messages.Refusal | None:
         """Return why a new flow is declined, None where it is accepted."""
         if not self._routes.is_known:
@@ -525,11 +515,6 @@
             if now - queued.arrived_at > packets.OPENING_TIMEOUT_SECONDS:
                 del self._queue[flow_id]
 
-    def _expire_released(self, now: float) -> None:
-        oldest = now - CLOSED_RETENTION_SECONDS
-        kept = {f: entry for f, entry in self._released.items() if entry[1] > oldest}
-        self._released = kept
-
     def _expire_requests(self, now: float) -> None:
         """Stop counting requests whose answers must have been missed."""
         long_timeout = REQUEST_TIMEOUT_SERVICE_TIMES * self._meter.service_seconds
