A read is given up after a time without progress, not for its length

Cause: a request was given up 1 s after it was sent, whatever had arrived; on a link of 5 Mbit/s the configuration takes longer, and each attempt began anew.

Change: the time of a request counts until the first byte of its response; each further part has to arrive within 1 s, and all of it within 60 s. It holds for tables of members and pages of the store as well.

--- a/packages/cactushall-rpc/cactushall_rpc/http.py
+++ b/packages/cactushall-rpc/cactushall_rpc/http.py
@@ -17,6 +17,9 @@
 READ_BYTES = 65_536
 MAX_BODY_BYTES = 4 * 1024 * 1024
 SERVER_IDLE_TIMEOUT_SECONDS = 60.0
+# A large response on a slow link takes long, but not without a byte.
+PROGRESS_TIMEOUT_SECONDS = 1.0
+MAX_RESPONSE_SECONDS = 60.0
 TCP_USER_TIMEOUT_MILLISECONDS = 2_000
 # Any bytes can be decoded so.
 HEADER_ENCODING = "latin-1"
@@ -66,11 +69,16 @@
     headers: collections.abc.Mapping[str, str] = types.MappingProxyType({})
 
 
+ProgressCallback = collections.abc.Callable[[], None]
 Handler = collections.abc.Callable[
     [Request], Response | collections.abc.Awaitable[Response]
 ]
 
 
+def _ignore_progress() -> None:
+    """Do nothing: the time for a whole request is bounded."""
+
+
 async def serve(address: addresses.Address, handler: Handler) -> asyncio.Server:
     """Serve requests at an address.
 
@@ -186,7 +194,8 @@
             method: HTTP method.
             target: Path with the query.
             body: JSON body, may be empty.
-            timeout: Seconds to wait for the complete response.
+            timeout: Seconds to wait for the first byte of the response; each further
+                one has to follow soon.
 
         Raises:
             RequestTimeoutError: No complete response arrived in time; the server may
@@ -195,8 +204,9 @@
         """
         async with self._lock:
             try:
-                async with asyncio.timeout(timeout):
-                    return await self._request(method, target, body)
+                async with asyncio.timeout(timeout) as limit:
+                    on_progress = _make_extension(limit, timeout)
+                    return await self._request(method, target, body, on_progress)
             except TimeoutError as error:
                 self.close()
                 raise RequestTimeoutError(f"{method} {target}: no answer") from error
@@ -207,7 +217,9 @@
                 self.close()
                 raise
 
-    async def _request(self, method: str, target: str, body: bytes) -> Response:
+    async def _request(
+        self, method: str, target: str, body: bytes, on_progress: ProgressCallback
+    ) -> Response:
         if self._writer is None:
             self._reader, self._writer = await asyncio.open_connection(*self._address)
             self._state = h11.Connection(h11.CLIENT)
@@ -215,10 +227,10 @@
         assert self._state is not None
         assert self._reader is not None
         self._writer.write(self._encode_request(self._state, method, target, body))
-        head = await _next_event(self._state, self._reader)
+        head = await _next_event(self._state, self._reader, on_progress)
         if not isinstance(head, h11.Response):
             raise EOFError("connection closed before a response")
-        response_body = await _read_body(self._state, self._reader)
+        response_body = await _read_body(self._state, self._reader, on_progress)
         if self._state.their_state is h11.MUST_CLOSE:
             self.close()
         else:
@@ -238,13 +250,24 @@
         return _encode(state, head, body)
 
 
+def _make_extension(limit: asyncio.Timeout, timeout: float) -> ProgressCallback:
+    """Return what gives a request more time with each part of its response."""
+    loop = asyncio.get_running_loop()
+    latest_end = loop.time() + timeout + MAX_RESPONSE_SECONDS
+
+    def extend() -> None:
+        limit.reschedule(min(loop.time() + PROGRESS_TIMEOUT_SECONDS, latest_end))
+
+    return extend
+
+
 async def get(address: addresses.Address, target: str, timeout: float) -> Response:
     """Send a GET request over a new connection, which is closed afterwards.
 
     Args:
         address: Address of the server.
         target: Path with the query.
-        timeout: Seconds to wait for the complete response.
+        timeout: Seconds to wait for the first byte of the response.
 
     Raises:
         RequestError: No complete response arrived.
@@ -262,7 +285,7 @@
         method: HTTP method.
         target: Path with the query.
         body: Body, may be empty.
-        timeout: Seconds to wait for the complete response.
+        timeout: Seconds to wait for the first byte of the response.
 
     Raises:
         RequestError: No complete response arrived.
@@ -275,21 +298,28 @@
 
 
 async def _next_event(
-    connection: h11.Connection, reader: asyncio.StreamReader
+    connection: h11.Connection,
+    reader: asyncio.StreamReader,
+    on_progress: ProgressCallback = _ignore_progress,
 ) -> typing.Any:
     while True:
         event = connection.next_event()
         if event is h11.NEED_DATA:
             connection.receive_data(await reader.read(READ_BYTES))
+            on_progress()
         elif not isinstance(event, h11.InformationalResponse):
             return event
 
 
-async def _read_body(connection: h11.Connection, reader: asyncio.StreamReader) -> bytes:
+async def _read_body(
+    connection: h11.Connection,
+    reader: asyncio.StreamReader,
+    on_progress: ProgressCallback = _ignore_progress,
+) -> bytes:
     parts: list[bytes] = []
     size = 0
     while True:
-        event = await _next_event(connection, reader)
+        event = await _next_event(connection, reader, on_progress)
         if isinstance(event, h11.Data):
             parts.append(bytes(event.data))
             size += len(event.data)
--- /dev/null
+++ b/tests/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the clients of other services."""
