--- a/packages/cactushall-core/cactushall_core/membership/contact_slots.py
+++ b/packages/cactushall-core/cactushall_core/membership/contact_slots.py
@@ -17,6 +17,11 @@
 from cactushall_core.membership import records
 
 SLOTS_PER_ZONE = 3
+# Places in the order of claims.
+_OWN = (0, False, False)
+_FREE = 1
+_OF_GONE_HOLDER = (2, False, False)
+_OF_SILENT_HOLDER = (3, False, False)
 
 
 class HolderState(enum.Enum):
@@ -85,31 +90,28 @@
     ranks = {slot: _rank(slot, own, states) for slot in slots}
     claimable = {slot: rank for slot, rank in ranks.items() if rank is not None}
     return [
-        Option(slot, is_latest_kept=rank == _SILENT_RANK)
+        Option(slot, is_latest_kept=rank == _OF_SILENT_HOLDER)
         for slot, rank in sorted(claimable.items(), key=lambda item: item[1])
     ]
 
 
-_SILENT_RANK = (3, False, False)
-
-
 def _rank(
     slot: Slot, own: addresses.Address, states: HolderStates
 ) -> tuple[int, bool, bool] | None:
     """Return the place of a slot in the order of claims, None where it is held."""
     if slot.holder == own:
-        return (0, False, False)
+        return _OWN
     if not slot.revision:
         is_of_another = slot.latest not in (None, own)
-        return (1, is_of_another, slot.latest is None)
+        return (_FREE, is_of_another, slot.latest is None)
     if slot.holder is None:
         # Its value cannot be read: another writer's, which its lease will end.
         return None
     state = states.get(slot.holder, HolderState.UNKNOWN)
     if state is HolderState.GONE:
-        return (2, False, False)
+        return _OF_GONE_HOLDER
     if state is HolderState.SILENT:
-        return _SILENT_RANK
+        return _OF_SILENT_HOLDER
     return None
 
 
