--- a/review/standins_3/peers.py
+++ b/review/standins_3/peers.py
@@ -153,7 +153,7 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._runs = runs
         self._numbers = itertools.count(first_number)
-        self._born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000)
         # By both ends: own first sequence number, whether open, opening time, answer.
         self._flows = {}
         self._ended = set()
@@ -184,7 +184,11 @@
 
     async def beat(self):
         """Send one heartbeat and return the status of the answer, 0 for none."""
-        body = {
+        return await self.send_beat(self.make_beat())
+
+    def make_beat(self):
+        """Return the next heartbeat."""
+        return {
             "service": self.service,
             "address": f"{self._address[0]}:{self._address[1]}",
             "zone": "zone-a",
@@ -193,10 +197,13 @@
             "state": self.state,
             "cold_left_ms": 0,
             "seq_no": next(self._numbers),
-            "born": self._born,
+            "born": self.born,
         }
-        status = await self._call("PUT", json.dumps(body).encode())
-        self.beats.append((time.time(), self.state, status))
+
+    async def send_beat(self, beat):
+        """Send a heartbeat and return the status of the answer, 0 for none."""
+        status = await self._call("PUT", json.dumps(beat).encode())
+        self.beats.append((time.time(), beat["state"], status))
         return status
 
     async def _call(self, method, body):
