--- a/review/standins_3/cases.py
+++ b/review/standins_3/cases.py
@@ -14,8 +14,8 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 CASE_SECONDS = 100.0
-BOARD = ("198.18.0.1", 8443)
-PLANS = ("198.18.0.2", 8443)
+BOARD = ("127.8.0.1", 8443)
+PLANS = ("127.8.0.2", 8443)
 ROUTES = {"board": BOARD, "plans": PLANS}
 
 
