--- a/review/13/case.py
+++ b/review/13/case.py
@@ -8,9 +8,9 @@
 
 from review.standins_3 import cases, peers, site
 
-DOWN_SECONDS = 5.0
-FLOWS = 24
-FLOW_INTERVAL_SECONDS = 0.012
+DOWN_SECONDS = 4.5
+FLOWS = 72
+FLOW_INTERVAL_SECONDS = 0.004
 STOP_AFTER_SECONDS = 0.4
 RESTART_DELAY_SECONDS = 0.1
 IDLE_SECONDS = 7.0
@@ -19,7 +19,7 @@
 
 async def main(folder, record, has_trouble):
     """Run the case and return the breaks of the rule."""
-    deployment = site.Site(folder, entries=2, agents=["board", "board", "plans"])
+    deployment = site.Site(folder, entries=2, agents=[*["board"] * 7, "plans"])
     servers = [
         deployment.make_endpoint(f"s-{number}", host, service, first_number=0)
         for number, (host, service) in enumerate(deployment.agents.items())
