An agent lets no new flow through by settings that have just been replaced

Cause: only the settings file tells the service of the server beside an agent, and the agent decided by a copy that was up to 1 s old, while the crashed server still counted as ready. A crash is noticed by silence alone, so that the file has to be asked.

Change: the agent looks whether the file has changed, and applies it, before it decides on an opening packet (also one that waited for routes) and before it handles a heartbeat.

Tests, which failed before: the scenario of an address that goes to another service; a waiting opening packet, and the first heartbeat of the new server, at an agent process. `SettingsFile.refresh` is new, so that its own test has no former code.

--- a/packages/cactushall-daemon/cactushall_daemon/commands/agent.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/agent.py
@@ -31,5 +31,9 @@
     from cactushall_daemon.commands import run
     from cactushall_daemon.config import schema
 
-    cls = schema.AgentSettings
-    run.run_process(cls, path, process.AgentProcess, only_check=only_check)
+    run.run_process(
+        schema.AgentSettings,
+        path,
+        lambda settings, _: process.AgentProcess(settings),
+        only_check=only_check,
+    )
--- a/packages/cactushall-daemon/cactushall_daemon/commands/entry.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/entry.py
@@ -22,8 +22,12 @@
     from cactushall_daemon.config import packet_schema
     from cactushall_daemon.packets import entry_process
 
-    cls = packet_schema.PacketEntrySettings
-    run.run_process(cls, path, entry_process.EntryProcess, only_check=only_check)
+    run.run_process(
+        packet_schema.PacketEntrySettings,
+        path,
+        lambda settings, _: entry_process.EntryProcess(settings),
+        only_check=only_check,
+    )
 
 
 def _run_quic(path: pathlib.Path, *, only_check: bool) -> None:
@@ -31,5 +35,9 @@
     from cactushall_daemon.config import schema
     from cactushall_daemon.entry import process
 
-    cls = schema.EntrySettings
-    run.run_process(cls, path, process.EntryProcess, only_check=only_check)
+    run.run_process(
+        schema.EntrySettings,
+        path,
+        lambda settings, _: process.EntryProcess(settings),
+        only_check=only_check,
+    )
--- a/packages/cactushall-daemon/cactushall_daemon/commands/run.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/run.py
@@ -40,6 +40,11 @@
         """Apply changed settings, as far as they can change at run time."""
 
 
+# Applies the settings in the file if it has changed, before it returns.
+RefreshSettings = collections.abc.Callable[[], None]
+MakeProcess = collections.abc.Callable[[SettingsT, RefreshSettings], Process[SettingsT]]
+
+
 def load_settings(cls: type[SettingsT], path: pathlib.Path) -> SettingsT:
     """Load settings and print all findings; exit if any is an error.
 
@@ -60,7 +65,7 @@
 def run_process(
     cls: type[SettingsT],
     path: pathlib.Path,
-    make_process: collections.abc.Callable[[SettingsT], Process[SettingsT]],
+    make_process: MakeProcess[SettingsT],
     *,
     only_check: bool,
 ) -> None:
@@ -71,7 +76,8 @@
     Args:
         cls: The process's settings class.
         path: The settings file, reloaded on SIGHUP and when it has changed.
-        make_process: Creates the process inside the event loop.
+        make_process: Creates the process inside the event loop; gets a function that
+            applies the settings in the file if it has changed.
         only_check: Return once the settings are found to be valid.
     """
     stamp = settings_file.read_stamp(path)
@@ -86,18 +92,19 @@
     settings: SettingsT,
     path: pathlib.Path,
     stamp: settings_file.Stamp | None,
-    make_process: collections.abc.Callable[[SettingsT], Process[SettingsT]],
+    make_process: MakeProcess[SettingsT],
 ) -> exit_codes.ExitCode:
+    def apply(changed: SettingsT) -> None:
+        process.reload(changed)
+
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(tasks.log_callback_failure)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     try:
-        process = make_process(settings)
-        reloader = settings_file.SettingsFile(
-            path, type(settings), stamp, process.reload
-        )
+        reloader = settings_file.SettingsFile(path, type(settings), stamp, apply)
+        process = make_process(settings, reloader.refresh)
         loop.add_signal_handler(signal.SIGHUP, reloader.reload)
         await process.start()
     except sockets.BindError as error:
--- a/packages/cactushall-daemon/cactushall_daemon/commands/settings_file.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/settings_file.py
@@ -68,10 +68,14 @@
         self._apply(settings)
         log.info(events.Event.SETTINGS_RELOADED, path=str(self._path))
 
+    def refresh(self) -> None:
+        """Apply the settings in the file if it has changed."""
+        stamp = read_stamp(self._path)
+        if stamp is not None and stamp != self._loaded:
+            self.reload()
+
     async def follow(self) -> None:
         """Reload the file whenever it has changed, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_SECONDS)
-            stamp = read_stamp(self._path)
-            if stamp is not None and stamp != self._loaded:
-                self.reload()
+            self.refresh()
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import http
 import socket
 import time
@@ -46,9 +47,19 @@
 class AgentProcess:
     """An agent: forwards packets between entries, callers and one backend server."""
 
-    def __init__(self, settings: packet_schema.PacketAgentSettings) -> None:
-        """Create the agent without binding any address."""
+    def __init__(
+        self,
+        settings: packet_schema.PacketAgentSettings,
+        refresh_settings: collections.abc.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Create the agent without binding any address.
+
+        Args:
+            settings: The agent's settings.
+            refresh_settings: Applies changed settings that have not been applied yet.
+        """
         self._settings = settings
+        self._refresh_settings = refresh_settings
         self._loop = asyncio.get_running_loop()
         now = self._loop.time()
         self._load_reporter = reports.LoadReporter(now)
@@ -96,7 +107,7 @@
         )
         sockets.receive_batches(self._server_socket, self._receive_from_server)
         announcements = self._settings.announcements
-        await self._node.serve(announcements, self._announcements.handle)
+        await self._node.serve(announcements, self._handle_announcement_call)
         await self._node.start()
         sockets.receive_batches(self._packet_socket, self._receive)
         readiness = self._settings.readiness_address
@@ -164,7 +175,7 @@
     # Packets.
 
     def _receive(self, datagram: bytes, source: tuple[str, int]) -> None:
-        packet = self._count_malformed(layout.decode_from_caller(datagram))
+        packet = self._decode_from_caller(datagram)
         if packet is None:
             return
         self._node.count_caller_packet(packet)
@@ -193,6 +204,17 @@
             requests=load.requests,
         )
 
+    def _decode_from_caller(self, datagram: bytes) -> packets.Packet | None:
+        """Decode a caller's packet, with the settings of this moment in force.
+
+        Only they tell which service's server may get a new flow: its address may have
+        gone to another service since the latest regular look at the settings.
+        """
+        packet = self._count_malformed(layout.decode_from_caller(datagram))
+        if packet is not None and packet.is_opening:
+            self._refresh_settings()
+        return packet
+
     def _count_malformed(self, packet: packets.Packet | None) -> packets.Packet | None:
         if packet is None:
             self._node.counters.add(counters.Counter.MALFORMED)
@@ -218,13 +240,19 @@
             )
         if not isinstance(message, messages.LookupRequest):
             return
-        packet = self._count_malformed(layout.decode_from_caller(message.datagram))
+        packet = self._decode_from_caller(message.datagram)
         if packet is None:
             return
         self._execute(self._flows.handle_lookup(packet, sender, self._loop.time()))
 
     # Backend server.
 
+    def _handle_announcement_call(
+        self, request: http_calls.Request
+    ) -> http_calls.Response:
+        self._refresh_settings()
+        return self._announcements.handle(request)
+
     def _build_endpoints(self) -> tuple[records.Endpoint, ...]:
         """Return the backend server's endpoints as other members should see them."""
         if self._server.has_certainly_stopped:
@@ -273,6 +301,8 @@
 
     def _on_routes(self, route_table: routes.RouteTable) -> None:
         is_first = not self._flows.has_routes
+        # Opening packets that were waiting for routes are decided on now.
+        self._refresh_settings()
         self._execute(self._flows.update_routes(route_table, self._loop.time()))
         if is_first:
             self._node.spawn(self._check_health())
--- a/tests/daemon/test_settings_file.py
+++ b/tests/daemon/test_settings_file.py
@@ -78,3 +78,14 @@
     assert watched.applied == []
     watched.write("blue")
     await fleets.wait_until(lambda: watched.applied)
+
+
+def test_a_refresh_applies_a_change_before_it_returns(tmp_path):
+    """Guards against a decision by settings that have just been replaced."""
+    watched = Watched(tmp_path / "settings.yaml")
+    watched.file.refresh()
+    assert watched.applied == []
+    watched.write("blue")
+    watched.file.refresh()
+    watched.file.refresh()
+    assert watched.applied == ["blue"]
--- a/tests/scenarios/packets.feature
+++ b/tests/scenarios/packets.feature
@@ -38,6 +38,11 @@
     Then its callers are reset within 4 seconds
     And the flows of the other server continue
 
+  Scenario: The address of a crashed server goes to another service
+    When a board server crashes and a plans server gets its address
+    Then no flow to board is opened at it in the next second
+    And it gets flows to plans
+
   Scenario: New flows avoid a full server
     When a board server is full
     Then the next 20 flows to board go to the other server
--- a/tests/scenarios/test_packets.py
+++ b/tests/scenarios/test_packets.py
@@ -31,6 +31,7 @@
         answers: For each closed flow, its service and the names of its servers.
         stopped_at: Time at which an entry got SIGTERM, in seconds of the loop's clock.
         lost: Name of the server that was killed.
+        successor: The server that has got the address of another one.
     """
 
     def __init__(self, folder):
@@ -42,6 +43,7 @@
         self.site = None
         self.stopped_at = 0.0
         self.lost = None
+        self.successor = None
 
     def run(self, coroutine):
         """Run a coroutine and return its result."""
@@ -173,6 +175,39 @@
     assert acknowledged
 
 
+@pytest_bdd.when("a board server crashes and a plans server gets its address")
+def _(world):
+    site = world.site
+    world.successor = world.run(site.replace(site.servers[0], "plans"))
+
+
+@pytest_bdd.then("no flow to board is opened at it in the next second")
+def _(world):
+    """Guards against an opening packet that is delivered by settings of the past."""
+
+    async def open_flows():
+        opening = []
+        for _ in range(50):
+            flow = world.site.caller.open_flow(packet_site.BOARD)
+            opening.append(asyncio.create_task(flow))
+            await asyncio.sleep(0.02)
+        return await asyncio.gather(*opening, return_exceptions=True)
+
+    world.run(open_flows())
+    services = {service for _, service in world.successor.flows}
+    assert packet_site.BOARD not in services
+
+
+@pytest_bdd.then("it gets flows to plans")
+def _(world):
+    async def open_flows():
+        async with asyncio.timeout(FLOWS_SECONDS):
+            while not world.successor.accepted_flows:
+                await (await world.site.open_flow(packet_site.PLANS)).close()
+
+    world.run(open_flows())
+
+
 @pytest_bdd.when("a board server is full")
 def _(world):
     world.site.servers[0].is_full = True
--- a/tests/standins/packet_site.py
+++ b/tests/standins/packet_site.py
@@ -108,13 +108,7 @@
         for number, service in enumerate(self._services):
             host = f"127.0.4.{number + 1}"
             self.start_agent(host, service, self._zones[number])
-            server = packet_peers.PacketServer(
-                f"server-{number}",
-                (host, SERVER_PORT),
-                (host, FROM_SERVER_PORT),
-                (host, CONTROL_PORT),
-                service,
-            )
+            server = _make_server(f"server-{number}", host, service)
             self.servers.append(server)
             await server.start()
         await self.caller.start()
@@ -171,6 +165,26 @@
         role, role_settings = self._settings[host]
         self._start(role, host, role_settings | changed)
 
+    async def replace(self, server, service):
+        """Crash a server and give its address to one of another service.
+
+        The settings of its agent change without a signal, before the successor starts.
+
+        Returns:
+            The successor.
+        """
+        host = self.agent_host(server)
+        await server.stop()
+        path = self._settings_path(host)
+        settings = yaml.safe_load(path.read_text()) | {"service": service}
+        changed = path.with_suffix(".new")
+        changed.write_text(yaml.safe_dump(settings))
+        changed.replace(path)
+        successor = _make_server(f"{server.name}-successor", host, service)
+        self.servers[self.servers.index(server)] = successor
+        await successor.start()
+        return successor
+
     def signal(self, host, signal_number):
         """Send a signal to the process of a host."""
         self._processes[host].send_signal(signal_number)
@@ -233,6 +247,9 @@
         running = [host for host in self.entries if self.is_running(host)]
         return running[source[1] % len(running)], PACKET_PORT
 
+    def _settings_path(self, host):
+        return self._folder / f"{host}.yaml"
+
     def _start(self, role, host, role_settings):
         self._settings[host] = (role, role_settings)
         settings = {
@@ -248,7 +265,7 @@
             "seeds": [f"{entry}:{CONTROL_PORT}" for entry in self.entries[:3]],
             "keys": [KEY],
         }
-        path = self._folder / f"{host}.yaml"
+        path = self._settings_path(host)
         path.write_text(yaml.safe_dump(settings | role_settings))
         with (self._folder / f"{host}.log").open("ab") as log:
             self._processes[host] = subprocess.Popen(
@@ -260,6 +277,16 @@
             )
 
 
+def _make_server(name, host, service):
+    return packet_peers.PacketServer(
+        name,
+        (host, SERVER_PORT),
+        (host, FROM_SERVER_PORT),
+        (host, CONTROL_PORT),
+        service,
+    )
+
+
 def _answers_ok(url):
     try:
         with urllib.request.urlopen(url, timeout=1) as response:
