An agent denies unknown flows only where none can have escaped it

Cause: a first heartbeat numbered 1 or less and less than 3 s old stood for "this agent has run since before the server did". The server of the case counts from 0, so that its second heartbeat looked like the first.

Change: heartbeats alone prove nothing. An agent has seen all flows if a connection to the server's address was refused while the agent ran, the server says that it started later, and another connection is accepted; or if it has run for the idle timeout, so that flows from before have been idle for too long. Event 2208 tells when it knows. What is known stays known when the server starts again.

The tests of the new proofs are new. Changed tests: "start whose first heartbeat was lost" and "server that is heard again may hold any flow" stated the former rule for an agent that runs on, which has seen all flows by the new proof; the first is now asked of an agent that has started beside its server, for numbers 0 to 2, the second of flows that were open. The model lets servers count from 0 or 1, clocks step and agents be rolled soon after a start, and gives each start of a server sequence numbers of its own: a restarted server took packets of lost flows for its own. It detects the former rule, and times of start alone, as mutants.

After a loss of power servers are back before their agents, which then cannot tell for the idle timeout.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -16,6 +16,7 @@
     released_flows,
     requests,
     routes,
+    server_absence,
     servers,
     tracked_flow,
     untracked_flows,
@@ -60,7 +61,8 @@
         self._routes = routes.EMPTY
         self._is_evacuated = False
         self._flows: dict[packets.FlowId, tracked_flow.Flow] = {}
-        self._untracked = untracked_flows.UntrackedFlows()
+        self._untracked = untracked_flows.UntrackedFlows(now)
+        self._absence = server_absence.ServerAbsence()
         self._awaiting_request: dict[packets.FlowId, float] = {}
         self._released = released_flows.ReleasedFlows()
         self._queue: dict[packets.FlowId, tracked_flow.QueuedOpening] = {}
@@ -91,6 +93,16 @@
         """The entries that are believed to run."""
         return self._entries
 
+    @property
+    def has_seen_all(self) -> bool:
+        """Whether the agent knows all flows that the backend server may hold."""
+        return self._untracked.has_seen_all
+
+    @property
+    def awaits_acceptance(self) -> bool:
+        """Whether an accepted connection would prove that it knows all flows."""
+        return not self.has_seen_all and self._absence.awaits_acceptance
+
     @property
     def has_routes(self) -> bool:
         """Whether a configuration has been received."""
@@ -252,9 +264,10 @@
         """
         if not self._server.configure(service, address):
             return False
-        # The one that is named now may hold flows already.
         self._untracked.forget_returned()
-        self._untracked.record_start(has_seen_all=False)
+        # The one that is named now may hold flows already.
+        self._untracked.record_missed(now)
+        self._absence = server_absence.ServerAbsence()
         self._update_cold_limit(now)
         return True
 
@@ -273,13 +286,22 @@
         self._meter.set_slots(announcement.slots)
         self._cold.handle_announcement(announcement, latest_announcement, now)
         self._update_cold_limit(now)
-        if servers.is_other_start(announcement, latest_announcement):
-            if latest_announcement is not None:
-                self._forget_all()
-            has_seen_all = servers.has_just_started(announcement)
-            self._untracked.record_start(has_seen_all=has_seen_all)
+        self._absence.handle_announcement(announcement, now)
+        if latest_announcement is not None and servers.is_other_start(
+            announcement, latest_announcement
+        ):
+            self._forget_all()
         return outcome
 
+    def handle_server_refused(self, now: float) -> None:
+        """Handle a refused connection to the backend server: none runs now."""
+        self._absence.record_refused(now)
+
+    def handle_server_accepted(self) -> None:
+        """Handle an accepted connection to the backend server."""
+        if self._absence.awaits_acceptance:
+            self._untracked.record_none_missed()
+
     def tick(self, now: float) -> list[actions.Action]:
         """Register flows; forget expired flows and requests that have timed out."""
         self._expire_awaiting_request(now)
@@ -299,7 +321,8 @@
             self._forget(flow_id)
         self._expire_requests(now)
         self._expire_queue(now)
-        self._untracked.expire(now - self._routes.idle_timeout_seconds)
+        if self._routes.is_known:
+            self._untracked.expire(now - self._routes.idle_timeout_seconds)
         self._released.expire(now - CLOSED_RETENTION_SECONDS)
 
     # New flows.
--- a/packages/cactushall-core/cactushall_core/flows/untracked_flows.py
+++ b/packages/cactushall-core/cactushall_core/flows/untracked_flows.py
@@ -1,6 +1,9 @@
 """What an agent knows of flows that it does not track.
 
-Only what proves that the backend server does not hold a flow allows a denial.
+Only what proves that the backend server does not hold a flow allows a denial. The
+server gets packets through its agent only. So an agent has seen all of its flows if no
+server ran at a moment since the agent started, or if flows from before have been idle
+for longer than flows last.
 """
 
 from __future__ import annotations
@@ -10,38 +13,42 @@
 from cactushall_core.flows import actions, bounded, packets
 
 MAX_FLOWS = 20_000
+NEVER = float("-inf")
 
 
 class UntrackedFlows:
     """Flows that were tracked once, and flows that the server has returned."""
 
-    def __init__(self) -> None:
-        """Start without having seen anything."""
+    def __init__(self, now: float) -> None:
+        """Start without having seen anything before the present time."""
         # The times of the latest packets.
         self._not_owned: dict[packets.FlowId, float] = {}
         self._forgotten: dict[packets.FlowId, float] = {}
-        self._has_seen_all = False
+        # When the latest packet may have passed of a flow that is not known here.
+        self._unseen_until = now
+        # Flows whose latest packets passed until then are not open any more.
+        self._idle_before = NEVER
 
     @property
     def has_seen_all(self) -> bool:
-        """Whether the agent has seen all flows since the backend server started.
+        """Whether the agent has seen all flows that the backend server may hold.
 
         A flow that it has never tracked cannot be one of them.
         """
-        return self._has_seen_all
+        return self._unseen_until <= self._idle_before
 
     @property
     def forgotten(self) -> collections.abc.Set[packets.FlowId]:
         """Flows that were tracked, which the backend server may hold nevertheless."""
         return self._forgotten.keys()
 
-    def record_start(self, *, has_seen_all: bool) -> None:
-        """Record a start of the backend server.
+    def record_none_missed(self) -> None:
+        """Record proof that no server got packets before the agent ran."""
+        self._unseen_until = NEVER
 
-        Args:
-            has_seen_all: Whether the agent has seen all flows since that start.
-        """
-        self._has_seen_all = has_seen_all
+    def record_missed(self, now: float) -> None:
+        """Record that the server may hold flows which have not passed until now."""
+        self._unseen_until = now
 
     def forget_returned(self) -> None:
         """Forget what another backend server has returned."""
@@ -62,19 +69,25 @@
     def record_forgotten(self, flow_id: packets.FlowId, last_packet_at: float) -> None:
         """Record that a flow is not tracked any more."""
         if len(self._forgotten) >= MAX_FLOWS:
-            self._has_seen_all = False
+            oldest = next(iter(self._forgotten.values()))
+            self._unseen_until = max(self._unseen_until, oldest)
         bounded.put(self._forgotten, flow_id, last_packet_at, MAX_FLOWS)
 
     def denial_basis(self, flow_id: packets.FlowId) -> actions.DenialBasis | None:
         """Return why a flow is certainly not held, None where it may be."""
         if flow_id in self._not_owned:
             return actions.DenialBasis.SERVER_DENIED
-        if self._has_seen_all and flow_id not in self._forgotten:
+        if self.has_seen_all and flow_id not in self._forgotten:
             return actions.DenialBasis.NEVER_TRACKED
         return None
 
     def expire(self, before: float) -> None:
-        """Remove flows whose latest packets are older than a point in time."""
+        """Remove flows whose latest packets are older than a point in time.
+
+        Args:
+            before: The time before which flows have been idle for too long to be open.
+        """
+        self._idle_before = before
         for known in (self._not_owned, self._forgotten):
             for flow_id in [f for f, at in known.items() if at <= before]:
                 del known[flow_id]
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -59,6 +59,7 @@
     SERVER_COLD_CHANGED = (2205, "limit of cold backend server began or ended")
     SERVER_STARTED = (2206, "start of a backend server announced")
     ANNOUNCEMENT_IGNORED = (2207, "announcement of an earlier start ignored")
+    FLOWS_KNOWN = (2208, "all flows of the backend server known")
     FLOW_OPENED = (3001, "flow opened")
     FLOW_CLOSED = (3002, "flow closed")
     REQUEST_REFUSED = (3101, "request refused")
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -29,6 +29,7 @@
     evacuation_follower,
     executor,
     node,
+    server_port,
 )
 from cactushall_platform import calls
 from cactushall_platform import packets as layout
@@ -73,6 +74,8 @@
         )
         self._cold = cold_start.ColdStart(settings.cold_overage, settings.cold_slack)
         self._was_cold = False
+        self._has_seen_all = False
+        self._is_connecting = False
         self._flows = agent.AgentFlows(self._server, now, self._cold)
         self._node = node.Node(
             settings,
@@ -99,6 +102,8 @@
         Raises:
             BindError: An address cannot be bound.
         """
+        # A server may start as soon as its agent has bound an address.
+        await self._connect_to_server()
         packet_address = self._settings.packet_address
         self._packet_socket = sockets.bind_udp(packet_address)
         self._server_socket = sockets.bind_udp(self._settings.from_server)
@@ -157,8 +162,10 @@
         if self._server.tick(now):
             log.warning(events.Event.SERVER_UNRESPONSIVE, service=self._server.service)
             self._publish_server_state()
+            self._node.spawn(self._connect_to_server())
         self._report_load(now)
         self._record_cold_start()
+        self._record_flows_known()
 
     def _record_cold_start(self) -> None:
         declined = self._cold.declined
@@ -172,6 +179,13 @@
                 declined=declined,
             )
 
+    def _record_flows_known(self) -> None:
+        if self._flows.has_seen_all == self._has_seen_all:
+            return
+        self._has_seen_all = self._flows.has_seen_all
+        if self._has_seen_all:
+            log.info(events.Event.FLOWS_KNOWN, service=self._server.service)
+
     # Packets.
 
     def _receive(self, datagram: bytes, source: tuple[str, int]) -> None:
@@ -251,7 +265,25 @@
         self, request: http_calls.Request
     ) -> http_calls.Response:
         self._refresh_settings()
-        return self._announcements.handle(request)
+        response = self._announcements.handle(request)
+        if self._flows.awaits_acceptance and not self._is_connecting:
+            self._node.spawn(self._connect_to_server())
+        return response
+
+    async def _connect_to_server(self) -> None:
+        """Find out whether a server listens, which may prove that it is a new one."""
+        if self._flows.has_seen_all or self._is_connecting:
+            return
+        self._is_connecting = True
+        server = self._settings.server
+        result = await server_port.connect(server)
+        self._is_connecting = False
+        if server != self._settings.server:
+            return
+        if result is server_port.Result.REFUSED:
+            self._flows.handle_server_refused(self._loop.time())
+        elif result is server_port.Result.ACCEPTED:
+            self._flows.handle_server_accepted()
 
     def _build_endpoints(self) -> tuple[records.Endpoint, ...]:
         """Return the backend server's endpoints as other members should see them."""
--- a/tests/core/flows/builders.py
+++ b/tests/core/flows/builders.py
@@ -164,6 +164,13 @@
     )
 
 
+def see_start(flows, now, said=None):
+    """Let an agent see that no server runs, and then that one has started."""
+    flows.handle_server_refused(now)
+    flows.handle_announcement(said or announcement(), now)
+    flows.handle_server_accepted()
+
+
 def priority_table(*priorities, service=SERVICE, objective=0.0):
     """Return a table with a route of each priority to one service."""
     flows = [FLOW._replace(service_port=8443 + i) for i in range(len(priorities))]
--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -13,6 +13,8 @@
 import itertools
 import random
 
+from msgspec import structs
+
 from cactushall_core import addresses
 from cactushall_core.flows import actions, agent, entry, messages, packets
 from cactushall_core.membership import records
@@ -30,6 +32,10 @@
 ENTRIES = 2
 SERVERS = 5
 RECOVERY_SECONDS = 4.0
+# Agents are killed twice as often.
+FAULTS = ("entry", "agent", "agent", "host", "server", "drain", "both", "mass") + (
+    ("leave", "clock", "roll")
+)
 # Notices that an entry which stood still reads after the records of later starts.
 LATE_NOTICE_SHARE = 0.5
 LATE_NOTICE_SECONDS = (0.5, 4.0)
@@ -38,6 +44,10 @@
 HEARTBEAT_WAIT_SECONDS = (0.0, 1.2)
 LATE_ANNOUNCEMENT_SHARE = 0.5
 LATE_ANNOUNCEMENT_SECONDS = (0.1, 4.0)
+# From the start of a server until its agent is stopped and started.
+ROLL_SECONDS = (0.1, 0.6)
+CONNECT_SECONDS = (0.0, 0.05)
+CLOCK_STEP_SECONDS = (-5.0, 5.0)
 
 
 @dataclasses.dataclass
@@ -47,6 +57,8 @@
     number: int
     server_id: int = 0
     announcement_number: int = 0
+    born: float = 0.0
+    clock_offset: float = 0.0
     is_draining: bool = False
     is_alive: bool = True
     flows: dict = dataclasses.field(default_factory=dict)
@@ -55,6 +67,12 @@
     drained_at: float = float("inf")
     gone_as: records.Status = records.Status.DEAD
 
+    @property
+    def first_sequence(self):
+        """First sequence number of all flows of this start of the server."""
+        starts = self.number + (SERVERS + 1) * self.server_id
+        return builders.SERVER_START + starts * 100_000
+
 
 @dataclasses.dataclass
 class CallerFlow:
@@ -124,33 +142,63 @@
 
     def inject_fault(self):
         """Inject a random fault."""
-        kind = self.rng.choice(
-            ["entry", "agent", "agent", "host", "server", "drain", "both", "mass"]
-            + ["leave"]
-        )
+        faults = {
+            "entry": self.restart_entry,
+            "agent": self.kill_agent,
+            "host": self.kill_host,
+            "server": self.restart_server,
+            "drain": self.drain_server,
+            "both": self.kill_agent_and_entry,
+            "mass": self.kill_all,
+            "leave": self.stop_agent,
+            "clock": self.step_clock,
+            "roll": self.restart_server_and_agent,
+        }
+        kind = self.rng.choice(FAULTS)
         self.counts[kind] += 1
-        host = self.rng.choice(self.hosts)
-        if kind in ("entry", "both"):
-            self.start_entry(self.rng.randrange(ENTRIES))
-        if kind in ("agent", "both"):
-            self.kill_agent(host)
-        elif kind == "leave":
-            self.stop_agent(host)
-        elif kind == "host":
-            self.kill_agent(host)
-            self.stop_server(host)
-        elif kind == "server":
-            self.stop_server(host)
-            self.start_server(host)
-        elif kind == "drain" and not host.is_draining:
+        faults[kind](self.rng.choice(self.hosts))
+
+    def restart_entry(self, _host):
+        """Kill and start one of the entries."""
+        self.start_entry(self.rng.randrange(ENTRIES))
+
+    def kill_host(self, host):
+        """Kill an agent and its server."""
+        self.kill_agent(host)
+        self.stop_server(host)
+
+    def restart_server(self, host):
+        """Crash a server and start it again."""
+        self.stop_server(host)
+        self.start_server(host)
+
+    def restart_server_and_agent(self, host):
+        """Crash a server and start it again, and soon stop its agent."""
+        self.restart_server(host)
+        self.schedule(ROLL_SECONDS, lambda: self.stop_agent(host))
+
+    def drain_server(self, host):
+        """Let a server announce that it drains."""
+        if not host.is_draining:
             host.is_draining = True
             self.announce(host)
-        elif kind == "mass":
-            self.all_killed_at = self.now
-            for one in self.hosts:
-                self.kill_agent(one)
-            for index in range(ENTRIES):
-                self.start_entry(index)
+
+    def kill_agent_and_entry(self, host):
+        """Kill an agent and start one of the entries again."""
+        self.restart_entry(host)
+        self.kill_agent(host)
+
+    def kill_all(self, _host):
+        """Kill all agents and start all entries again."""
+        self.all_killed_at = self.now
+        for one in self.hosts:
+            self.kill_agent(one)
+        for index in range(ENTRIES):
+            self.start_entry(index)
+
+    def step_clock(self, host):
+        """Let the time of day jump on a VM."""
+        host.clock_offset = self.rng.uniform(*CLOCK_STEP_SECONDS)
 
     def start_entry(self, index):
         """Start an entry without state."""
@@ -234,15 +282,26 @@
         host.agent.update_routes(self.table, self.now)
         for record in self.entry_records.values():
             self.deliver_entry_record(host.agent, record)
+        self.connect(host, host.agent)
         if host.is_alive:
             self.schedule(HEARTBEAT_WAIT_SECONDS, lambda: self.announce(host))
         else:
             self.start_server(host)
 
+    def connect(self, host, beside):
+        """Let an agent that runs connect to its backend server."""
+        if host.agent is not beside:
+            return
+        if host.is_alive:
+            beside.handle_server_accepted()
+        else:
+            beside.handle_server_refused(self.now)
+
     def start_server(self, host):
-        """Start a backend server without flows."""
+        """Start a backend server without flows, which counts from 0 or from 1."""
         host.server_id += 1
-        host.announcement_number = 0
+        host.announcement_number = self.rng.randrange(-1, 1)
+        host.born = self.now + host.clock_offset
         host.flows = {}
         host.is_alive = True
         host.is_draining = False
@@ -259,8 +318,10 @@
         if self.rng.random() < LATE_ANNOUNCEMENT_SHARE:
             host.announcement_number += 1
             late = self.make_announcement(host)
+            born = host.born
             self.schedule(
-                LATE_ANNOUNCEMENT_SECONDS, lambda: self.deliver_announcement(host, late)
+                LATE_ANNOUNCEMENT_SECONDS,
+                lambda: self.deliver_announcement(host, late, born),
             )
 
     def announce(self, host):
@@ -268,7 +329,7 @@
         if host.agent is None or not host.is_alive:
             return
         host.announcement_number += 1
-        self.deliver_announcement(host, self.make_announcement(host))
+        self.deliver_announcement(host, self.make_announcement(host), host.born)
         if host.is_draining:
             host.drained_at = min(host.drained_at, self.now)
         self.publish_member(host, records.Status.ALIVE)
@@ -282,10 +343,16 @@
             host.is_draining,
         )
 
-    def deliver_announcement(self, host, announcement):
+    def deliver_announcement(self, host, announcement, born):
         """Deliver an announcement to the agent that runs now, if any."""
-        if host.agent is not None:
-            host.agent.handle_announcement(announcement, self.now)
+        beside = host.agent
+        if beside is None:
+            return
+        age = self.now + host.clock_offset - born
+        told = structs.replace(announcement, age_seconds=age)
+        beside.handle_announcement(told, self.now)
+        if beside.awaits_acceptance:
+            self.schedule(CONNECT_SECONDS, lambda: self.connect(host, beside))
 
     def publish_member(self, host, status, recipient=None):
         """Deliver an agent's record to entries after a delay."""
@@ -480,8 +547,7 @@
             if self.now > host.drained_at:
                 raise InvariantError(f"{self.now:.2f}: new flow at a draining server")
             host.flows.setdefault(packet.flow, "half")
-            sequence = builders.SERVER_START + host.number * 100_000
-            answer = builders.opening_answer(packet.flow, sequence)
+            answer = builders.opening_answer(packet.flow, host.first_sequence)
         elif flow_state is None or not self.was_chosen_by_caller(host, packet):
             answer = builders.bounced_packet(packet)
         else:
@@ -491,8 +557,7 @@
 
     def was_chosen_by_caller(self, host, packet):
         """Return whether the caller took this backend server's answer."""
-        sequence = builders.SERVER_START + host.number * 100_000
-        return packet.acknowledgement == sequence + 1
+        return packet.acknowledgement == host.first_sequence + 1
 
     def send_from_server(self, host, packet):
         """Send a backend server's packet to its agent."""
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -28,7 +28,7 @@
     """An agent that was running before its backend server started."""
     made = agent.AgentFlows(server, 0.0)
     made.update_routes(builders.route_table(), 0.0)
-    made.handle_announcement(builders.announcement(), 0.0)
+    builders.see_start(made, 0.0)
     return made
 
 
@@ -408,23 +408,39 @@
     assert is_probe(look_up(started, 1.0))
 
 
-@pytest.mark.parametrize("age_seconds", [4.0, -4.0])
-def test_a_late_first_heartbeat_is_no_sight_of_a_start(server, age_seconds):
-    """Guards against a first heartbeat that was held up while its agent restarted."""
+@pytest.mark.parametrize("number", [0, 1, 2])
+@pytest.mark.parametrize("age_seconds", [4.0, 1.2, 0.0, -4.0])
+def test_a_heartbeat_alone_is_no_sight_of_a_start(server, number, age_seconds):
+    """Guards against an agent that denies the flows of its predecessor.
+
+    Its server may count from 0 or from 1, and the time of day may have been set back
+    since the server started.
+    """
     started = agent.AgentFlows(server, 0.0)
     started.update_routes(builders.route_table(), 0.0)
-    late = builders.announcement(1, "s1", age_seconds=age_seconds)
-    started.handle_announcement(late, 0.1)
+    said = builders.announcement(number, "s1", age_seconds=age_seconds)
+    started.handle_announcement(said, 0.1)
     assert is_probe(look_up(started, 0.2))
 
 
-def test_start_whose_first_heartbeat_was_lost_is_not_denied_for(flows):
-    flows.handle_announcement(builders.announcement(2, "s2", started=200), 2.0)
-    assert is_probe(look_up(flows, 2.1))
+@pytest.mark.parametrize("number", [0, 1, 2])
+def test_a_heartbeat_after_another_start_is_no_sight_of_a_start(restarted, number):
+    """Guards against a late heartbeat that seems to be of a former start."""
+    said = builders.announcement(number, "s2", started=200)
+    restarted.handle_announcement(said, 2.0)
+    assert is_probe(look_up(restarted, 2.1))
+
 
+@pytest.mark.parametrize("number", [0, 1, 2])
+def test_an_agent_that_runs_on_knows_the_flows_of_each_later_start(flows, number):
+    """Guards against lookups that need a packet for each server that has restarted."""
+    flows.handle_announcement(builders.announcement(number, "s2", started=200), 2.0)
+    assert look_up(flows, 2.1) == [denial(actions.DenialBasis.NEVER_TRACKED)]
 
-def test_server_that_is_heard_again_may_hold_any_flow(flows):
+
+def test_server_that_is_heard_again_may_hold_its_flows(flows):
     """Guards against denials after one odd heartbeat of another writer."""
+    open_flow(flows)
     odd = builders.announcement(1, "odd", started=10**9)
     flows.handle_announcement(odd, 1.0)
     for number in range(2, 8):
--- a/tests/core/flows/test_held_flows.py
+++ b/tests/core/flows/test_held_flows.py
@@ -174,11 +174,14 @@
     assert seconds >= lookups.SUCCESSOR_GRACE_SECONDS
 
 
-def make_agent(first_number=1):
+def make_agent(*, has_seen_start=True):
     made = agent.AgentFlows(builders.make_server(1.0), 0.0)
     made.update_routes(builders.route_table(), 0.0)
     made.update_member(builders.entry_record(1))
-    made.handle_announcement(builders.announcement(first_number), 0.0)
+    if has_seen_start:
+        builders.see_start(made, 0.0)
+    else:
+        made.handle_announcement(builders.announcement(), 0.0)
     return made
 
 
@@ -206,7 +209,7 @@
 
 def test_an_agent_that_started_beside_a_running_server_tells_nothing():
     """Guards against flows that were opened before the agent started."""
-    assert make_agent(first_number=5).leave() == []
+    assert make_agent(has_seen_start=False).leave() == []
 
 
 def test_an_agent_without_flows_excludes_all():
--- a/tests/core/flows/test_model.py
+++ b/tests/core/flows/test_model.py
@@ -68,7 +68,7 @@
 
     def handle_announcement(self, announcement, now):
         outcome = original(self, announcement, now)
-        self._untracked.record_start(has_seen_all=True)
+        self._untracked.record_none_missed()
         return outcome
 
     patch.setattr(agent.AgentFlows, "handle_announcement", handle_announcement)
@@ -84,12 +84,42 @@
             announcement, previous
         )
         if outcome is servers.Outcome.APPLIED and is_other:
-            self._untracked.record_start(has_seen_all=True)
+            self._untracked.record_none_missed()
         return outcome
 
     patch.setattr(agent.AgentFlows, "handle_announcement", handle_announcement)
 
 
+def first_heartbeats_prove_a_start(patch):
+    original = agent.AgentFlows.handle_announcement
+
+    def handle_announcement(self, announcement, now):
+        previous = self._server.latest_announcement
+        outcome = original(self, announcement, now)
+        is_other = servers.is_other_start(announcement, previous)
+        if is_other and servers.has_just_started(announcement):
+            self._untracked.record_none_missed()
+        return outcome
+
+    patch.setattr(agent.AgentFlows, "handle_announcement", handle_announcement)
+
+
+def times_of_start_prove_a_start(patch):
+    def handle_announcement(self, announcement, now):
+        # As if a connection had been refused when the agent started.
+        self._absence.record_refused(self._started_at)
+        return announce(self, announcement, now)
+
+    def start(self, server, now, cold=None):
+        self._started_at = now
+        construct(self, server, now, cold)
+
+    construct = agent.AgentFlows.__init__
+    announce = agent.AgentFlows.handle_announcement
+    patch.setattr(agent.AgentFlows, "__init__", start)
+    patch.setattr(agent.AgentFlows, "handle_announcement", handle_announcement)
+
+
 def drains_are_ignored(patch):
     def accepts(self, service):
         return any(e.service == service for e in self.member.endpoints)
@@ -115,7 +145,7 @@
     original = agent.AgentFlows.leave
 
     def leave(self):
-        self._untracked.record_start(has_seen_all=True)
+        self._untracked.record_none_missed()
         return original(self)
 
     patch.setattr(agent.AgentFlows, "leave", leave)
@@ -141,6 +171,8 @@
         entries_decide_before_they_know_all_agents,
         agents_assume_to_have_seen_all_flows,
         any_other_start_counts_as_seen,
+        first_heartbeats_prove_a_start,
+        times_of_start_prove_a_start,
         drains_are_ignored,
         nothing_is_reset,
         bounced_packets_are_ignored,
--- a/tests/daemon/packets/test_agent_process.py
+++ b/tests/daemon/packets/test_agent_process.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import socket
+import time
 import typing
 
 import pytest
@@ -93,9 +94,9 @@
     await process.stop()
 
 
-async def announce(agent, service="board"):
+async def announce(agent, service="board", **changes):
     heartbeat = packet_peers.make_heartbeat(
-        service, str(agent.server), cold_left_ms=60_000
+        service, str(agent.server), cold_left_ms=60_000, **changes
     )
     body = json.dumps(heartbeat).encode()
     address = agent.announcements
@@ -200,3 +201,42 @@
     settings.change(tmp_path)
     await announce(settings.loaded, "plans")
     await settings.process.stop()
+
+
+async def listen(settings):
+    """Let a server listen at the agent's address for it."""
+    host, port = settings.server
+    return await asyncio.start_server(lambda _, writer: writer.close(), host, port)
+
+
+def knows_all_flows(log_lines):
+    logged = [line["event"] for line in log_lines]
+    return events.Event.FLOWS_KNOWN in logged
+
+
+def milliseconds_of_day():
+    return int(time.time() * 1000)
+
+
+async def test_an_agent_knows_all_flows_of_a_server_that_starts_after_it(
+    agent, log_lines
+):
+    """Guards against a started fleet in which no agent can tell dead flows."""
+    async with await listen(agent):
+        await announce(agent, born=milliseconds_of_day())
+        await fleets.wait_until(lambda: knows_all_flows(log_lines))
+
+
+@pytest.mark.parametrize("number", [0, 1])
+async def test_an_agent_does_not_know_the_flows_of_a_server_that_ran_before_it(
+    tmp_path, store, log_lines, number
+):
+    """Guards against the reset of flows that a predecessor of the agent delivered."""
+    settings = make_settings(tmp_path, store.address)
+    async with await listen(settings):
+        process = agent_process.AgentProcess(settings)
+        await process.start()
+        await announce(settings, seq_no=number, born=milliseconds_of_day())
+        await asyncio.sleep(5 * agent_process.TICK_SECONDS)
+        assert not knows_all_flows(log_lines)
+        await process.stop()
