A late heartbeat of another start does not end a drain

Cause: of two starts the one with the later time of start counted at once. The ended one had begun while the time of day was 2.4 s ahead.

Evidence: on the untouched code the late heartbeat is answered with 200, and the draining server's own with 409 from then on; with this change the late one gets 409 and the others 200.

Change: while the start that counts drains, another one is believed only by the rule that held for earlier starts: heard twice with growing numbers, and the draining one silent for three intervals. A server that has deregistered gives way at once. The outcome is called OTHER_START now.

What it costs: a server that crashes while it drains and starts again at its address gets flows three intervals after its last heartbeat, not at once.

--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -9,7 +9,7 @@
 from cactushall_core import addresses, identifiers
 
 MISSED_HEARTBEATS = 3.0
-# Heartbeat intervals for which an earlier start has to announce itself.
+# Heartbeat intervals for which another start has to announce itself.
 MIN_ANNOUNCING = 0.5
 UNANSWERED_TIMEOUT_SECONDS = 0.3
 MAX_UNANSWERED = 2
@@ -31,13 +31,14 @@
 
     APPLIED: It describes the backend server from now on.
     STALE: A later one of the same start is known.
-    EARLIER_START: One of a later start is known.
+    OTHER_START: Another start is known that counts: a later one, or one that drains
+        and is still heard.
     FOREIGN: It names another service or address than the settings.
     """
 
     APPLIED = "applied"
     STALE = "stale"
-    EARLIER_START = "earlier-start"
+    OTHER_START = "other-start"
     FOREIGN = "foreign"
 
 
@@ -67,8 +68,8 @@
     age_seconds: float = 0.0
 
 
-class _EarlierStart(msgspec.Struct):
-    """A start that announces itself although a later one is known."""
+class _OtherStart(msgspec.Struct):
+    """A start that announces itself although another one counts."""
 
     latest: Announcement
     first_heard_at: float
@@ -95,7 +96,7 @@
         self._heartbeat_seconds = heartbeat_seconds
         self._state = State.UNKNOWN
         self._latest_announcement: Announcement | None = None
-        self._earlier_start: _EarlierStart | None = None
+        self._other_start: _OtherStart | None = None
         self._last_seen_at = float("-inf")
         self._unanswered = 0
         self._unanswered_since = 0.0
@@ -144,7 +145,7 @@
         self._address = address
         self._state = State.UNKNOWN
         self._latest_announcement = None
-        self._earlier_start = None
+        self._other_start = None
         self._unanswered = 0
         return True
 
@@ -162,7 +163,7 @@
         outdated = self._outdated(announcement, now)
         if outdated is not None:
             return outdated
-        self._earlier_start = None
+        self._other_start = None
         self._latest_announcement = announcement
         self._last_seen_at = now
         self._unanswered = 0
@@ -176,27 +177,31 @@
             return None
         if is_same_start(announcement, latest):
             return Outcome.STALE if announcement.number <= latest.number else None
-        is_earlier = announcement.started_ms < latest.started_ms
-        if is_earlier and not self._goes_on_alone(announcement, now):
-            return Outcome.EARLIER_START
+        # A server that drains was promised that it gets no new flows. The other start
+        # may have ended long ago, at a time of day that was ahead.
+        is_doubtful = (
+            announcement.started_ms < latest.started_ms or self._state is State.DRAINING
+        )
+        if is_doubtful and not self._goes_on_alone(announcement, now):
+            return Outcome.OTHER_START
         return None
 
     def _goes_on_alone(self, announcement: Announcement, now: float) -> bool:
-        """Return whether an earlier start is heard while the latest one is silent.
+        """Return whether another start is heard while the one that counts is silent.
 
         A late announcement comes once, or together with others. Times of start may be
         wrong, after a clock was set back or in an announcement of another writer.
         """
-        earlier = self._earlier_start
-        if earlier is None or not is_same_start(announcement, earlier.latest):
-            self._earlier_start = _EarlierStart(announcement, now)
+        other = self._other_start
+        if other is None or not is_same_start(announcement, other.latest):
+            self._other_start = _OtherStart(announcement, now)
             return False
-        if announcement.number <= earlier.latest.number:
+        if announcement.number <= other.latest.number:
             return False
-        earlier.latest = announcement
+        other.latest = announcement
         silence = now - self._last_seen_at
         return (
-            now - earlier.first_heard_at >= MIN_ANNOUNCING * self._heartbeat_seconds
+            now - other.first_heard_at >= MIN_ANNOUNCING * self._heartbeat_seconds
             and silence > MISSED_HEARTBEATS * self._heartbeat_seconds
         )
 
--- a/packages/cactushall-daemon/cactushall_daemon/events.py
+++ b/packages/cactushall-daemon/cactushall_daemon/events.py
@@ -58,7 +58,7 @@
     HEALTH_CHECK_FAILED = (2204, "health check failed")
     SERVER_COLD_CHANGED = (2205, "limit of cold backend server began or ended")
     SERVER_STARTED = (2206, "start of a backend server announced")
-    ANNOUNCEMENT_IGNORED = (2207, "announcement of an earlier start ignored")
+    ANNOUNCEMENT_IGNORED = (2207, "announcement of another start ignored")
     FLOWS_KNOWN = (2208, "all flows of the backend server known")
     FLOW_OPENED = (3001, "flow opened")
     FLOW_CLOSED = (3002, "flow closed")
--- a/packages/cactushall-daemon/cactushall_daemon/packets/announcement_calls.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/announcement_calls.py
@@ -78,7 +78,7 @@
             )
         if outcome is servers.Outcome.APPLIED:
             _log_start(announcement, latest)
-        if outcome is not servers.Outcome.EARLIER_START or latest is None:
+        if outcome is not servers.Outcome.OTHER_START or latest is None:
             return http.HTTPStatus.OK
         self._record_ignored(announcement, latest)
         # An acknowledged heartbeat has to count: it may say that the server drains.
--- a/tests/core/flows/test_agent.py
+++ b/tests/core/flows/test_agent.py
@@ -375,7 +375,7 @@
 def test_a_late_heartbeat_of_an_earlier_start_changes_nothing(flows):
     flows.handle_announcement(builders.announcement(server_id="s2", started=200), 1.0)
     old = builders.announcement(99, server_id="s1", started=100, is_draining=True)
-    assert flows.handle_announcement(old, 1.1) is servers.Outcome.EARLIER_START
+    assert flows.handle_announcement(old, 1.1) is servers.Outcome.OTHER_START
     assert flows.handle_query((builders.OTHER_FLOW,), builders.ENTRY)[0].message == (
         messages.OwnershipAnswer((), (builders.OTHER_FLOW,))
     )
