Neither a health check nor lost openings end a drain

Two opening packets that it had not answered made its state unknown, and a health check that was still under way then made it ready. A false health answer did the same after three intervals of silence.

Change: opening packets without an answer matter only while the server is ready, and a health check counts only until the server announces itself.

Tests: two in test_servers.py failed before.

--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -218,8 +218,8 @@
             self._last_seen_at = now
 
     def record_health_check_success(self, now: float) -> None:
-        """Record a successful health check, which counts while its state is unknown."""
-        if self._state is State.UNKNOWN:
+        """Record a successful health check, which counts until it announces itself."""
+        if self._state is State.UNKNOWN and self._latest_announcement is None:
             self._state = State.READY
             self._last_seen_at = now
 
@@ -243,7 +243,8 @@
             return False
         timeout = MISSED_HEARTBEATS * self._heartbeat_seconds
         is_silent = now - self._last_seen_at > timeout
-        if not is_silent and not self._is_unresponsive(now):
+        is_unresponsive = self._state is State.READY and self._is_unresponsive(now)
+        if not is_silent and not is_unresponsive:
             return False
         self._state = State.UNKNOWN
         self._unanswered = 0
--- a/tests/core/flows/test_servers.py
+++ b/tests/core/flows/test_servers.py
@@ -140,3 +140,24 @@
     draining.handle_stopped("s1", 1.0)
     said = builders.announcement(1, "next", LATER_START)
     assert draining.handle_announcement(said, 1.1) is APPLIED
+
+
+def test_unanswered_opening_packets_do_not_take_back_that_a_server_drains():
+    """Guards against a health check that makes a draining server ready again."""
+    made = builders.make_server()
+    announce(made, 1, 0.0)
+    for _ in range(servers.MAX_UNANSWERED):
+        made.record_opening_sent(0.0)
+    announce(made, 2, 0.1, is_draining=True)
+    made.record_opening_sent(0.1)
+    made.record_opening_sent(0.1)
+    made.tick(1.0)
+    made.record_health_check_success(1.1)
+    assert made.state is servers.State.DRAINING
+
+
+def test_a_health_check_does_not_count_after_an_announcement(draining):
+    """Guards against a health check that is good while its server leaves."""
+    assert draining.tick(SILENCE + 0.1)
+    draining.record_health_check_success(SILENCE + 0.2)
+    assert draining.state is servers.State.UNKNOWN
