The close watch of the store and its grace stay below contact_ms together

Cause: the close watch waited 4.0 s, and its grace of 1.0 s came on top. Renewals of leases, which hid it, notice silence only on a connection that was open, and the store of the case closes each one after its answer.

Evidence: the version is in force 4.9 s after the silence, with watches that had begun 0.2 s before it.

Change: the close watch waits 2.0 s; with its grace, silence shows within 3.0 s.

Tests: three of four new cases in test_silent_connections.py failed before.

--- a/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
+++ b/packages/cactushall-daemon/cactushall_daemon/configuration_follower.py
@@ -12,7 +12,7 @@
 from cactushall_core.membership import records
 from cactushall_daemon import counters, events, logs, tasks
 
-CLOSE_WATCH_SECONDS = 4.0
+CLOSE_WATCH_SECONDS = 2.0
 
 log = logs.get_logger(__name__)
 
--- a/tests/daemon/packets/test_silent_connections.py
+++ b/tests/daemon/packets/test_silent_connections.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cactushall_core.membership import records
+from cactushall_daemon.packets import node
 from tests.daemon import fleets
 from tests.standins import packet_site
 
@@ -34,31 +35,54 @@
     await check_change_is_adopted(others, store, "/api/kv-watch")
 
 
+@pytest.mark.parametrize("closes_connections", [False, True])
+@pytest.mark.parametrize("silent", ["/", "/api/kv-watch"])
+async def test_a_change_right_after_the_silence_is_in_force_in_touch(
+    fleet, store, silent, closes_connections
+):
+    """Guards against time-outs that together take longer than `contact_ms`.
+
+    Watches begin just before the silence, and where the store closes the connection of
+    each call, no call shows the silence.
+    """
+    store.closes_connections = closes_connections
+    nodes = await start_contact_points(fleet, store)
+    await fleets.wait_until(lambda: has_adopted(nodes, 1))
+    await asyncio.sleep(2 * node.CLOSE_WATCH_CHECK_SECONDS)
+    packet_site.write_configuration(store, packet_site.make_configuration(2))
+    await fleets.wait_until(lambda: has_adopted(nodes, 2))
+    store.silence_connections(silent)
+    async with asyncio.timeout(CONTACT_SECONDS):
+        await asyncio.sleep(0.1)
+        packet_site.write_configuration(store, packet_site.make_configuration(3))
+        await fleets.wait_until(lambda: has_adopted(nodes, 3))
+
+
+def has_adopted(nodes, version):
+    return all(one.route_table.revision == version for one in nodes)
+
+
 async def start_contact_points(fleet, store):
     """Start nodes that serve as contact points, the longest-running one first."""
     nodes = []
     for host in HOSTS:
-        node = await fleet.start_node(
+        started = await fleet.start_node(
             host, [HOSTS[0]], store_address=store.address, role=records.Role.ENTRY
         )
-        node.serve_as_contact()
-        nodes.append(node)
+        started.serve_as_contact()
+        nodes.append(started)
         await fleets.wait_until(lambda: len(store.leases) == len(nodes))
     return nodes
 
 
 async def check_change_is_adopted(nodes, store, silent):
     """Let open connections go silent and write a change, which all must adopt."""
-
-    def has_adopted(version):
-        return all(node.route_table.revision == version for node in nodes)
-
-    await fleets.wait_until(lambda: has_adopted(1))
+    await fleets.wait_until(lambda: has_adopted(nodes, 1))
     packet_site.write_configuration(store, packet_site.make_configuration(2))
-    await fleets.wait_until(lambda: has_adopted(2))
+    await fleets.wait_until(lambda: has_adopted(nodes, 2))
     await asyncio.sleep(1.0)
     store.silence_connections(silent)
     await asyncio.sleep(CONTACT_SECONDS)
     packet_site.write_configuration(store, packet_site.make_configuration(3))
     async with asyncio.timeout(CONFIGURATION_SECONDS):
-        await fleets.wait_until(lambda: has_adopted(3))
+        await fleets.wait_until(lambda: has_adopted(nodes, 3))
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -41,6 +41,7 @@
         self.changed = asyncio.Event()
         self.era = 1
         self.fault = None
+        self.closes_connections = False
         # The path of the latest request, by connection.
         self._open = weakref.WeakKeyDictionary()
         self._silent = weakref.WeakSet()
@@ -147,6 +148,8 @@
             answer.headers["Store-Era"] = str(self.era)
         if self.fault == "lost":
             request.transport.abort()
+        if self.closes_connections:
+            answer.force_close()
         return answer
 
     async def _hang_if_silent(self, transport):
