An agent waits a while beyond the idle timeout before it denies

Change: flows that are not tracked are kept for the idle timeout and the 5 s that tracked ones are kept for. An agent that started beside its server knows all flows after that time.

--- a/packages/cactushall-core/cactushall_core/flows/agent.py
+++ b/packages/cactushall-core/cactushall_core/flows/agent.py
@@ -322,7 +322,7 @@
         self._expire_requests(now)
         self._expire_queue(now)
         if self._routes.is_known:
-            self._untracked.expire(now - self._routes.idle_timeout_seconds)
+            self._untracked.expire(now - self._idle_retention)
         self._released.expire(now - CLOSED_RETENTION_SECONDS)
 
     # New flows.
@@ -554,6 +554,14 @@
             tracked_flow.State.PROBED,
         ):
             return UNANSWERED_RETENTION_SECONDS
+        return self._idle_retention
+
+    @property
+    def _idle_retention(self) -> float:
+        """Time without packets after which a flow is not open any more, in seconds.
+
+        A caller's last packet within the idle timeout may take a while to get here.
+        """
         return self._routes.idle_timeout_seconds + CLOSED_RETENTION_SECONDS
 
     def _remember(self, flow_id: packets.FlowId, flow: tracked_flow.Flow) -> None:
