--- a/packages/cactushall-core/cactushall_core/flows/servers.py
+++ b/packages/cactushall-core/cactushall_core/flows/servers.py
@@ -273,10 +273,10 @@
 
 
 def has_just_started(announcement: Announcement) -> bool:
-    """Return whether an announcement is the first one since a start, and not late.
+    """Return whether an announcement seems to be the first one since a start.
 
-    A later one proves no start: what was heard before it may have been a late
-    announcement of a former start, of which this agent has seen nothing.
+    It may not be: servers need not count from 1, and times of day jump. So nothing may
+    rest on it that is not harmless either way.
     """
     is_first = announcement.number <= FIRST_ANNOUNCEMENT_NUMBER
     return is_first and abs(announcement.age_seconds) <= FIRST_ANNOUNCEMENT_SECONDS
