--- a/packages/cactushall-daemon/cactushall_daemon/commands/run.py
+++ b/packages/cactushall-daemon/cactushall_daemon/commands/run.py
@@ -94,6 +94,7 @@
     stamp: settings_file.Stamp | None,
     make_process: MakeProcess[SettingsT],
 ) -> exit_codes.ExitCode:
+    # The process needs the file's refresh, and the file the process's reload.
     def apply(changed: SettingsT) -> None:
         process.reload(changed)
 
--- a/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
+++ b/packages/cactushall-daemon/cactushall_daemon/packets/agent_process.py
@@ -266,7 +266,7 @@
     ) -> http_calls.Response:
         self._refresh_settings()
         response = self._announcements.handle(request)
-        if self._flows.awaits_acceptance and not self._is_connecting:
+        if self._flows.awaits_acceptance:
             self._node.spawn(self._connect_to_server())
         return response
 
--- a/tests/core/flows/model.py
+++ b/tests/core/flows/model.py
@@ -33,8 +33,18 @@
 SERVERS = 5
 RECOVERY_SECONDS = 4.0
 # Agents are killed twice as often.
-FAULTS = ("entry", "agent", "agent", "host", "server", "drain", "both", "mass") + (
-    ("leave", "clock", "roll")
+FAULTS = (
+    "entry",
+    "agent",
+    "agent",
+    "host",
+    "server",
+    "drain",
+    "both",
+    "mass",
+    "leave",
+    "clock",
+    "roll",
 )
 # Notices that an entry which stood still reads after the records of later starts.
 LATE_NOTICE_SHARE = 0.5
